--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,79 @@
+// Command standin runs stand-ins for what jasminestep works with, and
+// demonstrations of jasminestep against them.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"jasminestep/internal/standin"
+	"jasminestep/internal/web"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type demoCommand struct {
+	Site   string        `long:"site" default:"oshana" choice:"oshana" choice:"compas" description:"whose sizes"`
+	For    time.Duration `long:"for" default:"30s" description:"how long the load lasts"`
+	Faults string        `long:"faults" default:"none" choice:"none" choice:"all" description:"which faults are brought about"`
+	Seed   uint64        `long:"seed" default:"1" description:"of all random choices"`
+	Jobs   float64       `long:"jobs" default:"15" description:"jobs a second"`
+	Calls  float64       `long:"calls" default:"300" description:"requests a second"`
+	Level  string        `long:"level" default:"off" description:"least severe log lines on standard error"`
+}
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute([]string) error {
+	site, err := standin.FindSite(c.Site)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "demo", Level: hclog.LevelFromString(c.Level), Output: os.Stderr, JSONFormat: true})
+	web.UseLog(log)
+	d := &standin.Demo{Site: site, For: c.For, Faults: c.Faults == "all", Seed: c.Seed, Out: os.Stdout, Log: log, Jobs: c.Jobs, Calls: c.Calls}
+	s, err := d.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("summary: %w", err)
+	}
+	fmt.Println(string(b))
+	if s.Bad() > 0 {
+		os.Exit(exitFailed)
+	}
+	return nil
+}
+
+func main() {
+	p := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short, long string, c any) {
+		if _, err := p.AddCommand(name, short, long, c); err != nil {
+			panic(err) // a fixed table
+		}
+	}
+	add("demo", "run a site under load", "Runs a site with all its entries in one process, loads it, brings about faults, and judges by the stand-ins' own ledgers. The last line is one JSON object; the exit code is 1 if a promise was broken.", &demoCommand{})
+	if _, err := p.Parse(); err != nil {
+		code := exitFailed
+		if fe, ok := err.(*flags.Error); ok {
+			code = exitUsage
+			if fe.Type == flags.ErrHelp {
+				fmt.Println(err)
+				os.Exit(0)
+			}
+		}
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(code)
+	}
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,242 @@
+// Package control decides for one availability zone.
+//
+// Control is the state that the zone's owner keeps beside its book: what
+// waits, what is placed, which workers answer. It belongs to one goroutine. It
+// does no input or output: messages and the present time go in (Handle), a
+// batch of events comes out (Step), and once the journal has the batch the
+// effects that depended on it are released (Committed). Run, in run.go, joins
+// these filters to the journal and to the traffic goroutines.
+package control
+
+import (
+	"time"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/place"
+	"jasminestep/internal/platform"
+	"jasminestep/internal/timeline"
+	"jasminestep/internal/worker"
+	"jasminestep/pkg/operator"
+)
+
+// Limits are the times that control works with.
+type Limits struct {
+	Lease   time.Duration // of the zone's owner, from the start of its last durable write
+	Margin  time.Duration // greatest difference between two clocks
+	Beat    time.Duration // longest time between two writes
+	Gap     time.Duration // shortest time between two writes
+	Task    time.Duration // lease of tasks
+	Lag     time.Duration // how late the VM list may be
+	Request time.Duration // longest time that a request may run on a minion
+}
+
+// Defaults are the limits that Filled puts in place of zero ones.
+var Defaults = Limits{
+	Lease:   2 * time.Second,
+	Margin:  250 * time.Millisecond,
+	Beat:    600 * time.Millisecond,
+	Gap:     30 * time.Millisecond,
+	Task:    10 * time.Second,
+	Lag:     5 * time.Second,
+	Request: 30 * time.Second,
+}
+
+// Filled returns l with defaults in place of zero fields.
+func (l Limits) Filled() Limits {
+	fill := func(d *time.Duration, usual time.Duration) {
+		if *d == 0 {
+			*d = usual
+		}
+	}
+	fill(&l.Lease, Defaults.Lease)
+	fill(&l.Margin, Defaults.Margin)
+	fill(&l.Beat, Defaults.Beat)
+	fill(&l.Gap, Defaults.Gap)
+	fill(&l.Task, Defaults.Task)
+	fill(&l.Lag, Defaults.Lag)
+	fill(&l.Request, Defaults.Request)
+	return l
+}
+
+// VM is what control knows of one worker VM.
+type VM struct {
+	platform.VM
+	Boot  int64     // of the last report
+	Gen   int64     // of the last report
+	Heard time.Time // when it last answered
+	Gone  time.Time // since when the VM list lacks it; zero while it is listed
+	Sent  time.Time // latest moment to which any message may have prolonged a lease there
+
+	streak  map[string]bool // jobs that failed here one after the other
+	retryAt time.Time       // when a quarantined worker is tried again
+	rounds  int             // times it was quarantined in a row
+}
+
+// Entry is a live entry of the zone, as membership has it.
+type Entry struct {
+	ID      string
+	Boot    int64
+	Leaving bool
+	Alive   bool // heard from of late; silence proves nothing by itself
+}
+
+// Control is the state of a zone's owner. Book, Cluster and Queue agree at all
+// times: a live task is in Cluster, a queued one whose time has come in Queue.
+type Control struct {
+	Zone    string
+	Entry   string
+	Boot    int64
+	Limits  Limits
+	Book    *book.Book
+	Cluster place.Cluster
+	Queue   place.Queue
+	Times   place.Runtimes
+	VMs     map[string]*VM
+	Minions map[string]platform.VM // listed minions of the zone
+	Absent  map[string]time.Time   // listed before, missing since
+	Listed  bool                   // a VM list was seen
+	Entries []Entry
+	Cell    operator.Cell
+	Line    *timeline.Ring // may be nil
+
+	members    map[string]operator.Member
+	policy     place.Known
+	asks       []request               // submissions and cancellations not yet decided
+	released   map[string]Released     // minions and shares given up by their holders
+	keys       []KeysSeen              // outcomes to be journalled
+	acks       map[string][]worker.Ref // ends in batch or effects, by worker
+	ready      map[string][]worker.Ref // durable ends, by worker
+	flight     flight                  // what Step returned and the journal has not confirmed
+	granted    time.Time
+	stops      map[string]time.Time // tasks to be stopped → next try
+	starts     map[string]int       // tasks whose start is being sent → attempt
+	batch      []book.Event
+	effects    []Effect
+	impossible map[string]time.Time // items that fit no worker → since when
+	relieved   time.Time
+	restless   bool // a decision may be possible that was not before
+}
+
+// flight is what waits for a batch that is being written. Meanwhile messages
+// may decide more, which then waits for the next batch.
+type flight struct {
+	effects []Effect
+	acks    map[string][]worker.Ref
+}
+
+// Effect is something to be done once the journal has the batch that decided it.
+type Effect struct {
+	Start  *worker.Start // to Worker
+	Stop   *worker.Stop  // to Worker
+	Worker string
+	Reply  chan<- Answer // gets Answer
+	Answer Answer
+}
+
+// Answer is what becomes of a request to change the zone's state.
+type Answer struct {
+	OK    bool          // accepted and durable
+	ID    string        // of the job
+	Seq   int64         // of the batch that holds it
+	Why   string        // if not OK
+	Bad   bool          // not OK because the request is wrong, rather than the time
+	Waits *place.Reason // the answer to Explain
+}
+
+// New returns the control state over bk, which it takes for itself.
+func New(zone, entry string, boot int64, l Limits, bk *book.Book, now time.Time) *Control {
+	c := &Control{
+		Zone: zone, Entry: entry, Boot: boot, Limits: l.Filled(), Book: bk,
+		VMs: map[string]*VM{}, Minions: map[string]platform.VM{}, Absent: map[string]time.Time{},
+		released: map[string]Released{}, acks: map[string][]worker.Ref{}, ready: map[string][]worker.Ref{},
+		stops: map[string]time.Time{}, starts: map[string]int{}, impossible: map[string]time.Time{},
+		policy: place.Find(""),
+	}
+	for _, j := range bk.Jobs {
+		for _, t := range j.Tasks {
+			switch {
+			case t.Live():
+				c.adopt(j, t, now)
+			case t.State == book.Queued:
+				c.enqueue(j, t)
+			}
+		}
+	}
+	return c
+}
+
+// vm returns the state of a worker, known or not yet listed. A worker that a
+// new owner meets may have been sent a lease by the owner before.
+func (c *Control) vm(id string, now time.Time) *VM {
+	v := c.VMs[id]
+	if v == nil {
+		v = &VM{VM: platform.VM{ID: id}, Heard: now, Sent: now.Add(c.Limits.Task), streak: map[string]bool{}}
+		c.VMs[id] = v
+		c.Cluster.Put(id, "", operator.Size{}, true)
+	}
+	return v
+}
+
+// adopt puts a task that an earlier owner started where the book has it.
+func (c *Control) adopt(j *book.Job, t *book.Task, now time.Time) {
+	c.vm(t.Worker, now)
+	a := c.ask(j, t)
+	until := time.Time{}
+	if a.Kind != operator.Service {
+		until = time.UnixMilli(t.Since).Add(a.Est)
+	}
+	c.Cluster.Take(a, c.Cluster.Workers[t.Worker], until)
+	if t.State == book.Stopping {
+		c.stops[t.ID] = now
+	}
+}
+
+func (c *Control) ask(j *book.Job, t *book.Task) *place.Ask {
+	s := &j.Spec
+	return &place.Ask{
+		Task: t.ID, Job: j.ID, Member: s.Member, Kind: s.Kind, Size: s.Size,
+		Worth: s.Value(), Urgency: s.Urgency, Submitted: time.UnixMilli(j.Accepted),
+		After: time.UnixMilli(t.After), Rack: s.Rack, Spread: s.Spread || s.Kind == operator.Service,
+		Avoid: t.Avoid,
+		Est:   c.Times.Guess(s.Member+"/"+s.Lineage(), time.Duration(s.Runtime)*time.Millisecond),
+	}
+}
+
+// enqueue lets a queued task wait; a gang waits as one, once all its tasks do.
+func (c *Control) enqueue(j *book.Job, t *book.Task) {
+	c.restless = true
+	if j.Spec.Kind != operator.Gang {
+		c.Queue.Add(&place.Item{Asks: []*place.Ask{c.ask(j, t)}})
+		return
+	}
+	it := &place.Item{Gang: true}
+	for _, t := range j.Tasks {
+		if t.Live() {
+			return
+		}
+		if t.State == book.Queued {
+			it.Asks = append(it.Asks, c.ask(j, t))
+		}
+	}
+	if len(it.Asks) > 0 {
+		c.Queue.Add(it)
+	}
+}
+
+// emit decides an event: it is applied at once, and every effect of this step
+// waits until the batch that holds it is durable.
+func (c *Control) emit(now time.Time, e book.Event) {
+	e.At = now.UnixMilli()
+	c.Book.Apply(&e)
+	c.batch = append(c.batch, e)
+}
+
+func (c *Control) effect(e Effect) { c.effects = append(c.effects, e) }
+
+// note adds to the time line, if there is one.
+func (c *Control) note(now time.Time, kind, who, why string) {
+	c.Line.Add(timeline.Event{
+		At: now.UnixMilli(), VM: c.Entry, Kind: kind, Who: who, Why: why,
+		Zone: c.Zone, Epoch: c.Book.Epoch, Seq: c.Book.Seq + 1,
+	})
+}
--- /dev/null
+++ b/internal/control/run.go
@@ -0,0 +1,274 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/journal"
+	"jasminestep/internal/worker"
+)
+
+// Owner runs a Control: it is the loop between inbox, journal and workers.
+type Owner struct {
+	C       *Control
+	Store   journal.Store
+	Workers *worker.Client
+	Log     hclog.Logger
+	Inbox   chan Message
+	// Publish gets every durable batch in order.
+	Publish func(*journal.Batch)
+	// Written, if set, hears how long each write took.
+	Written func(time.Duration)
+
+	lease  atomic.Int64 // until when this entry is the owner, Unix milliseconds
+	syncs  map[string]context.CancelFunc
+	addrs  map[string]string
+	writes chan error
+	began  time.Time // of the write in flight, or of the last
+	flying *journal.Batch
+	handed bool
+}
+
+// tick is how often the loop looks at the clock when nothing happens.
+const tick = 15 * time.Millisecond
+
+// maxAsks bounds requests that wait for the table.
+const maxAsks = 20000
+
+// Lease returns until when this entry is the owner for sure.
+func (o *Owner) Lease() time.Time { return time.UnixMilli(o.lease.Load()) }
+
+// Valid reports whether this entry is the owner at now.
+func (o *Owner) Valid(now time.Time) bool { return now.UnixMilli() < o.lease.Load() }
+
+// Run decides until the context ends or the entry is deposed, which is the
+// error journal.ErrDeposed. owned is when the write that made it owner began.
+func (o *Owner) Run(ctx context.Context, owned time.Time) error {
+	o.lease.Store(owned.Add(o.C.Limits.Lease).UnixMilli())
+	o.began = owned
+	o.syncs, o.addrs = map[string]context.CancelFunc{}, map[string]string{}
+	o.writes = make(chan error, 1)
+	traffic, stop := context.WithCancel(ctx)
+	defer stop()
+	defer o.finish()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-o.Inbox:
+			o.drain(m)
+		case err := <-o.writes:
+			if err != nil {
+				return err
+			}
+			o.committed(traffic)
+		case <-t.C:
+		}
+		o.follow(traffic)
+		o.advance(traffic)
+		if o.handed && o.flying == nil {
+			return nil
+		}
+	}
+}
+
+// drain handles m and whatever else has arrived with it.
+func (o *Owner) drain(m Message) {
+	now := time.Now()
+	const most = 256
+	for range most {
+		o.handle(m, now)
+		select {
+		case m = <-o.Inbox:
+		default:
+			return
+		}
+	}
+	o.handle(m, now)
+}
+
+// Handover asks the owner to give the zone up and return from Run.
+type Handover struct{}
+
+func (Handover) handle(c *Control, now time.Time) {
+	c.emit(now, book.Event{Hand: &book.Hand{Entry: c.Entry}})
+	c.note(now, "hand", c.Zone, "")
+}
+
+func (o *Owner) handle(m Message, now time.Time) {
+	if _, ok := m.(Handover); ok {
+		if o.handed {
+			return
+		}
+		o.handed = true
+	}
+	o.C.Handle(m, now)
+}
+
+// advance starts the next write if there is something to write and it is time.
+func (o *Owner) advance(ctx context.Context) {
+	now := time.Now()
+	o.C.Expire(now, "not accepted: the platform's table did not answer in time")
+	if o.flying != nil {
+		if len(o.C.asks) > maxAsks {
+			o.C.Refuse("not accepted: too much waits for the platform's table")
+		}
+		return
+	}
+	if now.Sub(o.began) < o.C.Limits.Gap {
+		return
+	}
+	events := o.C.Step(now)
+	if len(events) == 0 && o.Valid(now) && now.Sub(o.began) < o.C.Limits.Beat {
+		o.release(ctx, o.C.Committed(o.C.Book.Seq))
+		return
+	}
+	b := &journal.Batch{
+		Zone: o.C.Zone, Seq: o.C.Book.Seq + 1, ID: journal.NewID(), Epoch: o.C.Book.Epoch,
+		Entry: o.C.Entry, Time: now.UnixMilli(), Events: events,
+	}
+	o.flying, o.began = b, now
+	lease := o.Lease()
+	go func() { o.writes <- journal.Append(ctx, o.Store, b, lease) }()
+}
+
+func (o *Owner) committed(ctx context.Context) {
+	b := o.flying
+	o.flying = nil
+	if o.Written != nil {
+		o.Written(time.Since(o.began))
+	}
+	if time.Since(o.began) > o.C.Limits.Lease {
+		o.C.note(time.Now(), "lapse", o.C.Zone, "a write took longer than the lease")
+	}
+	o.lease.Store(o.began.Add(o.C.Limits.Lease).UnixMilli())
+	o.Publish(b)
+	o.release(ctx, o.C.Committed(b.Seq))
+}
+
+// release carries out effects that are durable. What touches a worker needs a
+// valid lease, too: without one a start is not sent and counts as refused.
+func (o *Owner) release(ctx context.Context, effects []Effect) {
+	for i := range effects {
+		e := &effects[i]
+		v := o.C.VMs[e.Worker]
+		switch {
+		case e.Reply != nil:
+			e.Reply <- e.Answer
+		case e.Start != nil && (v == nil || !o.Valid(time.Now())):
+			o.C.Handle(Started{Task: e.Start.Task, Attempt: e.Start.Attempt, Refused: true, Why: "not sent: the owner's lease had lapsed"}, time.Now())
+		case e.Start != nil:
+			go o.start(ctx, v.Addr, e.Start)
+		case e.Stop != nil && v != nil && v.Addr != "" && o.Valid(time.Now()):
+			go func(addr string) { _ = o.Workers.Stop(ctx, addr, e.Stop) }(v.Addr) // tried again until the report confirms it
+		}
+	}
+}
+
+// startTries is how often an unanswered start is sent; it is idempotent.
+const startTries = 2
+
+func (o *Owner) start(ctx context.Context, addr string, s *worker.Start) {
+	m := Started{Task: s.Task, Attempt: s.Attempt, Unknown: true}
+	for range startTries {
+		if !o.Valid(time.Now()) {
+			break
+		}
+		err := o.Workers.Start(ctx, addr, s)
+		if err == nil {
+			m.Unknown = false
+			break
+		}
+		if errors.Is(err, worker.ErrRefused) {
+			m.Unknown, m.Refused, m.Why = false, true, err.Error()
+			break
+		}
+		o.Log.Debug("start unanswered", "task", s.Task, "worker", addr, "error", err)
+	}
+	o.post(ctx, m)
+}
+
+func (o *Owner) post(ctx context.Context, m Message) {
+	select {
+	case o.Inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// follow keeps one synchroniser running for each worker.
+func (o *Owner) follow(ctx context.Context) {
+	for id, v := range o.C.VMs {
+		if v.Addr == "" || o.addrs[id] == v.Addr {
+			continue
+		}
+		if stop := o.syncs[id]; stop != nil {
+			stop()
+		}
+		sctx, stop := context.WithCancel(ctx)
+		o.syncs[id], o.addrs[id] = stop, v.Addr
+		go o.sync(sctx, id, v.Addr)
+	}
+	if len(o.syncs) <= len(o.C.VMs) {
+		return
+	}
+	for id, stop := range o.syncs {
+		if o.C.VMs[id] == nil {
+			stop()
+			delete(o.syncs, id)
+			delete(o.addrs, id)
+		}
+	}
+}
+
+// sync renews the leases at one worker and brings back what changed there.
+// Tasks that move are renewed only while this entry is the owner for sure.
+func (o *Owner) sync(ctx context.Context, id, addr string) {
+	wait := o.C.Limits.Task * 2 / 5
+	const pause = 300 * time.Millisecond
+	for ctx.Err() == nil {
+		now := time.Now()
+		until := now.Add(o.C.Limits.Task)
+		reply := make(chan worker.Sync, 1)
+		o.post(ctx, Sending{Worker: id, Until: until, Reply: reply})
+		var s worker.Sync
+		select {
+		case s = <-reply:
+		case <-ctx.Done():
+			return
+		}
+		s.Until, s.Wait, s.Stay = until.UnixMilli(), wait.Milliseconds(), !o.Valid(time.Now())
+		r, err := o.Workers.Sync(ctx, addr, &s)
+		if err == nil {
+			o.post(ctx, Reported{Worker: id, Report: r})
+			continue
+		}
+		o.post(ctx, Unreachable{Worker: id})
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// finish answers whoever still waits. What was in a batch whose fate is not
+// known gets no answer here: the caller times out and hears that it is unknown.
+func (o *Owner) finish() {
+	o.lease.Store(0)
+	for {
+		select {
+		case m := <-o.Inbox:
+			o.C.Handle(m, time.Now())
+			continue
+		default:
+		}
+		break
+	}
+	o.C.Refuse("not accepted: this entry is no longer the zone's owner")
+}
--- /dev/null
+++ b/internal/entry/own.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/control"
+	"jasminestep/internal/journal"
+)
+
+// owning is the zone that this entry owns at present, if it does.
+type owning struct {
+	mu    sync.Mutex
+	owner *control.Owner
+}
+
+func (o *owning) get() *control.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner
+}
+
+func (o *owning) set(x *control.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owner = x
+}
+
+func (o *owning) valid(now time.Time) bool {
+	x := o.get()
+	return x != nil && x.Valid(now)
+}
+
+// takeLimit bounds the write that makes an entry the owner.
+const takeLimit = 10 * time.Second
+
+// takeOver tries to become the zone's owner and, if it does, owns it until it
+// is deposed, hands it over or ends.
+func (e *Entry) takeOver(ctx context.Context) {
+	bk, err := e.rep.copy()
+	if err != nil {
+		e.log.Error("own", "error", err)
+		return
+	}
+	began := time.Now()
+	b := &journal.Batch{
+		Zone: e.Set.Zone, Seq: bk.Seq + 1, ID: journal.NewID(), Epoch: bk.Epoch + 1,
+		Entry: e.Set.ID, Time: began.UnixMilli(),
+		Events: []book.Event{{At: began.UnixMilli(), Own: &book.Own{Entry: e.Set.ID, Boot: e.Boot, Epoch: bk.Epoch + 1}}},
+	}
+	wctx, cancel := context.WithTimeout(ctx, takeLimit)
+	defer cancel()
+	// The zero lease makes Append check that no row follows: this entry may
+	// have been paused since it read the table.
+	if err = journal.Append(wctx, e.platform, b, time.Time{}); err != nil {
+		e.log.Info("own lost", "seq", b.Seq, "error", err)
+		return
+	}
+	journal.Replay(bk, b)
+	e.rep.apply([]journal.Batch{*b})
+	e.ownZone(ctx, bk, began)
+}
+
+// ownZone runs the zone's control.
+func (e *Entry) ownZone(ctx context.Context, bk *book.Book, began time.Time) {
+	c := control.New(e.Set.Zone, e.Set.ID, e.Boot, e.Set.Limits(), bk, time.Now())
+	c.Line = e.Line
+	o := &control.Owner{
+		C: c, Store: e.platform, Workers: e.workers, Log: e.log,
+		Inbox:   make(chan control.Message, 4096),
+		Written: e.Meter.Write,
+	}
+	saved := bk.Seq
+	o.Publish = func(b *journal.Batch) {
+		e.rep.apply([]journal.Batch{*b})
+		e.guard.confirm(time.UnixMilli(b.Time))
+		if b.Seq-saved >= e.Set.Snapshot {
+			saved = b.Seq
+			go e.save(ctx)
+		}
+	}
+	epoch := bk.Epoch
+	c.Handle(control.Configured{Cell: e.cells.get()}, time.Now())
+	e.own.set(o)
+	e.note("own", e.Set.Zone, "epoch "+itoa(epoch))
+	e.log.Info("own", "epoch", epoch, "seq", bk.Seq)
+	octx, cancel := context.WithCancel(ctx)
+	go e.feed(octx, o)
+	err := o.Run(octx, began)
+	cancel()
+	e.own.set(nil)
+	why := "handed over"
+	if err != nil {
+		why = err.Error()
+	}
+	e.note("depose", e.Set.Zone, why)
+	e.log.Info("depose", "epoch", epoch, "why", why)
+}
+
+func (e *Entry) save(ctx context.Context) {
+	seq, b, err := e.rep.encode()
+	if err == nil {
+		err = journal.Save(ctx, e.platform, e.Set.Zone, seq, b)
+	}
+	if err != nil {
+		e.log.Warn("snap", "error", err)
+		return
+	}
+	e.note("snap", e.Set.Zone, "seq "+itoa(seq))
+}
+
+// feed tells the owner's control what this entry learns: the VM list, the
+// entries of the zone and the configuration.
+func (e *Entry) feed(ctx context.Context, o *control.Owner) {
+	var listed time.Time
+	version := int64(-1)
+	for ctx.Err() == nil {
+		e.vms.Lock()
+		list, at := e.vms.list, e.vms.at
+		e.vms.Unlock()
+		var ms []control.Message
+		if at.After(listed) {
+			listed = at
+			ms = append(ms, control.Roster{VMs: list})
+		}
+		if cell := e.cells.get(); cell.Version != version {
+			version = cell.Version
+			ms = append(ms, control.Configured{Cell: cell})
+		}
+		ms = append(ms, control.Live{Entries: e.liveEntries(time.Now())})
+		for _, m := range ms {
+			select {
+			case o.Inbox <- m:
+			case <-ctx.Done():
+				return
+			}
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+// liveFor is how long after it was last heard an entry counts as alive.
+const liveFor = 3 * time.Second
+
+// liveEntries lists the zone's entries for the control, this one included.
+func (e *Entry) liveEntries(now time.Time) []control.Entry {
+	out := []control.Entry{{ID: e.Set.ID, Boot: e.Boot, Leaving: e.Leaving(), Alive: true}}
+	e.view.Lock()
+	defer e.view.Unlock()
+	for _, p := range e.view.Peers {
+		if p.Zone == e.Set.Zone {
+			out = append(out, control.Entry{ID: p.ID, Boot: p.Boot, Leaving: p.Status == 2, Alive: now.Sub(p.Heard) < liveFor})
+		}
+	}
+	return out
+}
+
+// handover gives the zone up, if this entry owns it and another can take it.
+func (e *Entry) handover() {
+	o := e.own.get()
+	if o == nil {
+		return
+	}
+	for _, x := range e.liveEntries(time.Now()) {
+		if x.ID != e.Set.ID && x.Alive && !x.Leaving {
+			select {
+			case o.Inbox <- control.Handover{}:
+			default:
+			}
+			return
+		}
+	}
+}
+
+// Owns reports whether this entry owns its zone for sure.
+func (e *Entry) Owns() bool { return e.own.valid(time.Now()) }
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,401 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/ledger"
+	"jasminestep/internal/member"
+	"jasminestep/internal/minion"
+	"jasminestep/internal/peer"
+	"jasminestep/internal/route"
+	"jasminestep/internal/slots"
+)
+
+// Timing of requests.
+const (
+	callSlack  = 500 * time.Millisecond // a forwarded call may take this much longer than the request
+	movedPause = 40 * time.Millisecond  // before a key's home is looked up again
+	movedTries = 60
+	minTry     = 500 * time.Millisecond // shortest try of a request that may be repeated
+	maxTries   = 4
+)
+
+// Serve gives a checked request its answer.
+func (e *Entry) Serve(ctx context.Context, r *route.Request) route.Answer {
+	e.inflight.Add(1)
+	defer e.inflight.Done()
+	began := time.Now()
+	var a route.Answer
+	if r.Key != "" {
+		a = e.keyed(ctx, r)
+	} else {
+		a = e.run(ctx, r)
+	}
+	if a.Outcome == route.Unknown {
+		e.note("unknown", r.ID, string(a.Reason)+" "+r.Key)
+	}
+	e.Meter.Request(string(a.Outcome), string(a.Reason), time.Since(began))
+	return a
+}
+
+// budget bounds retries to a share of the first tries.
+type budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// budgetMost is how many retries may be saved up.
+const budgetMost = 50
+
+func (b *budget) earn(percent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(budgetMost, b.tokens+float64(percent)/100)
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// run sends a request to an entry with a slot for it. What provably did not
+// run is tried elsewhere; what may have run only if it may run again, and only
+// within the budget.
+func (e *Entry) run(ctx context.Context, r *route.Request) route.Answer {
+	limit := e.cells.get().Limits.Filled()
+	e.budget.earn(limit.Retry)
+	a := route.No(route.Unrun, route.NoMinion)
+	tried := map[string]bool{}
+	for try := range maxTries {
+		left := time.Until(time.UnixMilli(r.Deadline))
+		if left <= 0 || ctx.Err() != nil {
+			break
+		}
+		t, ok := e.choose(r.Pool, tried)
+		if !ok {
+			break
+		}
+		b := e.send(r, t, try)
+		if b.Outcome == route.Answered {
+			return b
+		}
+		if a.Outcome != route.Unknown {
+			a = b
+		}
+		if b.Outcome == route.Unknown && (!r.Repeat || !e.budget.spend()) {
+			return b
+		}
+		if b.Outcome == route.Unrun {
+			tried[t.ID] = true
+		}
+		e.Meter.Retry(string(b.Reason))
+		sleep(ctx, jitter(try))
+	}
+	return a
+}
+
+// jitter is the pause before a further try.
+func jitter(try int) time.Duration {
+	const unit = 4 * time.Millisecond
+	return time.Duration(rand.Int64N(int64(unit << try)))
+}
+
+// choose picks an entry for a request, leaving out those already tried.
+func (e *Entry) choose(pool string, tried map[string]bool) (route.Target, bool) {
+	now := time.Now()
+	ts := []route.Target{{Load: e.slots.Loads(now)[pool]}}
+	e.view.Lock()
+	for id, p := range e.view.Peers {
+		l, ok := e.view.loads[id]
+		if !ok || p.Status == member.Suspect || now.Sub(p.Heard) > liveFor {
+			continue
+		}
+		ts = append(ts, route.Target{
+			ID: id, Addr: p.Addr, Far: p.Zone != e.Set.Zone, Load: l.loads[pool], Age: now.Sub(l.at), Sent: l.sent[pool],
+		})
+	}
+	e.view.Unlock()
+	var left []route.Target
+	for _, t := range ts {
+		if !tried[t.ID] {
+			left = append(left, t)
+		}
+	}
+	e.rnd.Lock()
+	order := route.Choose(left, e.rnd.Rand)
+	e.rnd.Unlock()
+	if len(order) == 0 {
+		return route.Target{}, false
+	}
+	if id := order[0].ID; id != "" {
+		e.view.Lock()
+		if l := e.view.loads[id]; l.sent != nil {
+			l.sent[pool]++
+		}
+		e.view.Unlock()
+	}
+	return order[0], true
+}
+
+// send has target t serve r, here or there.
+func (e *Entry) send(r *route.Request, t route.Target, try int) route.Answer {
+	c := *r
+	c.ID = r.ID + "." + itoa(int64(try))
+	if t.ID == "" {
+		return e.local(&c)
+	}
+	// The call outlives the caller's connection: a slot is taken there, and its
+	// outcome must become known.
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.Deadline).Add(callSlack))
+	defer cancel()
+	a := &route.Answer{}
+	err := e.peers.Call(ctx, t.Addr, peer.Traffic, "Serve", &c, a)
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return route.No(route.Unrun, route.NoMinion)
+	case err != nil:
+		e.log.Debug("forward", "request", c.ID, "to", t.ID, "error", err)
+		return route.No(route.Unknown, route.Lost)
+	}
+	if a.Loads != nil {
+		e.view.Lock()
+		e.view.loads[t.ID] = told{a.Loads, time.Now(), map[string]int{}}
+		e.view.Unlock()
+	}
+	return *a
+}
+
+// Serve answers a request that another entry accepted, from this one's slots.
+func (p *Peer) Serve(r *route.Request, a *route.Answer) error {
+	*a = p.e.local(r)
+	a.Loads = p.e.slots.Loads(time.Now())
+	return nil
+}
+
+// local serves a request from the slots of this entry.
+func (e *Entry) local(r *route.Request) route.Answer {
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.Deadline))
+	defer cancel()
+	if !e.awaitAwake(ctx) {
+		return route.No(route.Unrun, route.Paused)
+	}
+	m, _ := e.cells.find(r.Member)
+	began := time.Now()
+	s, err := e.slots.Take(ctx, r.Pool, r.Member, m.Worth, time.UnixMilli(r.Deadline), began)
+	switch {
+	case errors.Is(err, slots.ErrNone):
+		return route.No(route.Unrun, route.NoMinion)
+	case errors.Is(err, slots.ErrFull):
+		return route.No(route.Unrun, route.Full)
+	case err != nil:
+		return route.No(route.Unrun, route.Late)
+	}
+	e.Meter.Wait(time.Since(began))
+	if !e.awake() {
+		e.slots.Give(s, slots.Unused, time.Now())
+		return route.No(route.Unrun, route.Paused)
+	}
+	return e.spend(ctx, r, s)
+}
+
+// spend sends r to the minion of slot s.
+func (e *Entry) spend(ctx context.Context, r *route.Request, s *slots.Slot) route.Answer {
+	if r.Repeat {
+		// Leave time for another try on another connection or minion.
+		left := time.Until(time.UnixMilli(r.Deadline))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, max(minTry, left/2))
+		defer cancel()
+	}
+	got, err := e.minions.Do(ctx, s.Addr, &minion.Request{
+		ID: r.ID, Member: r.Member, Method: r.Method, Path: r.Path, Type: r.Type, Body: r.Body,
+	})
+	a := route.Answer{Minion: s.Name, Entry: e.Set.ID}
+	result := slots.Good
+	switch {
+	case err == nil:
+		a.Outcome, a.Status, a.Type, a.Body = route.Answered, got.Status, got.Type, got.Body
+	case errors.Is(err, minion.ErrRefused):
+		a.Outcome, a.Reason, result = route.Unrun, route.Refused, slots.Bad
+	case errors.Is(err, minion.ErrUnrun):
+		a.Outcome, a.Reason, result = route.Unrun, route.NoMinion, slots.Bad
+	default:
+		a.Outcome, a.Reason, result = route.Unknown, route.Lost, slots.Abandoned
+		e.minions.Renew()
+		e.log.Debug("no whole answer", "request", r.ID, "minion", s.Name, "error", err)
+	}
+	if got != nil && got.Leaving {
+		e.slots.Leaving(s.Name)
+	}
+	if ejected, _ := e.slots.Give(s, result, time.Now()); ejected {
+		e.note("eject", s.Name, "fails")
+	}
+	return a
+}
+
+// keyed finds the home of a request's key and has it decide.
+func (e *Entry) keyed(ctx context.Context, r *route.Request) route.Answer {
+	k, err := ledger.Parse(r.Key)
+	if err != nil {
+		return route.No(route.Unrun, route.BadKey)
+	}
+	a := route.No(route.Unknown, route.Home)
+	for range movedTries {
+		a = e.toHome(ctx, k, r, true)
+		if a.Reason != route.Moved || ctx.Err() != nil || !time.Now().Before(time.UnixMilli(r.Deadline)) {
+			break
+		}
+		sleep(ctx, movedPause)
+	}
+	if a.Reason == route.Moved {
+		// No home took this try, but an earlier one may have run it.
+		return route.No(route.Unknown, route.Home)
+	}
+	return a
+}
+
+// HomeArgs asks an entry to decide about a request with a key, or, if it may
+// forward, to find the entry of its zone that does.
+type HomeArgs struct {
+	Request route.Request
+	Forward bool
+}
+
+// toHome sends a request to its key's home; Moved means that nobody took it.
+func (e *Entry) toHome(ctx context.Context, k ledger.Key, r *route.Request, forward bool) route.Answer {
+	zone := k.Home(e.cells.get().Zones)
+	addr, here, next := "", false, false
+	if zone == e.Set.Zone {
+		addr, here = e.homeAddr(k)
+	} else if forward {
+		addr, next = e.anyEntry(zone), true
+	}
+	if here {
+		return e.home(ctx, k, r)
+	}
+	if addr == "" || !forward {
+		return route.No(route.Unknown, route.Moved)
+	}
+	cctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.Deadline).Add(callSlack))
+	defer cancel()
+	a := &route.Answer{}
+	err := e.peers.Call(cctx, addr, peer.Traffic, "Home", &HomeArgs{*r, next}, a)
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return route.No(route.Unknown, route.Moved)
+	case err != nil:
+		return route.No(route.Unknown, route.Home)
+	}
+	return *a
+}
+
+// Home answers HomeArgs.
+func (p *Peer) Home(h *HomeArgs, a *route.Answer) error {
+	k, err := ledger.Parse(h.Request.Key)
+	if err != nil {
+		*a = route.No(route.Unrun, route.BadKey)
+		return nil
+	}
+	*a = p.e.toHome(context.Background(), k, &h.Request, h.Forward)
+	return nil
+}
+
+// homeAddr is where the home of k in this zone can be called.
+func (e *Entry) homeAddr(k ledger.Key) (addr string, here bool) {
+	var g book.Grant
+	e.rep.read(func(b *book.Book) { g = b.Grants[book.ShareName(k.Share())] })
+	if g.Entry == e.Set.ID {
+		return "", g.Boot == e.Boot
+	}
+	e.view.Lock()
+	defer e.view.Unlock()
+	if p := e.view.Peers[g.Entry]; p != nil && p.Boot == g.Boot {
+		return p.Addr, false
+	}
+	return "", false
+}
+
+// anyEntry is the address of some live entry of a zone; empty if there is none.
+func (e *Entry) anyEntry(zone string) string {
+	now := time.Now()
+	var addrs []string
+	e.view.Lock()
+	for _, p := range e.view.Peers {
+		if p.Zone == zone && p.Status != member.Suspect && now.Sub(p.Heard) < 4*liveFor {
+			addrs = append(addrs, p.Addr)
+		}
+	}
+	e.view.Unlock()
+	if len(addrs) == 0 {
+		return ""
+	}
+	e.rnd.Lock()
+	defer e.rnd.Unlock()
+	return addrs[e.rnd.IntN(len(addrs))]
+}
+
+// home decides about a request whose key is at home here.
+func (e *Entry) home(ctx context.Context, k ledger.Key, r *route.Request) route.Answer {
+	if !e.awaitAwake(ctx) {
+		return route.No(route.Unknown, route.Moved)
+	}
+	now := time.Now()
+	var known book.KeyOutcome
+	var floor time.Time
+	e.rep.read(func(b *book.Book) {
+		known = b.Keys[k.Text]
+		if f := b.Grants[book.ShareName(k.Share())].Floor; f != 0 {
+			floor = time.UnixMilli(f)
+		}
+	})
+	if z := e.cells.since(); z.After(floor) {
+		floor = z
+	}
+	en, first, v := e.ledger.Begin(k, now, func() ledger.Verdict {
+		if known.Key != "" {
+			return ledger.Unknown
+		}
+		return ledger.Judge(k.Made, floor, now, e.Set.Limits().Margin)
+	})
+	switch {
+	case v == ledger.Moved:
+		return route.No(route.Unknown, route.Moved)
+	case v == ledger.Early:
+		return route.No(route.Unrun, route.Early)
+	case v == ledger.Unknown && known.Outcome == ledger.Answered:
+		return route.No(route.Unknown, route.Forgotten)
+	case v == ledger.Unknown:
+		return route.No(route.Unknown, route.Stale)
+	case !first:
+		return e.again(ctx, en, r)
+	}
+	a := e.run(ctx, r)
+	e.ledger.End(k, en, string(a.Outcome), a, len(a.Body))
+	return a
+}
+
+// again answers a key that was seen before, with the answer of then.
+func (e *Entry) again(ctx context.Context, en *ledger.Entry, r *route.Request) route.Answer {
+	select {
+	case <-en.Done:
+	case <-ctx.Done():
+		return route.No(route.Unknown, route.Lost)
+	case <-time.After(time.Until(time.UnixMilli(r.Deadline))):
+		return route.No(route.Unknown, route.Lost)
+	}
+	if a, ok := e.ledger.Answer(en).(route.Answer); ok {
+		return a
+	}
+	return route.No(route.Unknown, route.Forgotten)
+}
--- /dev/null
+++ b/internal/entry/top.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/metric"
+	"jasminestep/internal/peer"
+	"jasminestep/internal/slots"
+	"jasminestep/internal/timeline"
+)
+
+// Top is the state of one entry and of its zone as it sees it.
+type Top struct {
+	VM      string                `json:"vm"`
+	Zone    string                `json:"zone"`
+	Leaving bool                  `json:"leaving,omitempty"`
+	Owner   string                `json:"owner"` // of the zone
+	Epoch   int64                 `json:"epoch"`
+	Seq     int64                 `json:"seq"`
+	Version int64                 `json:"version"` // of the configuration
+	Digest  string                `json:"digest"`
+	Jobs    map[book.State]int    `json:"jobs"`
+	Tasks   map[book.State]int    `json:"tasks"`
+	Holds   map[string]string     `json:"holds,omitempty"` // quarantined workers
+	Pools   map[string]slots.Load `json:"pools"`           // of the slots that this entry holds
+	Peers   map[string]string     `json:"peers"`           // what it thinks of the others
+	Sent    int64                 `json:"sent"`            // bytes for control
+	Heard   int64                 `json:"heard"`
+}
+
+// Top returns the state of this entry.
+func (e *Entry) Top() Top {
+	now := time.Now()
+	t := Top{
+		VM: e.Set.ID, Zone: e.Set.Zone, Leaving: e.Leaving(), Pools: e.slots.Loads(now),
+		Jobs: map[book.State]int{}, Tasks: map[book.State]int{}, Holds: map[string]string{}, Peers: map[string]string{},
+		Sent:  e.peers.Bytes.Sent.Load() + e.served.Sent.Load(),
+		Heard: e.peers.Bytes.Received.Load() + e.served.Received.Load(),
+	}
+	t.Version, t.Digest = e.cells.version()
+	e.rep.read(func(b *book.Book) {
+		t.Owner, t.Epoch, t.Seq = b.Owner, b.Epoch, b.Seq
+		for _, j := range b.Jobs {
+			s, _ := j.State()
+			t.Jobs[s]++
+			for _, x := range j.Tasks {
+				t.Tasks[x.State]++
+			}
+		}
+		for w, why := range b.Holds {
+			t.Holds[w] = why
+		}
+	})
+	e.view.Lock()
+	defer e.view.Unlock()
+	for id, p := range e.view.Peers {
+		t.Peers[id] = opinion(p.Status == 2, p.Status == 1 || now.Sub(p.Heard) > liveFor)
+	}
+	return t
+}
+
+func opinion(leaving, silent bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case silent:
+		return "silent"
+	}
+	return "alive"
+}
+
+// Samples are the figures behind the gauges.
+func (e *Entry) Samples() []metric.Sample {
+	t := e.Top()
+	one := func(name string, n int64) metric.Sample { return metric.Sample{Name: name, N: float64(n)} }
+	out := []metric.Sample{
+		one("step_epoch", t.Epoch), one("step_seq", t.Seq), one("step_cell_version", t.Version),
+		one("step_control_sent_bytes", t.Sent), one("step_control_received_bytes", t.Heard), one("step_owner", 0),
+	}
+	if e.own.valid(time.Now()) {
+		out[len(out)-1].N = 1
+	}
+	for s, n := range t.Jobs {
+		out = append(out, metric.Sample{Name: "step_jobs", Label: "state", Value: string(s), N: float64(n)})
+	}
+	for s, n := range t.Tasks {
+		out = append(out, metric.Sample{Name: "step_tasks", Label: "state", Value: string(s), N: float64(n)})
+	}
+	for p, l := range t.Pools {
+		out = append(out, metric.Sample{Name: "step_queue", Label: "pool", Value: p, N: float64(l.Queue)},
+			metric.Sample{Name: "step_free", Label: "pool", Value: p, N: float64(l.Free)})
+	}
+	return out
+}
+
+// EventsArgs asks an entry for its time line.
+type EventsArgs struct {
+	Since int64 // running number
+}
+
+// EventsReply has it.
+type EventsReply struct{ Events []timeline.Event }
+
+// Events answers EventsArgs.
+func (p *Peer) Events(a *EventsArgs, r *EventsReply) error {
+	r.Events = p.e.Line.Since(a.Since)
+	return nil
+}
+
+// TopArgs asks an entry for its state.
+type TopArgs struct{}
+
+// Top answers TopArgs.
+func (p *Peer) Top(_ *TopArgs, t *Top) error {
+	*t = p.e.Top()
+	return nil
+}
+
+// gather asks every other entry that is known, all at once; those that do not
+// answer are left out.
+func gather[A, R any](ctx context.Context, e *Entry, method string, args A) []R {
+	const limit = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var addrs []string
+	e.view.Lock()
+	for _, p := range e.view.Peers {
+		addrs = append(addrs, p.Addr)
+	}
+	e.view.Unlock()
+	var mu sync.Mutex
+	var out []R
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r := new(R)
+			if e.peers.Call(ctx, addr, peer.Control, method, &args, r) == nil {
+				mu.Lock()
+				out = append(out, *r)
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// AllEvents merges the time lines of every entry that answers.
+func (e *Entry) AllEvents(ctx context.Context) []timeline.Event {
+	lines := [][]timeline.Event{e.Line.Since(0)}
+	for _, r := range gather[EventsArgs, EventsReply](ctx, e, "Events", EventsArgs{}) {
+		lines = append(lines, r.Events)
+	}
+	return timeline.Merge(lines...)
+}
+
+// AllTops returns the state of every entry that answers.
+func (e *Entry) AllTops(ctx context.Context) []Top {
+	return append(gather[TopArgs, Top](ctx, e, "Top", TopArgs{}), e.Top())
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,146 @@
+// Package metric measures an entry through OpenTelemetry and shows the figures
+// in the Prometheus exposition format.
+package metric
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	oprom "go.opentelemetry.io/otel/exporters/prometheus"
+	om "go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metric documents one metric.
+type Metric struct {
+	Name string
+	Unit string
+	Doc  string
+}
+
+// Table lists every metric that an entry shows.
+var Table = []Metric{
+	{"step_requests", "requests", "requests by outcome and reason"},
+	{"step_request_seconds", "seconds", "time from a request's arrival to its outcome"},
+	{"step_slot_wait_seconds", "seconds", "time that a request waited for a slot"},
+	{"step_retries", "tries", "further tries of requests, by the reason for them"},
+	{"step_write_seconds", "seconds", "time of a write of the zone's journal"},
+	{"step_queue", "requests", "requests that wait for a slot, by pool"},
+	{"step_free", "slots", "free slots that this entry holds, by pool"},
+	{"step_jobs", "jobs", "jobs of the zone, by state"},
+	{"step_tasks", "tasks", "tasks of the zone, by state"},
+	{"step_task_wait_seconds", "seconds", "time from a task's acceptance to its first start"},
+	{"step_owner", "1", "one while this entry owns its zone"},
+	{"step_epoch", "1", "epoch of the zone's owner"},
+	{"step_seq", "rows", "last row of the zone's journal that this entry has"},
+	{"step_cell_version", "1", "version of the configuration in force"},
+	{"step_control_sent_bytes", "bytes", "bytes sent to other entries for control"},
+	{"step_control_received_bytes", "bytes", "bytes received from other entries for control"},
+	{"step_packing", "1", "share of the zone's capacity that is placed, by resource"},
+}
+
+// Meter holds the instruments of one entry. Use New.
+type Meter struct {
+	registry *prometheus.Registry
+	meter    om.Meter
+
+	requests om.Int64Counter
+	retries  om.Int64Counter
+	latency  om.Float64Histogram
+	wait     om.Float64Histogram
+	write    om.Float64Histogram
+	taskWait om.Float64Histogram
+}
+
+var buckets = om.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 1.7, 3, 7, 15, 60, 300)
+
+// New returns a meter with a registry of its own.
+func New() (*Meter, error) {
+	m := &Meter{registry: prometheus.NewRegistry()}
+	ex, err := oprom.New(oprom.WithRegisterer(m.registry), oprom.WithoutScopeInfo(), oprom.WithoutUnits(), oprom.WithoutCounterSuffixes())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	m.meter = sdk.NewMeterProvider(sdk.WithReader(ex)).Meter("jasminestep")
+	var errs [6]error
+	m.requests, errs[0] = m.meter.Int64Counter("step_requests")
+	m.retries, errs[1] = m.meter.Int64Counter("step_retries")
+	m.latency, errs[2] = m.meter.Float64Histogram("step_request_seconds", buckets)
+	m.wait, errs[3] = m.meter.Float64Histogram("step_slot_wait_seconds", buckets)
+	m.write, errs[4] = m.meter.Float64Histogram("step_write_seconds", buckets)
+	m.taskWait, errs[5] = m.meter.Float64Histogram("step_task_wait_seconds", buckets)
+	for _, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return m, nil
+}
+
+// Handler shows the figures.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts a request's outcome.
+func (m *Meter) Request(outcome, reason string, took time.Duration) {
+	m.requests.Add(context.Background(), 1, om.WithAttributes(attribute.String("outcome", outcome), attribute.String("reason", reason)))
+	m.latency.Record(context.Background(), took.Seconds())
+}
+
+// Retry counts a further try.
+func (m *Meter) Retry(reason string) {
+	m.retries.Add(context.Background(), 1, om.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Wait records how long a request waited for a slot.
+func (m *Meter) Wait(d time.Duration) { m.wait.Record(context.Background(), d.Seconds()) }
+
+// Write records how long a write of the journal took.
+func (m *Meter) Write(d time.Duration) { m.write.Record(context.Background(), d.Seconds()) }
+
+// TaskWait records how long a task waited for its first start.
+func (m *Meter) TaskWait(d time.Duration) { m.taskWait.Record(context.Background(), d.Seconds()) }
+
+// Sample is one figure of a gauge; Label and Value are empty without one.
+type Sample struct {
+	Name, Label, Value string
+	N                  float64
+}
+
+// Watch has f called for every exposition; it returns the figures of all gauges.
+func (m *Meter) Watch(f func() []Sample) error {
+	gauges := map[string]om.Float64ObservableGauge{}
+	var all []om.Observable
+	for _, t := range Table {
+		switch t.Name {
+		case "step_requests", "step_retries", "step_request_seconds", "step_slot_wait_seconds", "step_write_seconds", "step_task_wait_seconds":
+			continue
+		}
+		g, err := m.meter.Float64ObservableGauge(t.Name)
+		if err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+		gauges[t.Name] = g
+		all = append(all, g)
+	}
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o om.Observer) error {
+		for _, s := range f() {
+			if s.Label == "" {
+				o.ObserveFloat64(gauges[s.Name], s.N)
+				continue
+			}
+			o.ObserveFloat64(gauges[s.Name], s.N, om.WithAttributes(attribute.String(s.Label, s.Value)))
+		}
+		return nil
+	}, all...)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,227 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"jasminestep/internal/caller"
+	"jasminestep/internal/transport"
+	"jasminestep/pkg/operator"
+)
+
+// Balancer is the platform's: it knows which entries pass their health check
+// and tries another one when a connection cannot be opened.
+type Balancer struct {
+	cli     *http.Client
+	mu      sync.Mutex
+	entries []Front
+	up      map[string]bool
+}
+
+// Front is where one entry listens.
+type Front struct {
+	Zone, Caller, Operator string
+}
+
+// NewBalancer returns a balancer that checks health until ctx ends.
+func NewBalancer(ctx context.Context, fronts []Front) *Balancer {
+	b := &Balancer{cli: transport.Client(nil, 256), entries: fronts, up: map[string]bool{}}
+	b.cli.Timeout = 40 * time.Second
+	go func() {
+		for ctx.Err() == nil {
+			b.check(ctx)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return b
+}
+
+func (b *Balancer) check(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range b.entries {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			req, _ := http.NewRequestWithContext(cctx, http.MethodGet, "http://"+f.Caller+"/health", nil) // a constant form
+			resp, err := b.cli.Do(req)
+			ok := err == nil && resp.StatusCode == http.StatusOK
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			b.mu.Lock()
+			b.up[f.Caller] = ok
+			b.mu.Unlock()
+		}()
+	}
+	wg.Wait()
+}
+
+// Pick returns some healthy entry, or any if none is.
+func (b *Balancer) Pick() Front {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var up []Front
+	for _, f := range b.entries {
+		if b.up[f.Caller] {
+			up = append(up, f)
+		}
+	}
+	if len(up) == 0 {
+		up = b.entries
+	}
+	return up[rand.IntN(len(up))]
+}
+
+// Totals counts what callers saw.
+type Totals struct {
+	mu                                 sync.Mutex
+	Requests, Answered, Unrun, Unknown int
+	Why                                map[string]int // reasons and transport errors
+	Took                               []time.Duration
+	said                               map[string]bool // nonces said not to have run
+}
+
+// Request sends one request through some entry and checks the answer. A
+// request that must not run twice is tried again under its key when the
+// connection to the entry fails.
+func (b *Balancer) Request(l *Ledger, t *Totals, pool, member string, once bool, ms float64, size int) {
+	nonce := uuid.Must(uuid.NewV7()).String()
+	began := time.Now()
+	const tries = 4
+	outcome, why := "unknown", "transport"
+	for try := range tries {
+		f := b.Pick()
+		method, onceQ := http.MethodGet, ""
+		if once {
+			method, onceQ = http.MethodPost, "&once=1"
+		}
+		url := fmt.Sprintf("http://%s/call/%s?n=%s&ms=%g&size=%d%s", f.Caller, pool, nonce, ms, size, onceQ)
+		req, err := http.NewRequest(method, url, bytes.NewReader(nil))
+		if err != nil {
+			panic(err) // a constant form
+		}
+		req.Header.Set(caller.HeaderMember, member)
+		req.Header.Set(caller.HeaderRequest, nonce)
+		req.Header.Set(caller.HeaderDeadline, "8000")
+		if once {
+			req.Header.Set(caller.HeaderKey, nonce)
+		}
+		resp, err := b.cli.Do(req)
+		if err != nil {
+			why = "transport"
+			time.Sleep(time.Duration(20<<try) * time.Millisecond)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			why = "transport"
+			continue
+		}
+		outcome, why = resp.Header.Get(caller.HeaderOutcome), resp.Header.Get(caller.HeaderReason)
+		if got := resp.Header.Get(caller.HeaderRequest); got != nonce || outcome == "answered" && string(body) != Answer(nonce, size) {
+			l.Cross("request %s got an answer to %q of %d bytes, want %d", nonce, got, len(body), size)
+		}
+		break
+	}
+	if outcome == "answered" && l.Ran(nonce) == 0 {
+		l.Lie("request %s was answered and never ran", nonce)
+	}
+	t.count(nonce, outcome, why, time.Since(began))
+}
+
+func (t *Totals) count(nonce, outcome, why string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Why == nil {
+		t.Why, t.said = map[string]int{}, map[string]bool{}
+	}
+	t.Requests++
+	switch outcome {
+	case "answered":
+		t.Answered++
+		t.Took = append(t.Took, took)
+		return
+	case "unrun":
+		t.Unrun++
+		t.said[nonce] = true
+	default:
+		t.Unknown++
+	}
+	t.Why[outcome+" "+why]++
+}
+
+// Judge compares, at the end, what was said not to have run with what ran.
+func (t *Totals) Judge(l *Ledger) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for nonce := range t.said {
+		if n := l.Ran(nonce); n > 0 {
+			l.Lie("request %s was said not to have run and ran %d times", nonce, n)
+		}
+	}
+}
+
+// Call sends an operator's request to f and decodes the answer into out.
+func (b *Balancer) Call(f Front, method, path, member string, in, out any) (int, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequest(method, "http://"+f.Operator+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set(caller.HeaderMember, member)
+	resp, err := b.cli.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, fmt.Errorf("%d: %s", resp.StatusCode, got)
+	}
+	if out == nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.Unmarshal(got, out)
+}
+
+// Mix makes the jobs of a site.
+func Mix(rnd *rand.Rand, s *Site, n int) operator.Job {
+	j := operator.Job{
+		Name: fmt.Sprintf("job-%d", n), Member: s.Members[rnd.IntN(len(s.Members))],
+		Worth: float64(1 + rnd.IntN(5)),
+	}
+	run := 50 + rnd.IntN(1200)
+	j.Command = []string{"run", fmt.Sprintf("%dms", run)}
+	j.Runtime = int64(run) * int64([]int{1, 1, 10, 2}[rnd.IntN(4)]) // often far off
+	j.Family = fmt.Sprintf("f%d", run/200)
+	switch k := rnd.IntN(20); {
+	case k == 0:
+		j.Kind, j.Tasks = operator.Gang, 2+rnd.IntN(6)
+		j.Size = operator.Size{CPU: 4000, Memory: 8 << 10, Accel: 1}
+	case k == 1:
+		j.Tasks, j.Size = 1, operator.Size{CPU: 8000, Memory: 16 << 10, Accel: int64(1 + rnd.IntN(4))}
+	case k == 2:
+		j.Urgency, j.Tasks, j.Size = operator.Urgent, 1, operator.Size{CPU: 1000, Memory: 1 << 10}
+	default:
+		j.Tasks, j.Size = 1+rnd.IntN(16), operator.Size{CPU: int64(250 * (1 + rnd.IntN(12))), Memory: int64(512 * (1 + rnd.IntN(8)))}
+	}
+	return j
+}
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+
+	"jasminestep/internal/transport"
+)
+
+// Net is the paths between VMs of one process. A cut makes open connections
+// silent for good and new ones impossible, as when something between the two
+// ends has lost track of them; after Heal new ones work.
+type Net struct {
+	mu    sync.Mutex
+	cuts  [][2]string // prefixes of IP numbers that cannot reach each other
+	conns map[*path]bool
+}
+
+type path struct {
+	net.Conn
+	net      *Net
+	from, to string
+	once     sync.Once
+	dead     chan struct{} // closed when the connection goes silent
+}
+
+// Dial returns a dialler for the VM at ip.
+func (n *Net) Dial(ip string) transport.Dial {
+	plain := transport.From(ip)
+	return func(ctx context.Context, network, to string) (net.Conn, error) {
+		if n.isCut(ip, to) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, err := plain(ctx, network, to)
+		if err != nil {
+			return nil, err
+		}
+		p := &path{Conn: c, net: n, from: ip, to: to, dead: make(chan struct{})}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.conns == nil {
+			n.conns = map[*path]bool{}
+		}
+		n.conns[p] = true
+		return p, nil
+	}
+}
+
+func crosses(cut [2]string, a, b string) bool {
+	return strings.HasPrefix(a, cut[0]) && strings.HasPrefix(b, cut[1]) ||
+		strings.HasPrefix(a, cut[1]) && strings.HasPrefix(b, cut[0])
+}
+
+func (n *Net) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.cuts {
+		if crosses(c, a, b) {
+			return true
+		}
+	}
+	return false
+}
+
+// Cut separates VMs whose IP numbers begin with a from those with b.
+func (n *Net) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cut := [2]string{a, b}
+	n.cuts = append(n.cuts, cut)
+	for p := range n.conns {
+		if crosses(cut, p.from, p.to) {
+			p.silence()
+			delete(n.conns, p)
+		}
+	}
+}
+
+// Silence makes every open connection to addr silent.
+func (n *Net) Silence(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.conns {
+		if strings.HasPrefix(p.to, addr) {
+			p.silence()
+			delete(n.conns, p)
+		}
+	}
+}
+
+// Heal ends all cuts.
+func (n *Net) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts = nil
+}
+
+func (p *path) silence() { p.once.Do(func() { close(p.dead) }) }
+
+func (p *path) silent() bool {
+	select {
+	case <-p.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read returns nothing more once the connection is silent, until it is closed.
+func (p *path) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	for err == nil && p.silent() {
+		// What arrived after the cut is lost.
+		n, err = p.Conn.Read(b)
+	}
+	return n, err
+}
+
+// Write loses what is written once the connection is silent.
+func (p *path) Write(b []byte) (int, error) {
+	if p.silent() {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+// Close closes the connection and forgets it.
+func (p *path) Close() error {
+	p.net.mu.Lock()
+	delete(p.net.conns, p)
+	p.net.mu.Unlock()
+	p.silence()
+	return p.Conn.Close()
+}
