--- /dev/null
+++ b/cmd/jasminestep/main.go
@@ -0,0 +1,68 @@
+// Command jasminestep is the scheduler and its command line.
+//
+// `jasminestep serve` runs one entry process; the other commands talk to any
+// entry as an operator. Exit codes: 0 done, 1 refused or failed, 2 usage.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// command is one subcommand as it is listed, documented and run.
+type command struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+// commands lists every subcommand.
+func commands() []command {
+	return []command{
+		{"serve", "run one entry process", "Runs one entry process until it is told to stop.\n\nExample: jasminestep serve --config entry.json", &serveCommand{}},
+		{"check", "check a settings file", "Checks a settings file without serving, or lists every setting, event, metric and policy.\n\nExample: jasminestep check entry.json", &checkCommand{}},
+		{"apply", "put a configuration in force", "Submits a configuration of the cell, from a file or standard input. It is refused if it was made from another version than the one in force.\n\nExample: go run ./examples/oshana cell | jasminestep apply --at 10.0.0.1:7001", &applyCommand{}},
+		{"get", "show the configuration in force", "Prints the configuration in force, ready to be edited and applied.\n\nExample: jasminestep get > cell.json", &getCommand{}},
+		{"submit", "submit a job", "Submits a job, from a file or standard input. The same member and name are accepted once.\n\nExample: go run ./examples/oshana job | jasminestep submit", &submitCommand{}},
+		{"status", "show a job", "Shows a job, why it waits, or how it ended.\n\nExample: jasminestep status oshana.etosha-oil.route-7 --member etosha-oil", &statusCommand{}},
+		{"wait", "wait for a job's end", "Waits until a job has ended; exit code 0 if it is done, 1 otherwise.\n\nExample: jasminestep wait oshana.etosha-oil.route-7 --member etosha-oil", &waitCommand{}},
+		{"cancel", "cancel a job", "Cancels a job of a member.\n\nExample: jasminestep cancel oshana.etosha-oil.route-7 --member etosha-oil", &cancelCommand{}},
+		{"drain", "stop an entry as planned", "Has the entry at --at hand over what it holds, finish what is in progress and end.\n\nExample: jasminestep drain --at 10.0.0.2:7001", &drainCommand{}},
+		{"events", "show the time line of all entries", "Shows what every entry did, merged into one order.\n\nExample: jasminestep events --about etosha-oil.route-7 --follow", &eventsCommand{}},
+		{"top", "show the live state of all entries", "Shows queues, workers, upstreams and members, anew every second.\n\nExample: jasminestep top --once", &topCommand{}},
+	}
+}
+
+func main() {
+	p := flags.NewNamedParser("jasminestep", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands() {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err) // a mistake in the table above
+		}
+	}
+	_, err := p.Parse()
+	if err == nil {
+		return
+	}
+	var fe *flags.Error
+	if !errors.As(err, &fe) {
+		fmt.Fprintln(os.Stderr, "jasminestep:", err)
+		os.Exit(exitFailed)
+	}
+	if fe.Type == flags.ErrHelp {
+		fmt.Println(fe)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "jasminestep:", fe)
+	os.Exit(exitUsage)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -56,6 +58,29 @@
 	return nil
 }
 
+type runCommand struct {
+	Site string        `long:"site" default:"oshana" choice:"oshana" choice:"compas" description:"whose sizes"`
+	Dir  string        `long:"dir" required:"true" description:"where a settings file for every entry is written"`
+	For  time.Duration `long:"for" default:"10m" description:"after which it ends by itself"`
+}
+
+// Execute runs the stand-ins on their own.
+func (c *runCommand) Execute([]string) error {
+	site, err := standin.FindSite(c.Site)
+	if err != nil {
+		return err
+	}
+	if err = standin.WriteSettings(site, c.Dir); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.For)
+	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Printf("platform %s, faults and ledger %s, settings in %s\n", site.PlatformAddr(), site.ControlAddr(), c.Dir)
+	return standin.RunParts(ctx, site)
+}
+
 func main() {
 	p := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
 	add := func(name, short, long string, c any) {
@@ -64,6 +89,7 @@
 		}
 	}
 	add("demo", "run a site under load", "Runs a site with all its entries in one process, loads it, brings about faults, and judges by the stand-ins' own ledgers. The last line is one JSON object; the exit code is 1 if a promise was broken.", &demoCommand{})
+	add("run", "run the stand-ins on their own", "Runs the platform, the workers and the minions of a site for entries in processes of their own, and writes those entries' settings.", &runCommand{})
 	if _, err := p.Parse(); err != nil {
 		code := exitFailed
 		if fe, ok := err.(*flags.Error); ok {
--- /dev/null
+++ b/examples/compas/main.go
@@ -0,0 +1,56 @@
+// Command compas prints the configuration and some work of Salón Compás,
+// for `jasminestep apply` and `jasminestep submit`.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"jasminestep/pkg/operator"
+)
+
+// cell is who shares the platform. Late listings fail dancers, so it keeps
+// waiting short.
+var cell = operator.Cell{
+	Author: "sala-tecnica",
+	Zones:  []string{"quito", "guayaquil", "cuenca"},
+	Policy: "wait",
+	Members: []operator.Member{
+		{Name: "salon", Weight: 2, Worth: 2},
+		{Name: "halls", Weight: 4, Quota: operator.Size{CPU: 256000, Memory: 512 << 10}, Worth: 3},
+		{Name: "orchestras", Weight: 1, Worth: 1},
+	},
+}
+
+// documents are what can be printed, by name.
+var documents = map[string]operator.Checked{
+	"cell": &cell,
+	"job": &operator.Job{ // a refresh of the afternoon's listings
+		Name: "refresh-1", Member: "halls", Tasks: 8, Command: []string{"run", "250ms"},
+		Size: operator.Size{CPU: 1000, Memory: 1 << 10}, Runtime: 250, Urgency: operator.Urgent,
+	},
+	"gang": &operator.Job{ // posters rendered together
+		Name: "posters-1", Member: "salon", Kind: operator.Gang, Tasks: 6, Command: []string{"run", "800ms"},
+		Size: operator.Size{CPU: 8000, Memory: 16 << 10, Accel: 1}, Runtime: 1000, Worth: 2,
+	},
+	"service": &operator.Job{ // ticketing, which answers requests
+		Name: "tickets", Member: "halls", Kind: operator.Service, Tasks: 3, Command: []string{"serve"},
+		Size: operator.Size{CPU: 4000, Memory: 8 << 10}, Pool: "listings", Spread: true, Worth: 10,
+	},
+}
+
+func main() {
+	name := "cell"
+	if len(os.Args) > 1 {
+		name = os.Args[1]
+	}
+	doc, ok := documents[name]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "compas: no %q: want cell, job, gang or service\n", name)
+		os.Exit(2)
+	}
+	if err := operator.Print(os.Stdout, "Salón Compás: "+name, doc); err != nil {
+		fmt.Fprintln(os.Stderr, "compas:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,7 +53,6 @@
 	workers  *worker.Client
 	minions  *minion.Client
 	peers    *peer.Client
-	served   peer.Counter
 
 	rep    replica
 	own    owning
@@ -137,7 +136,7 @@
 			f(ctx)
 		}()
 	}
-	go func() { _ = peer.Serve(l, &Peer{e}, &e.served) }()
+	go func() { _ = peer.Serve(l, &Peer{e}) }()
 	e.note("serve", e.Set.ID, "")
 	e.log.Info("serve", "peer", e.Set.Peer, "caller", e.Set.Caller, "operator", e.Set.Operator)
 	<-ctx.Done()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -139,9 +139,9 @@
 func (e *Entry) rank() int {
 	e.view.Lock()
 	defer e.view.Unlock()
-	n := 0
+	n, now := 0, time.Now()
 	for _, p := range e.view.Peers {
-		if p.Zone == e.Set.Zone && p.Status == 0 && p.ID < e.Set.ID {
+		if p.Zone == e.Set.Zone && e.view.Alive(p, now) && p.ID < e.Set.ID {
 			n++
 		}
 	}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -167,9 +167,8 @@
 	if e.own.get() != nil {
 		return false
 	}
-	alone := len(e.liveEntries(time.Now())) == 1
 	ms, shares := e.held()
-	return alone || len(ms) == 0 && len(shares) == 0
+	return len(ms) == 0 && len(shares) == 0 || e.alone()
 }
 
 // probeLoop asks minions of which it is in doubt whether they are idle. Twice
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -19,8 +19,9 @@
 
 // Errors of operators' calls besides those of configuration.
 var (
-	ErrWrong   = errors.New("refused")   // the request itself is wrong
-	ErrMissing = errors.New("not found") // no such job of that member
+	ErrWrong   = errors.New("refused")                      // the request itself is wrong
+	ErrMissing = errors.New("not found")                    // no such job of that member
+	ErrFar     = errors.New("cannot be reached at present") // who would know
 )
 
 // OwnerArgs is a request to a zone's owner; exactly one pointer is set.
@@ -270,11 +271,11 @@
 		err = e.readHere(ctx, &a, r)
 	} else if addr := e.anyEntry(zoneOf(a.ID)); addr != "" {
 		err = e.peers.Call(ctx, addr, peer.Control, "Read", &a, r)
-	} else {
-		return nil, fmt.Errorf("zone %q cannot be reached: %w", zoneOf(a.ID), ErrUnclear)
+	} else if e.cells.hasZone(zoneOf(a.ID)) {
+		return nil, fmt.Errorf("zone %s: %w", zoneOf(a.ID), ErrFar)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnclear, err)
+		return nil, fmt.Errorf("%w: %w", ErrFar, err)
 	}
 	if !r.Found {
 		return nil, fmt.Errorf("no job %s of member %s: %w", a.ID, a.Member, ErrMissing)
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -8,6 +8,7 @@
 	"jasminestep/internal/book"
 	"jasminestep/internal/control"
 	"jasminestep/internal/journal"
+	"jasminestep/internal/member"
 )
 
 // owning is the zone that this entry owns at present, if it does.
@@ -141,9 +142,6 @@
 	}
 }
 
-// liveFor is how long after it was last heard an entry counts as alive.
-const liveFor = 3 * time.Second
-
 // liveEntries lists the zone's entries for the control, this one included.
 func (e *Entry) liveEntries(now time.Time) []control.Entry {
 	out := []control.Entry{{ID: e.Set.ID, Boot: e.Boot, Leaving: e.Leaving(), Alive: true}}
@@ -151,27 +149,30 @@
 	defer e.view.Unlock()
 	for _, p := range e.view.Peers {
 		if p.Zone == e.Set.Zone {
-			out = append(out, control.Entry{ID: p.ID, Boot: p.Boot, Leaving: p.Status == 2, Alive: now.Sub(p.Heard) < liveFor})
+			out = append(out, control.Entry{ID: p.ID, Boot: p.Boot, Leaving: p.Status == member.Left, Alive: e.view.Alive(p, now)})
 		}
 	}
 	return out
 }
 
-// handover gives the zone up, if this entry owns it and another can take it.
+// handover gives the zone up, if this entry owns it.
 func (e *Entry) handover() {
-	o := e.own.get()
-	if o == nil {
-		return
+	if o := e.own.get(); o != nil {
+		select {
+		case o.Inbox <- control.Handover{}:
+		default: // it is asked again
+		}
 	}
+}
+
+// alone reports whether no other entry of the zone could take anything over.
+func (e *Entry) alone() bool {
 	for _, x := range e.liveEntries(time.Now()) {
 		if x.ID != e.Set.ID && x.Alive && !x.Leaving {
-			select {
-			case o.Inbox <- control.Handover{}:
-			default:
-			}
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // Owns reports whether this entry owns its zone for sure.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -105,6 +105,10 @@
 	return a
 }
 
+// leftFor is how long an entry that is about to stop still counts: it spends
+// what it holds until that is handed over.
+const leftFor = time.Second
+
 // jitter is the pause before a further try.
 func jitter(try int) time.Duration {
 	const unit = 4 * time.Millisecond
@@ -118,7 +122,7 @@
 	e.view.Lock()
 	for id, p := range e.view.Peers {
 		l, ok := e.view.loads[id]
-		if !ok || p.Status == member.Suspect || now.Sub(p.Heard) > liveFor {
+		if !ok || !e.view.Alive(p, now) && (p.Status != member.Left || now.Sub(l.at) > leftFor) {
 			continue
 		}
 		ts = append(ts, route.Target{
@@ -332,7 +336,7 @@
 	var addrs []string
 	e.view.Lock()
 	for _, p := range e.view.Peers {
-		if p.Zone == zone && p.Status != member.Suspect && now.Sub(p.Heard) < 4*liveFor {
+		if p.Zone == zone && e.view.Alive(p, now) {
 			addrs = append(addrs, p.Addr)
 		}
 	}
--- a/internal/entry/top.go
+++ b/internal/entry/top.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jasminestep/internal/book"
+	"jasminestep/internal/member"
 	"jasminestep/internal/metric"
 	"jasminestep/internal/peer"
 	"jasminestep/internal/slots"
@@ -27,7 +28,7 @@
 	Holds   map[string]string     `json:"holds,omitempty"` // quarantined workers
 	Pools   map[string]slots.Load `json:"pools"`           // of the slots that this entry holds
 	Peers   map[string]string     `json:"peers"`           // what it thinks of the others
-	Sent    int64                 `json:"sent"`            // bytes for control
+	Sent    int64                 `json:"sent"`            // bytes for control on the connections that it opened
 	Heard   int64                 `json:"heard"`
 }
 
@@ -37,8 +38,8 @@
 	t := Top{
 		VM: e.Set.ID, Zone: e.Set.Zone, Leaving: e.Leaving(), Pools: e.slots.Loads(now),
 		Jobs: map[book.State]int{}, Tasks: map[book.State]int{}, Holds: map[string]string{}, Peers: map[string]string{},
-		Sent:  e.peers.Bytes.Sent.Load() + e.served.Sent.Load(),
-		Heard: e.peers.Bytes.Received.Load() + e.served.Received.Load(),
+		Sent:  e.peers.Bytes.Sent.Load(),
+		Heard: e.peers.Bytes.Received.Load(),
 	}
 	t.Version, t.Digest = e.cells.version()
 	e.rep.read(func(b *book.Book) {
@@ -57,7 +58,7 @@
 	e.view.Lock()
 	defer e.view.Unlock()
 	for id, p := range e.view.Peers {
-		t.Peers[id] = opinion(p.Status == 2, p.Status == 1 || now.Sub(p.Heard) > liveFor)
+		t.Peers[id] = opinion(p.Status == member.Left, !e.view.Alive(p, now))
 	}
 	return t
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -189,6 +189,20 @@
 	return to
 }
 
+// aliveFor is how long after it was last heard an entry of the own zone counts
+// as alive.
+const aliveFor = 3 * time.Second
+
+// Alive reports whether an entry was heard of late. Entries of other zones are
+// heard the less often the more there are.
+func (v *View) Alive(p *Peer, now time.Time) bool {
+	limit := aliveFor
+	if p.Zone != v.Self.Zone {
+		limit += 2 * farEvery * Interval * time.Duration(len(v.Peers))
+	}
+	return p.Status == Alive && now.Sub(p.Heard) < limit
+}
+
 // Gossip returns some of the entries known, taking turns.
 func (v *View) Gossip() []Info {
 	all := v.sorted()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -94,7 +94,7 @@
 	}
 	id, token, err := e.Submit(r.Context(), j, limit(r))
 	if err != nil {
-		fail(w, id, err)
+		fail(w, j.Name, err)
 		return
 	}
 	web.Reply(w, http.StatusOK, Accepted{id, token})
@@ -165,7 +165,7 @@
 		code = http.StatusConflict
 	case errors.Is(err, entry.ErrUnclear):
 		code = http.StatusGatewayTimeout
-	case errors.Is(err, entry.ErrDown):
+	case errors.Is(err, entry.ErrDown), errors.Is(err, entry.ErrFar):
 		code = http.StatusServiceUnavailable
 	}
 	web.Fail(w, code, "%s: %v", what, err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,7 +42,7 @@
 	Traffic
 )
 
-// Counter counts bytes that entries exchange for control.
+// Counter counts the bytes of connections.
 type Counter struct {
 	Sent, Received atomic.Int64
 }
@@ -50,7 +50,7 @@
 // Client calls other entries. Use New.
 type Client struct {
 	dial  transport.Dial
-	Bytes Counter // on control connections
+	Bytes Counter // on the control connections that this end opened
 
 	mu    sync.Mutex
 	conns map[string][]*conn // by address; place 0 is for control
@@ -206,13 +206,13 @@
 
 // Serve answers calls on l with the methods of svc, under the name Peer, until
 // l is closed. Accepted connections are closed with it.
-func Serve(l net.Listener, svc any, count *Counter) error {
+func Serve(l net.Listener, svc any) error {
 	s := rpc.NewServer()
 	if err := s.RegisterName("Peer", svc); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
 	}
 	var mu sync.Mutex
-	open := map[net.Conn]bool{}
+	open, count := map[net.Conn]bool{}, &Counter{}
 	defer func() {
 		mu.Lock()
 		defer mu.Unlock()
