--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -76,7 +76,8 @@
 	cost := a.Size.Share(v.Cluster.Total) * est(a).Seconds()
 	gain := a.Worth / (cost + tiny)
 	fair := 1 / (v.Share(a.Member) + floorShare)
-	return float64(a.Urgency)*urgent + gain*fair*ageing(v.Now.Sub(a.Submitted), packAge)
+	waited := v.Now.Sub(a.Submitted)
+	return float64(a.Urgency)*urgent + gain*fair*ageing(waited, packAge) + overdue(waited, packPatience)
 }
 
 // Score prefers the worker whose free resources have the same proportions as
@@ -103,8 +104,7 @@
 	waited := v.Now.Sub(a.Submitted).Seconds()
 	ratio := 1 + waited/run
 	fair := 1 / (1 + v.Share(a.Member))
-	old := max(0, waited-waitAge.Seconds()) // beyond this age the oldest goes first
-	return float64(a.Urgency)*urgent + ratio*fair/run + old*oldGain
+	return float64(a.Urgency)*urgent + ratio*fair/run + overdue(v.Now.Sub(a.Submitted), waitPatience)
 }
 
 // Score prefers workers with room, without taking accelerators from those who
@@ -113,9 +113,8 @@
 	return left(w, a) - 4*waste(w, a) - shun(c, w, a)
 }
 
-// Tight is true: a search from the fullest classes keeps whole workers for
-// large tasks, which waited longest when work was spread.
-func (Wait) Tight() bool { return true }
+// Tight is false: work spreads, so that the loss of one worker costs least.
+func (Wait) Tight() bool { return false }
 
 // Strict is false.
 func (Wait) Strict() bool { return false }
@@ -156,12 +155,13 @@
 
 // Constants of the ranks.
 const (
-	tiny       = 1e-4
-	floorShare = 0.02             // below this share members count alike
-	packAge    = 30 * time.Second // waiting time that doubles an item's rank under pack
-	waitAge    = 2 * time.Minute  // waiting time beyond which age decides under wait
-	oldGain    = 1e3              // rank for each second beyond waitAge
-	usualRun   = time.Minute      // assumed where nothing is known
+	tiny         = 1e-4
+	floorShare   = 0.02             // below this share members count alike
+	packAge      = 30 * time.Second // waiting time that doubles an item's rank under pack
+	packPatience = 60 * time.Second // waiting time beyond which age decides under pack
+	waitPatience = 15 * time.Second // and under wait
+	oldGain      = 1e6              // rank for each second beyond the patience
+	usualRun     = time.Minute      // assumed where nothing is known
 )
 
 func est(a *Ask) time.Duration {
@@ -178,6 +178,12 @@
 	return 1 + x*x
 }
 
+// overdue outweighs all but urgency once an item has waited longer than
+// patience: from then on the oldest goes first.
+func overdue(waited, patience time.Duration) float64 {
+	return oldGain * max(0, (waited-patience).Seconds())
+}
+
 // align is the cosine-like product of what is free and what is asked, each
 // as a fraction of the worker.
 func align(free, size, ask operator.Size) float64 {
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"jasminestep/pkg/operator"
@@ -25,11 +26,11 @@
 
 // Bounds on reservations.
 const (
-	maxReservations = 2                      // at a time, so that most of the zone stays open
-	minHold         = 5 * time.Second        // shortest reservation
-	maxHold         = 10 * time.Minute       // longest
-	maxShare        = 0.5                    // of a zone's workers reserved by one gang that could use fewer
-	gangPatience    = 500 * time.Millisecond // waiting time before a gang reserves
+	maxReservations = 1                // at a time, so that most of the zone stays open
+	minHold         = 5 * time.Second  // shortest reservation
+	maxHold         = 10 * time.Minute // longest
+	maxShare        = 0.5              // of a zone's workers reserved by one gang that could use fewer
+	gangPatience    = 5 * time.Second  // waiting time before a gang reserves
 )
 
 // admits reports whether a may use a reserved worker: it is the gang's own, or
@@ -98,7 +99,10 @@
 		if d := x.at.Compare(y.at); d != 0 {
 			return d
 		}
-		return int(y.room - x.room)
+		if x.room != y.room {
+			return int(y.room - x.room)
+		}
+		return strings.Compare(x.w.ID, y.w.ID)
 	})
 	r := &Reservation{Item: it, Start: now, cluster: c}
 	need := int64(len(it.Asks))
