Control: a gang whose last task ends well lets the rest wait again

Cause: stateful fuzzing of owners, workers and messages (TestRunOnce) found a gang that never ended: one task was lost while another ran; when that one was done, nothing put the lost one back in the queue. Change: any end of a gang's task looks whether the rest is to wait again.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"jasminestep/internal/book"
@@ -152,7 +154,8 @@
 		stops: map[string]time.Time{}, starts: map[string]int{}, impossible: map[string]time.Time{},
 		policy: place.Find(""),
 	}
-	for _, j := range bk.Jobs {
+	for _, id := range sortedKeys(bk.Jobs) {
+		j := bk.Jobs[id]
 		for _, t := range j.Tasks {
 			switch {
 			case t.Live():
@@ -165,6 +168,10 @@
 	return c
 }
 
+// sortedKeys are the keys of m in order: what is decided must not depend on the
+// order of a map, so that a run can be repeated.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // vm returns the state of a worker, known or not yet listed. A worker that a
 // new owner meets may have been sent a lease by the owner before.
 func (c *Control) vm(id string, now time.Time) *VM {
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -25,7 +24,7 @@
 	}
 	load := c.load(live)
 	ups := c.upstreams()
-	names := slices.Sorted(maps.Keys(ups))
+	names := sortedKeys(ups)
 	for i := range book.Shares {
 		names = append(names, book.ShareName(i))
 	}
@@ -48,7 +47,8 @@
 		c.note(now, "give", name, to.ID)
 		load[to.ID]++
 	}
-	for name, g := range c.Book.Grants {
+	for _, name := range sortedKeys(c.Book.Grants) {
+		g := c.Book.Grants[name]
 		if _, ok := ups[name]; !ok && !book.IsShare(name) {
 			c.emit(now, book.Event{Give: &book.Give{Minion: name}})
 			c.note(now, "give", name, "the minion is gone from "+g.Entry)
@@ -152,8 +152,8 @@
 	if ok {
 		load[g.Entry]--
 	}
-	for id, n := range load {
-		if n == least && id != g.Entry {
+	for _, id := range sortedKeys(load) {
+		if load[id] == least && id != g.Entry {
 			load[id]++ // where it will go, so that not too many are asked for
 			break
 		}
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -79,7 +79,7 @@
 // report. A start may still be on its way to it, so each is first stopped: the
 // worker then never starts that attempt, and says so.
 func (c *Control) unnamed(now time.Time, v *VM, named map[string]bool) {
-	for id := range c.Cluster.Workers[v.ID].Tasks {
+	for _, id := range sortedKeys(c.Cluster.Workers[v.ID].Tasks) {
 		_, t := c.Book.Task(id)
 		if named[id] || t == nil || c.starts[id] != 0 {
 			continue
@@ -150,18 +150,21 @@
 	delete(c.starts, t.ID)
 	c.restless = true
 	c.note(now, "end", t.ID, string(cause)+" on "+w+" "+why)
-	if t.State == book.Queued {
+	switch {
+	case j.Spec.Kind == operator.Gang:
+		// Whichever task ends last lets those that start again wait as one.
+		if t.State == book.Queued {
+			c.regang(j)
+		}
+		c.enqueue(j, t)
+	case t.State == book.Queued:
 		c.enqueue(j, t)
-		c.regang(j)
 	}
 }
 
 // regang stops the rest of a gang of which one task has to start again: its
 // tasks run together or not at all.
 func (c *Control) regang(j *book.Job) {
-	if j.Spec.Kind != operator.Gang {
-		return
-	}
 	now := time.UnixMilli(c.Book.At)
 	for _, t := range j.Tasks {
 		if t.State == book.Starting || t.State == book.Running {
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"jasminestep/internal/book"
@@ -189,7 +190,8 @@
 
 // overdue ends what can no longer run on workers that have gone or are silent.
 func (c *Control) overdue(now time.Time) {
-	for id, v := range c.VMs {
+	for _, id := range sortedKeys(c.VMs) {
+		v := c.VMs[id]
 		c.refresh(v, now)
 		w := c.Cluster.Workers[id]
 		gone := !v.Gone.IsZero() && now.Sub(v.Gone) > c.Limits.Lag+c.Limits.Task+c.Limits.Margin
@@ -197,7 +199,7 @@
 		if !gone && (!lapsed || now.Sub(v.Heard) <= silence) {
 			continue
 		}
-		for task := range w.Tasks {
+		for _, task := range sortedKeys(w.Tasks) {
 			j, t := c.Book.Task(task)
 			if gone || !j.Spec.Stays() {
 				c.end(now, t, c.lostCause(t), "its worker is out of reach and the lease has lapsed", 0)
@@ -220,8 +222,8 @@
 // stopDue asks workers, again if need be, to stop what is to be stopped.
 func (c *Control) stopDue(now time.Time) {
 	n := 0
-	for id, at := range c.stops {
-		if now.Before(at) || n >= mostStops {
+	for _, id := range sortedKeys(c.stops) {
+		if now.Before(c.stops[id]) || n >= mostStops {
 			continue
 		}
 		_, t := c.Book.Task(id)
@@ -264,7 +266,9 @@
 		return
 	}
 	still := map[string]time.Time{}
-	for _, it := range c.Queue.Items() {
+	items := c.Queue.Items()
+	slices.SortFunc(items, func(a, b *place.Item) int { return strings.Compare(a.Key(), b.Key()) })
+	for _, it := range items {
 		why := place.Never(&c.Cluster, it)
 		if why == "" {
 			continue
--- a/internal/place/relief.go
+++ b/internal/place/relief.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"jasminestep/pkg/operator"
@@ -47,6 +49,7 @@
 			out = append(out, Relief{al.Ask.Task, Checkpoint})
 		}
 	}
+	slices.SortFunc(out, func(a, b Relief) int { return strings.Compare(a.Task, b.Task) })
 	return out
 }
 
