Workers remember an attempt until its start can no longer arrive

Cause: TestRunOnce: a second copy of a start arrived after the attempt had been stopped and its end acknowledged; the worker had forgotten it and ran it again. Ruled out: the epoch (same owner) and the time until which a start counts (not over). Change: ends are acknowledged only after that time, and a start names the worker's incarnation, so that a restarted worker refuses it. The model itself let time pass without lapses during a write; mended.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -103,12 +103,12 @@
 
 	members    map[string]operator.Member
 	policy     place.Known
-	asks       []request               // submissions and cancellations not yet decided
-	released   map[string]Released     // minions and shares given up by their holders
-	keys       []KeysSeen              // outcomes to be journalled
-	acks       map[string][]worker.Ref // ends in batch or effects, by worker
-	ready      map[string][]worker.Ref // durable ends, by worker
-	flight     flight                  // what Step returned and the journal has not confirmed
+	asks       []request           // submissions and cancellations not yet decided
+	released   map[string]Released // minions and shares given up by their holders
+	keys       []KeysSeen          // outcomes to be journalled
+	acks       map[string][]ack    // ends in the next batch, by worker
+	ready      map[string][]ack    // durable ends, by worker
+	flight     flight              // what Step returned and the journal has not confirmed
 	granted    time.Time
 	stops      map[string]time.Time // tasks to be stopped → next try
 	starts     map[string]int       // tasks whose start is being sent → attempt
@@ -123,7 +123,15 @@
 // may decide more, which then waits for the next batch.
 type flight struct {
 	effects []Effect
-	acks    map[string][]worker.Ref
+	acks    map[string][]ack
+}
+
+// ack is an end that a worker may forget from a moment on: not while a copy of
+// the attempt's start may still be on its way to it, since the worker would
+// then run the attempt once more.
+type ack struct {
+	worker.Ref
+	after time.Time
 }
 
 // Effect is something to be done once the journal has the batch that decided it.
@@ -150,7 +158,7 @@
 	c := &Control{
 		Zone: zone, Entry: entry, Boot: boot, Limits: l.Filled(), Book: bk,
 		VMs: map[string]*VM{}, Minions: map[string]platform.VM{}, Absent: map[string]time.Time{},
-		released: map[string]Released{}, acks: map[string][]worker.Ref{}, ready: map[string][]worker.Ref{},
+		released: map[string]Released{}, acks: map[string][]ack{}, ready: map[string][]ack{},
 		stops: map[string]time.Time{}, starts: map[string]int{}, impossible: map[string]time.Time{},
 		policy: place.Find(""),
 	}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,414 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/platform"
+	"jasminestep/internal/worker"
+	"jasminestep/pkg/operator"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func sec(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// rig is a Control whose batches are durable at once.
+type rig struct {
+	*testing.T
+	c   *Control
+	seq int64
+	fx  []Effect
+}
+
+func newRig(t *testing.T, workers ...string) *rig {
+	r := &rig{T: t, c: New("z", "e1", 1, Limits{}, &book.Book{}, t0)}
+	r.c.Handle(Configured{Cell: operator.Cell{Members: []operator.Member{{Name: "m"}, {Name: "n"}}}}, t0)
+	r.list(0, workers...)
+	for _, w := range workers {
+		r.report(0, w, true)
+	}
+	return r
+}
+
+func (r *rig) list(s float64, workers ...string) {
+	var vms []platform.VM
+	for _, w := range workers {
+		vms = append(vms, platform.VM{ID: w, Zone: "z", Role: "worker", Addr: w, CPU: 1000})
+	}
+	r.c.Handle(Roster{VMs: vms}, sec(s))
+}
+
+func (r *rig) report(s float64, w string, full bool, tasks ...worker.Status) {
+	r.c.Handle(Reported{Worker: w, Report: &worker.Report{Boot: 7, Gen: 1, Full: full, Tasks: tasks}}, sec(s))
+}
+
+// step decides and returns the effects.
+func (r *rig) step(s float64) []Effect {
+	if len(r.c.Step(sec(s))) > 0 {
+		r.seq++
+	}
+	r.fx = r.c.Committed(r.seq)
+	return r.fx
+}
+
+func (r *rig) submit(s float64, j operator.Job) string {
+	j.Name, j.Member = fmt.Sprintf("j%d", len(r.c.Book.Jobs)+1), "m"
+	if j.Size == (operator.Size{}) {
+		j.Size = operator.Size{CPU: 1000}
+	}
+	id := "z.m." + j.Name
+	r.c.Handle(Submit{ID: id, Spec: j, Deadline: sec(s + 60), Reply: make(chan Answer, 1)}, sec(s))
+	return id
+}
+
+func (r *rig) task(job string, i int) *book.Task {
+	_, t := r.c.Book.Task(book.TaskID(job, i))
+	return t
+}
+
+func starts(fx []Effect) (n int) {
+	for _, e := range fx {
+		if e.Start != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func run(task string, n int) worker.Status {
+	return worker.Status{Task: task, Attempt: n, State: "running"}
+}
+
+func ended(task string, n int, state string) worker.Status {
+	return worker.Status{Task: task, Attempt: n, State: state}
+}
+
+func TestDuplicateSubmissionIsAcceptedOnce(t *testing.T) {
+	r := newRig(t, "w1")
+	a, b := make(chan Answer, 1), make(chan Answer, 1)
+	spec := operator.Job{Name: "x", Member: "m", Size: operator.Size{CPU: 1}}
+	r.c.Handle(Submit{ID: "z.m.x", Spec: spec, Deadline: sec(9), Reply: a}, sec(1))
+	r.c.Handle(Submit{ID: "z.m.x", Spec: spec, Deadline: sec(9), Reply: b}, sec(1))
+	for _, e := range r.step(1) {
+		if e.Reply != nil {
+			e.Reply <- e.Answer
+		}
+	}
+	x, y := <-a, <-b
+	assert.Assert(t, x.OK && y.OK && x.ID == y.ID)
+	assert.Equal(t, len(r.c.Book.Jobs), 1)
+}
+
+func TestUnknownMemberChangesNothing(t *testing.T) {
+	r := newRig(t, "w1")
+	a := make(chan Answer, 1)
+	r.c.Handle(Submit{ID: "z.x.x", Spec: operator.Job{Member: "x"}, Deadline: sec(9), Reply: a}, sec(1))
+	r.step(1)
+	got := <-a
+	assert.Assert(t, !got.OK && got.Bad)
+	assert.Equal(t, len(r.c.Book.Jobs), 0)
+}
+
+func TestOtherMembersJobCannotBeCancelled(t *testing.T) {
+	r := newRig(t, "w1")
+	id := r.submit(1, operator.Job{})
+	r.step(1)
+	a := make(chan Answer, 1)
+	r.c.Handle(Cancel{ID: id, Member: "n", Deadline: sec(9), Reply: a}, sec(2))
+	r.step(2)
+	got := <-a
+	assert.Assert(t, got.Bad)
+	assert.Equal(t, r.task(id, 0).State, book.Starting)
+}
+
+func TestDeadlineBeforeDecisionIsNotAccepted(t *testing.T) {
+	r := newRig(t, "w1")
+	a := make(chan Answer, 1)
+	r.c.Handle(Submit{ID: "z.m.x", Spec: operator.Job{Member: "m"}, Deadline: sec(2), Reply: a}, sec(1))
+	r.c.Expire(sec(3), "down")
+	assert.Equal(t, (<-a).Why, "down")
+	r.step(3)
+	assert.Equal(t, len(r.c.Book.Jobs), 0)
+}
+
+// A cancellation that races a start: the worker decides, and what it says is
+// what is told.
+func TestCancelRacesStart(t *testing.T) {
+	for state, want := range map[string]book.Cause{"done": book.Done, "stopped": book.Cancelled, "lapsed": book.Cancelled, "failed": book.Failed} {
+		t.Run(state, func(t *testing.T) {
+			r := newRig(t, "w1")
+			id := r.submit(1, operator.Job{})
+			assert.Equal(t, starts(r.step(1)), 1)
+			r.c.Handle(Cancel{ID: id, Member: "m", Deadline: sec(9), Reply: make(chan Answer, 1)}, sec(1))
+			r.step(1.1)
+			assert.Equal(t, r.task(id, 0).State, book.Stopping)
+			r.report(2, "w1", false, ended(id+"#0", 1, state))
+			r.step(2)
+			assert.Equal(t, r.task(id, 0).State, book.Ended)
+			assert.Equal(t, r.task(id, 0).Cause, want)
+			assert.Equal(t, starts(r.step(60)), 0, "it never starts again")
+		})
+	}
+}
+
+func TestThousandsCancelledInOneBatch(t *testing.T) {
+	r := newRig(t, "w1")
+	for range 3000 {
+		r.submit(1, operator.Job{})
+	}
+	for i := range 5 {
+		r.step(1 + float64(i)/10)
+	}
+	for id := range r.c.Book.Jobs {
+		r.c.Handle(Cancel{ID: id, Member: "m", Deadline: sec(60), Reply: make(chan Answer, 1)}, sec(2))
+	}
+	before := r.seq
+	for i := range 3 {
+		r.step(2 + float64(i)/10)
+	}
+	assert.Assert(t, r.seq-before <= 3, "%d batches", r.seq-before)
+	left := 0
+	for _, j := range r.c.Book.Jobs {
+		if j.Ended == 0 {
+			left++
+		}
+	}
+	assert.Equal(t, left, 1, "all but the one that runs")
+	assert.Equal(t, r.c.Queue.Len(), 0)
+}
+
+// A worker that does not name a task may yet receive its start: the task is
+// stopped there first and starts elsewhere only after that is confirmed.
+func TestUnnamedTaskIsStoppedFirst(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	id := r.submit(1, operator.Job{})
+	r.step(1)
+	at := r.task(id, 0).Worker
+	r.c.Handle(Started{Task: id + "#0", Attempt: 1}, sec(1))
+	r.report(2, at, true)
+	fx := r.step(2)
+	assert.Equal(t, starts(fx), 0)
+	assert.Equal(t, r.task(id, 0).State, book.Stopping)
+	r.report(3, at, false, ended(id+"#0", 1, "stopped"))
+	assert.Equal(t, starts(r.step(3)), 1)
+}
+
+// A new owner cannot know until when the last one prolonged leases: it waits
+// for a whole one.
+func TestNewOwnerWaitsForLeases(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	id := r.submit(1, operator.Job{Kind: operator.Batch})
+	r.step(1)
+	at := r.task(id, 0).Worker
+	r.report(1, at, false, run(id+"#0", 1))
+	r.step(1.1)
+	other := map[string]string{"w1": "w2", "w2": "w1"}[at]
+
+	n := &rig{T: t, c: New("z", "e2", 2, Limits{}, r.c.Book, sec(5))}
+	n.c.Handle(Configured{Cell: r.c.Cell}, sec(5))
+	n.list(5, "w1", "w2")
+	for s := 5.0; s < 15.2; s++ {
+		n.report(s, other, true)
+		n.c.Handle(Unreachable{Worker: at}, sec(s))
+		assert.Equal(t, starts(n.step(s)), 0, "at %v s its lease may still hold", s)
+	}
+	n.report(15.3, other, true)
+	assert.Equal(t, starts(n.step(15.3)), 1)
+	assert.Equal(t, r.task(id, 0).Worker, other)
+}
+
+func TestStayIsNotMovedBySilence(t *testing.T) {
+	r := newRig(t, "w1", "w2")
+	id := r.submit(1, operator.Job{Cut: operator.Stay})
+	r.step(1)
+	at := r.task(id, 0).Worker
+	other := map[string]string{"w1": "w2", "w2": "w1"}[at]
+	r.report(1, at, false, run(id+"#0", 1))
+	for s := 2.0; s < 100; s += 2 {
+		r.report(s, other, true)
+		r.c.Handle(Unreachable{Worker: at}, sec(s))
+		assert.Equal(t, starts(r.step(s)), 0)
+	}
+	r.list(100, other) // the VM list has its VM gone
+	l := r.c.Limits
+	gone := 100 + (l.Lag + l.Task + l.Margin).Seconds()
+	r.report(gone-0.1, other, true)
+	assert.Equal(t, starts(r.step(gone-0.1)), 0)
+	r.report(gone+0.1, other, true)
+	assert.Equal(t, starts(r.step(gone+0.1)), 1)
+}
+
+// A worker may forget an attempt only when no copy of its start can arrive any
+// more. Found by TestRunOnce, seed 78193767.
+func TestEndIsAcknowledgedLate(t *testing.T) {
+	r := newRig(t, "w1")
+	id := r.submit(1, operator.Job{})
+	r.step(1)
+	r.report(2, "w1", false, ended(id+"#0", 1, "done"))
+	acks := func(s float64) int {
+		ch := make(chan worker.Sync, 1)
+		r.c.Handle(Sending{Worker: "w1", Until: sec(s + 10), Reply: ch}, sec(s))
+		return len((<-ch).Acks)
+	}
+	assert.Equal(t, acks(2), 0, "not durable yet")
+	r.step(2)
+	assert.Equal(t, acks(3), 0, "a copy of the start counts until 11 s")
+	assert.Equal(t, acks(13), 1)
+}
+
+func TestQuarantineProbeReturn(t *testing.T) {
+	r := newRig(t, "w1")
+	s := 1.0
+	for range 3 {
+		r.submit(s, operator.Job{})
+	}
+	for ; len(r.c.Book.Holds) == 0 && s < 20; s++ {
+		for _, e := range r.step(s) {
+			if e.Start != nil {
+				r.report(s+0.1, "w1", false, ended(e.Start.Task, e.Start.Attempt, "failed"))
+			}
+		}
+	}
+	assert.Equal(t, len(r.c.Book.Holds), 1)
+	r.report(s, "w1", false)
+	assert.Equal(t, starts(r.step(s)), 0, "quarantined")
+	s += 6
+	r.report(s, "w1", false)
+	fx := r.step(s)
+	assert.Equal(t, starts(fx), 1, "one probe")
+	for _, e := range fx {
+		if e.Start != nil {
+			r.report(s+1, "w1", false, ended(e.Start.Task, e.Start.Attempt, "done"))
+		}
+	}
+	r.step(s + 1)
+	assert.Equal(t, len(r.c.Book.Holds), 0)
+}
+
+func TestFailingJobEndsAfterItsRetries(t *testing.T) {
+	r := newRig(t, "w1", "w2", "w3")
+	id := r.submit(1, operator.Job{Retries: 2})
+	s := 1.0
+	for range 40 {
+		for _, e := range r.step(s) {
+			if e.Start != nil {
+				r.report(s, e.Worker, false, ended(e.Start.Task, e.Start.Attempt, "failed"))
+			}
+		}
+		s += 1
+		for _, w := range []string{"w1", "w2", "w3"} {
+			r.report(s, w, false)
+		}
+	}
+	assert.Equal(t, r.task(id, 0).State, book.Ended)
+	assert.Equal(t, r.task(id, 0).Cause, book.Failed)
+	assert.Equal(t, r.task(id, 0).Failures, 3)
+	assert.Equal(t, len(r.c.Book.Holds), 0, "one job that fails everywhere blames no worker")
+}
+
+func TestImpossibleJobSaysSo(t *testing.T) {
+	r := newRig(t, "w1")
+	id := r.submit(1, operator.Job{Size: operator.Size{CPU: 5000}})
+	r.step(1)
+	r.step(5)
+	assert.Equal(t, r.task(id, 0).State, book.Queued, "the list may lag")
+	r.step(12)
+	assert.Equal(t, r.task(id, 0).Cause, book.Impossible)
+	assert.Assert(t, r.task(id, 0).Why != "")
+}
+
+func TestLeavingWorkerGetsNothingNew(t *testing.T) {
+	r := newRig(t, "w1")
+	r.c.Handle(Roster{VMs: []platform.VM{{ID: "w1", Zone: "z", Role: "worker", Addr: "w1", CPU: 1000, Leaving: true}}}, sec(1))
+	r.submit(1, operator.Job{})
+	assert.Equal(t, starts(r.step(1)), 0)
+}
+
+func (r *rig) minions(s float64, entries []string, minions ...string) {
+	var vms []platform.VM
+	for _, e := range entries {
+		vms = append(vms, platform.VM{ID: e, Zone: "z", Role: "entry"})
+	}
+	for _, m := range minions {
+		vms = append(vms, platform.VM{ID: m, Zone: "z", Role: "minion", Pool: "p", Addr: m, Slots: 8})
+	}
+	r.c.Handle(Roster{VMs: vms}, sec(s))
+}
+
+func TestGrantMovesOnlyOnProof(t *testing.T) {
+	r := newRig(t)
+	e1, e2 := Entry{ID: "e1", Boot: 1, Alive: true}, Entry{ID: "e2", Boot: 1, Alive: true}
+	r.minions(0, []string{"e1", "e2"}, "m1")
+	r.c.Handle(Live{Entries: []Entry{e1}}, t0)
+	r.step(1)
+	assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e1")
+
+	silent := e1
+	silent.Alive = false
+	for s := 2.0; s < 60; s += 1 {
+		r.minions(s, []string{"e1", "e2"}, "m1")
+		r.c.Handle(Live{Entries: []Entry{silent, e2}}, sec(s))
+		r.step(s)
+		assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e1", "silence proves nothing")
+	}
+	r.minions(60, []string{"e2"}, "m1")
+	l := r.c.Limits
+	gone := 60 + (l.Lag + l.Lease + l.Margin).Seconds()
+	r.step(gone - 0.1)
+	assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e1", "the list may be early")
+	r.step(gone + 0.1)
+	assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e2")
+	assert.Assert(t, !r.c.Book.Grants["m1"].Clean)
+}
+
+func TestGrantMovesToLaterIncarnation(t *testing.T) {
+	r := newRig(t)
+	r.minions(0, []string{"e1"}, "m1")
+	r.c.Handle(Live{Entries: []Entry{{ID: "e1", Boot: 1, Alive: true}}}, t0)
+	r.step(1)
+	floor := r.c.Book.Grants[book.ShareName(3)].Floor
+	assert.Equal(t, floor, int64(0), "nothing ran before the first home")
+	r.c.Handle(Live{Entries: []Entry{{ID: "e1", Boot: 2, Alive: true}}}, sec(2))
+	r.step(2)
+	g := r.c.Book.Grants["m1"]
+	assert.Assert(t, g.Boot == 2 && !g.Clean)
+	assert.Equal(t, r.c.Book.Grants[book.ShareName(3)].Floor, sec(2).UnixMilli())
+}
+
+func TestReleasedGrantMovesCleanly(t *testing.T) {
+	r := newRig(t)
+	e1, e2 := Entry{ID: "e1", Boot: 1, Alive: true}, Entry{ID: "e2", Boot: 1, Alive: true}
+	r.minions(0, []string{"e1", "e2"}, "m1")
+	r.c.Handle(Live{Entries: []Entry{e1}}, t0)
+	r.step(1)
+	e1.Leaving = true
+	r.c.Handle(Live{Entries: []Entry{e1, e2}}, sec(2))
+	r.step(2)
+	assert.Assert(t, r.c.Book.Grants["m1"].Drain)
+	assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e1")
+	for _, name := range []string{"m1", book.ShareName(0)} {
+		r.c.Handle(Released{Minion: name, Entry: "e1", Boot: 1}, sec(3))
+	}
+	r.step(3)
+	g, k := r.c.Book.Grants["m1"], r.c.Book.Grants[book.ShareName(0)]
+	assert.Assert(t, g.Entry == "e2" && g.Clean && !g.Drain)
+	assert.Assert(t, k.Entry == "e2" && k.Floor == 0, "a closed ledger is whole")
+}
+
+// A release that was said by an earlier incarnation must not move what the
+// present one holds.
+func TestStaleReleaseIsIgnored(t *testing.T) {
+	r := newRig(t)
+	r.minions(0, []string{"e1", "e2"}, "m1")
+	r.c.Handle(Live{Entries: []Entry{{ID: "e1", Boot: 5, Alive: true}}}, t0)
+	r.step(1)
+	r.c.Handle(Live{Entries: []Entry{{ID: "e1", Boot: 5, Alive: true}, {ID: "e2", Boot: 1, Alive: true}}}, sec(2))
+	r.c.Handle(Released{Minion: "m1", Entry: "e1", Boot: 4}, sec(2))
+	r.step(2)
+	assert.Equal(t, r.c.Book.Grants["m1"].Entry, "e1")
+}
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -124,7 +124,7 @@
 	}
 	began := w.now
 	batch := o.c.Step(w.now)
-	w.now = w.now.Add(delay)
+	w.pass(delay)
 	if o.seq != len(w.journal) {
 		o.deposed = true
 		return
@@ -165,6 +165,8 @@
 	case old != nil && old.n == m.Attempt && old.state == "running":
 	case old != nil && old.n >= m.Attempt:
 		refused = "over"
+	case m.Boot != x.boot:
+		refused = "boot"
 	case m.Epoch < x.epoch:
 		refused = "epoch"
 	case !w.now.Before(time.UnixMilli(m.Until)):
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -123,13 +123,23 @@
 	if m.Until.After(v.Sent) {
 		v.Sent = m.Until
 	}
-	m.Reply <- worker.Sync{Zone: c.Zone, Epoch: c.Book.Epoch, Boot: v.Boot, Gen: v.Gen, Acks: c.ready[m.Worker]}
-	delete(c.ready, m.Worker)
+	s := worker.Sync{Zone: c.Zone, Epoch: c.Book.Epoch, Boot: v.Boot, Gen: v.Gen}
+	var later []ack
+	for _, a := range c.ready[m.Worker] {
+		if now.Before(a.after) {
+			later = append(later, a)
+			continue
+		}
+		s.Acks = append(s.Acks, a.Ref)
+	}
+	c.ready[m.Worker] = later
+	m.Reply <- s
 }
 
 func (m Unreachable) handle(c *Control, now time.Time) {
 	v := c.vm(m.Worker, now)
 	v.Heard = time.Time{}
+	v.Gen = 0 // acknowledgements may be lost: have all that it remembers told again
 	c.refresh(v, now)
 }
 
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -44,7 +44,7 @@
 	c.stopDue(now)
 	batch := c.batch
 	c.flight = flight{effects: c.effects, acks: c.acks}
-	c.batch, c.effects, c.acks = nil, nil, map[string][]worker.Ref{}
+	c.batch, c.effects, c.acks = nil, nil, map[string][]ack{}
 	return batch
 }
 
@@ -177,7 +177,7 @@
 		}
 		c.starts[t.ID] = attempt
 		c.effect(Effect{Worker: p.Worker, Start: &worker.Start{
-			Task: t.ID, Attempt: attempt, Epoch: c.Book.Epoch, Until: until.UnixMilli(),
+			Task: t.ID, Attempt: attempt, Epoch: c.Book.Epoch, Boot: v.Boot, Until: until.UnixMilli(),
 			Stay: j.Spec.Stays(), Size: j.Spec.Size, Command: j.Spec.Command,
 			Pool: j.Spec.Pool, Slots: j.Spec.Slots,
 		}})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -142,6 +142,8 @@
 		return http.StatusOK, nil
 	case old != nil && old.Attempt >= m.Attempt:
 		return http.StatusConflict, "that attempt is over"
+	case m.Boot != w.boot:
+		return http.StatusConflict, "meant for this worker before its restart"
 	case m.Epoch < w.epoch:
 		return http.StatusConflict, "a later owner was here"
 	case !time.Now().Before(until):
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -3,7 +3,8 @@
 // Every message that can start or prolong something carries the moment until
 // which it counts (Until), an absolute time. A message that is delivered late
 // therefore cannot start what its sender has meanwhile given up. A worker also
-// refuses starts whose epoch is lower than the highest it has seen.
+// refuses starts whose epoch is lower than the highest it has seen, and starts
+// that were meant for it before it restarted and forgot what it had run.
 package worker
 
 import (
@@ -30,6 +31,7 @@
 	Task    string        `json:"task"`
 	Attempt int           `json:"attempt"`
 	Epoch   int64         `json:"epoch"`
+	Boot    int64         `json:"boot"`  // incarnation of the worker that is meant; refused by any other
 	Until   int64         `json:"until"` // lease, Unix milliseconds; refused when past
 	Stay    bool          `json:"stay,omitempty"`
 	Size    operator.Size `json:"size"`
