Control tests: jobs submitted in one step get names of their own

Cause: the rig named jobs by those accepted so far, so three submitted in one step were one job, and TestQuarantineProbeReturn and the wave of cancellations tested less than they said. Change: a counter.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -22,6 +22,7 @@
 	*testing.T
 	c   *Control
 	seq int64
+	n   int // jobs submitted
 	fx  []Effect
 }
 
@@ -57,7 +58,8 @@
 }
 
 func (r *rig) submit(s float64, j operator.Job) string {
-	j.Name, j.Member = fmt.Sprintf("j%d", len(r.c.Book.Jobs)+1), "m"
+	r.n++
+	j.Name, j.Member = fmt.Sprintf("j%d", r.n), "m"
 	if j.Size == (operator.Size{}) {
 		j.Size = operator.Size{CPU: 1000}
 	}
