--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"sort"
 	"testing"
 	"time"
@@ -11,19 +9,13 @@
 	"pgregory.net/rapid"
 
 	"jasminestep/internal/book"
+	"jasminestep/internal/fixed"
 	"jasminestep/internal/platform"
 	"jasminestep/internal/worker"
 	"jasminestep/pkg/operator"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	}
-	_ = flag.Set("rapid.steps", "150")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixed.Main(m, "150") }
 
 // world is a zone whose owners, workers and messages are stepped one by one, in
 // any order and with any delay. The journal is a list with a conditional
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -8,9 +8,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"jasminestep/internal/fixed"
 	"jasminestep/pkg/operator"
 )
 
+func TestMain(m *testing.M) { fixed.Main(m, "100") }
+
 func at(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
 
 func small(id string, cpu int64) *Ask {
