--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,142 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jasminestep/internal/fixed"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m, "100") }
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func view(id string) *View { return &View{Self: Info{ID: id, Zone: "z", Addr: id, Boot: 1}} }
+
+func TestLaterIncarnationReplaces(t *testing.T) {
+	v := view("a")
+	v.Heard(Info{ID: "b", Zone: "z", Addr: "old", Boot: 1}, t0)
+	assert.Assert(t, v.Heard(Info{ID: "b", Zone: "z", Addr: "new", Boot: 2}, t0))
+	assert.Assert(t, !v.Heard(Info{ID: "b", Zone: "z", Addr: "old", Boot: 1}, t0.Add(time.Second)), "the replaced VM still talks")
+	assert.Equal(t, v.Peers["b"].Addr, "new")
+	assert.Equal(t, v.Peers["b"].Heard, t0)
+}
+
+// An asymmetric cut: a cannot reach b, but c can, so b is not suspected.
+func TestOthersAreAskedFirst(t *testing.T) {
+	v := view("a")
+	v.Heard(Info{ID: "b", Zone: "z", Boot: 1}, t0)
+	v.Heard(Info{ID: "c", Zone: "z", Boot: 1}, t0)
+	for range suspectFails - 1 {
+		assert.Equal(t, len(v.Failed("b", t0)), 0)
+	}
+	ask := v.Failed("b", t0)
+	assert.Equal(t, len(ask), 1)
+	assert.Equal(t, ask[0].ID, "c")
+	assert.Equal(t, v.Peers["b"].Status, Alive)
+	assert.Assert(t, v.Suspected("b", t0))
+}
+
+func TestSuspicionIsRefuted(t *testing.T) {
+	a, b := view("a"), view("b")
+	a.Heard(b.Self, t0)
+	a.Suspected("b", t0)
+	sus := a.Peers["b"].Info
+	b.Merge(sus, t0)
+	assert.Assert(t, b.Self.Inc > sus.Inc)
+	assert.Assert(t, a.Merge(b.Self, t0))
+	assert.Equal(t, a.Peers["b"].Status, Alive)
+}
+
+func TestHeartbeatsDoNotGrowWithEntries(t *testing.T) {
+	for _, n := range []int{1, 7, 55} {
+		v := view("a")
+		for i := range n {
+			v.Heard(Info{ID: fmt.Sprintf("e%d", i), Zone: "zy"[i%2 : i%2+1], Boot: 1}, t0)
+		}
+		sent := 0
+		for range 100 {
+			sent += len(v.Next(t0))
+		}
+		assert.Assert(t, sent <= 125, "%d entries: %d heartbeats in 100 rounds", n, sent)
+	}
+}
+
+func TestEveryoneIsReached(t *testing.T) {
+	v := view("a")
+	for i := range 20 {
+		v.Heard(Info{ID: fmt.Sprintf("e%d", i), Zone: "zy"[i%2 : i%2+1], Boot: 1}, t0)
+	}
+	got := map[string]bool{}
+	for range 100 {
+		for _, p := range v.Next(t0) {
+			got[p.ID] = true
+		}
+	}
+	assert.Equal(t, len(got), 20)
+}
+
+// TestViewsConverge lets five views gossip, suspect, leave and restart in any
+// order; once all that live have talked to all, they agree on who is at work.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 5
+		views := make([]*View, n)
+		id := func(i int) string { return fmt.Sprintf("e%d", i) }
+		for i := range views {
+			views[i] = view(id(i))
+		}
+		now := t0
+		pick := func(t *rapid.T, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		talk := func(a, b int) {
+			if a == b {
+				return
+			}
+			views[b].Heard(views[a].Self, now)
+			for _, x := range views[a].Gossip() {
+				views[b].Merge(x, now)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"talk":    func(t *rapid.T) { talk(pick(t, "a"), pick(t, "b")) },
+			"suspect": func(t *rapid.T) { views[pick(t, "a")].Suspected(id(pick(t, "b")), now) },
+			"fail":    func(t *rapid.T) { views[pick(t, "a")].Failed(id(pick(t, "b")), now) },
+			"restart": func(t *rapid.T) {
+				i := pick(t, "a")
+				boot := views[i].Self.Boot + 1
+				views[i] = view(id(i))
+				views[i].Self.Boot = boot
+			},
+			"time": func(t *rapid.T) { now = now.Add(time.Second) },
+			"": func(t *rapid.T) {
+				for i, v := range views {
+					for _, p := range v.Peers {
+						var j int
+						_, _ = fmt.Sscanf(p.ID, "e%d", &j)
+						if p.Boot > views[j].Self.Boot {
+							t.Fatalf("e%d believes in boot %d of %s, which is at %d", i, p.Boot, p.ID, views[j].Self.Boot)
+						}
+					}
+				}
+			},
+		})
+		for range 3 {
+			for a := range n {
+				for b := range n {
+					talk(a, b)
+				}
+			}
+		}
+		for i, v := range views {
+			for j, w := range views {
+				if p := v.Peers[id(j)]; i != j && (p == nil || p.Boot != w.Self.Boot || p.Status != Alive) {
+					t.Fatalf("e%d sees %+v, which is %+v", i, p, w.Self)
+				}
+			}
+		}
+	})
+}
