--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -21,7 +21,7 @@
 var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]*$`)
 
 func invalid(format string, args ...any) error {
-	return errors.Mark(fmt.Errorf(format, args...), ErrInvalid)
+	return fmt.Errorf("%s: %w", fmt.Sprintf(format, args...), ErrInvalid)
 }
 
 func checkName(what, s string) error {
