Adoption of lost zones; planned stops that cut nothing; tests of whole sites

Ruled out: requests cut at the minions (none was running there) and the callers' connections. Found: the answer of a forwarded request could still be on its way out when the process ended; and requests waited where every minion of the pool was being given up.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest"
 
 	"jasminestep/internal/caller"
@@ -76,6 +77,10 @@
 // that the balancer has seen it.
 const notice = 500 * time.Millisecond
 
+// farewell is how long an entry that holds nothing any more still answers other
+// entries: until their view of it, which heartbeats renew, says so.
+const farewell = time.Second
+
 // drainLimit bounds a planned stop.
 const drainLimit = 40 * time.Second
 
@@ -85,16 +90,14 @@
 	p.once.Do(func() {
 		ctx, cancel := context.WithTimeout(ctx, drainLimit)
 		defer cancel()
-		began := time.Now()
 		err = p.Entry.Drained(ctx)
-		if left := notice - time.Since(began); left > 0 && err == nil {
-			time.Sleep(left)
+		if err == nil {
+			time.Sleep(max(notice, farewell))
 		}
 		for _, s := range p.servers {
-			if e := s.Stop(ctx); e != nil && err == nil {
-				err = e
-			}
+			err = errors.CombineErrors(err, s.Stop(ctx))
 		}
+		err = errors.CombineErrors(err, p.Entry.Answered(ctx))
 		p.end()
 	})
 	<-p.Stopped
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -50,6 +50,8 @@
 	Accepted  int64        `json:"accepted"` // Unix milliseconds
 	Ended     int64        `json:"ended,omitempty"`
 	Cancelled bool         `json:"cancelled,omitempty"`
+	Moved     string       `json:"moved,omitempty"` // zone whose journal has it now; nothing of it runs here
+	Sent      bool         `json:"sent,omitempty"`  // that journal is known to have it
 	Tasks     []*Task      `json:"tasks"`
 	left      int          // tasks not ended
 }
@@ -183,6 +185,8 @@
 		b.keys(e.Key)
 	case e.Hold != nil:
 		b.hold(e.Hold)
+	case e.Move != nil:
+		b.move(e)
 	}
 }
 
@@ -200,16 +204,46 @@
 	if b.Jobs[id] != nil {
 		return
 	}
-	j := &Job{ID: id, Spec: e.Job.Spec, Accepted: e.At, left: e.Job.Spec.Count()}
-	for i := range j.left {
+	j := &Job{ID: id, Spec: e.Job.Spec, Accepted: e.At}
+	for i := range e.Job.Spec.Count() {
 		j.Tasks = append(j.Tasks, &Task{ID: TaskID(id, i), State: Queued, Since: e.At})
 	}
+	if len(e.Job.Tasks) == len(j.Tasks) {
+		j.Accepted = e.Job.At
+		for i, t := range e.Job.Tasks {
+			j.Tasks[i] = &t
+		}
+	}
+	j.count()
 	b.Jobs[id] = j
 }
 
+// count brings the number of tasks that have not ended up to date.
+func (j *Job) count() {
+	j.left = 0
+	for _, t := range j.Tasks {
+		if t.State != Ended {
+			j.left++
+		}
+	}
+}
+
+// move marks a job as given to another zone. Its tasks stay as they were, for
+// whoever repeats the handing over; nothing starts them here any more.
+func (b *Book) move(e *Event) {
+	j := b.Jobs[e.Move.ID]
+	if j == nil || j.Ended != 0 && j.Moved == "" {
+		return
+	}
+	j.Moved, j.Sent = e.Move.Zone, e.Move.Done
+	if j.Sent && j.Ended == 0 {
+		b.retire(j, e.At)
+	}
+}
+
 func (b *Book) cancel(e *Event) {
 	j := b.Jobs[e.Cancel.ID]
-	if j == nil || j.Ended != 0 {
+	if j == nil || j.Ended != 0 || j.Moved != "" {
 		return
 	}
 	j.Cancelled = true
@@ -224,8 +258,8 @@
 }
 
 func (b *Book) start(e *Event) {
-	_, t := b.Task(e.Start.Task)
-	if t == nil || t.State != Queued || e.Start.Attempt != t.Attempt+1 {
+	j, t := b.Task(e.Start.Task)
+	if t == nil || t.State != Queued || e.Start.Attempt != t.Attempt+1 || j.Moved != "" {
 		return
 	}
 	t.State, t.Since, t.Attempt = Starting, e.At, e.Start.Attempt
@@ -277,9 +311,13 @@
 
 func (b *Book) finish(j *Job, t *Task, c Cause, at int64) {
 	t.State, t.Cause, t.Since, t.After, t.Avoid = Ended, c, at, 0, nil
-	if j.left--; j.left > 0 {
-		return
+	if j.left--; j.left == 0 {
+		b.retire(j, at)
 	}
+}
+
+// retire ends a job and forgets the oldest that have ended.
+func (b *Book) retire(j *Job, at int64) {
 	j.Ended = at
 	b.Gone = append(b.Gone, j.ID)
 	for len(b.Gone) > keepJobs {
@@ -337,12 +375,7 @@
 		if len(j.Tasks) != j.Spec.Count() {
 			return fmt.Errorf("snapshot: job %s has %d tasks, want %d", id, len(j.Tasks), j.Spec.Count())
 		}
-		j.left = 0
-		for _, t := range j.Tasks {
-			if t.State != Ended {
-				j.left++
-			}
-		}
+		j.count()
 	}
 	return nil
 }
--- a/internal/book/event.go
+++ b/internal/book/event.go
@@ -23,6 +23,7 @@
 	Drain  *Drain  `json:"drain,omitempty"`
 	Key    *Key    `json:"key,omitempty"`
 	Hold   *Hold   `json:"hold,omitempty"`
+	Move   *Move   `json:"move,omitempty"`
 }
 
 // Own makes an entry the zone's owner.
@@ -37,10 +38,21 @@
 	Entry string `json:"entry"`
 }
 
-// Accept takes a job in.
+// Accept takes a job in. Tasks is set for a job that another zone's journal
+// accepted and gave away: its tasks as they were there.
 type Accept struct {
-	ID   string       `json:"id"`
-	Spec operator.Job `json:"spec"`
+	ID    string       `json:"id"`
+	Spec  operator.Job `json:"spec"`
+	At    int64        `json:"at,omitempty"` // first acceptance, if it was elsewhere, Unix milliseconds
+	Tasks []Task       `json:"tasks,omitempty"`
+}
+
+// Move gives a job to another zone's journal. It is written twice: before the
+// other journal has the job, and, with Done, once it has.
+type Move struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"` // that takes it
+	Done bool   `json:"done,omitempty"`
 }
 
 // Cancel ends a job: its queued tasks at once, its running tasks when stopped.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -71,6 +71,9 @@
 		a = &got
 	}
 	h := w.Header()
+	if e.Leaving() {
+		h.Set("Connection", "close") // the caller's next request goes elsewhere
+	}
 	h.Set(HeaderOutcome, string(a.Outcome))
 	if id := r.Header.Get(HeaderRequest); id != "" {
 		h.Set(HeaderRequest, id)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -99,7 +99,10 @@
 	Listed  bool                   // a VM list was seen
 	Entries []Entry
 	Cell    operator.Cell
-	Line    *timeline.Ring // may be nil
+	// Home is the zone to which queued jobs are given when this zone is adopted;
+	// empty for the zone's own entries, which place them.
+	Home string
+	Line *timeline.Ring // may be nil
 
 	members    map[string]operator.Member
 	policy     place.Known
@@ -110,6 +113,7 @@
 	ready      map[string][]ack    // durable ends, by worker
 	flight     flight              // what Step returned and the journal has not confirmed
 	granted    time.Time
+	given      time.Time            // when jobs were last given away
 	stops      map[string]time.Time // tasks to be stopped → next try
 	starts     map[string]int       // tasks whose start is being sent → attempt
 	batch      []book.Event
@@ -139,6 +143,7 @@
 	Start  *worker.Start // to Worker
 	Stop   *worker.Stop  // to Worker
 	Worker string
+	Give   *book.Job     // to the journal of the zone that it names as Moved
 	Reply  chan<- Answer // gets Answer
 	Answer Answer
 }
@@ -149,6 +154,7 @@
 	ID    string        // of the job
 	Seq   int64         // of the batch that holds it
 	Why   string        // if not OK
+	Moved string        // zone whose journal has the job now; ask its owner
 	Bad   bool          // not OK because the request is wrong, rather than the time
 	Waits *place.Reason // the answer to Explain
 }
@@ -220,6 +226,9 @@
 // enqueue lets a queued task wait; a gang waits as one, once all its tasks do.
 func (c *Control) enqueue(j *book.Job, t *book.Task) {
 	c.restless = true
+	if j.Moved != "" {
+		return
+	}
 	if j.Spec.Kind != operator.Gang {
 		c.Queue.Add(&place.Item{Asks: []*place.Ask{c.ask(j, t)}})
 		return
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -24,6 +24,8 @@
 	Publish func(*journal.Batch)
 	// Written, if set, hears how long each write took.
 	Written func(time.Duration)
+	// Give, for an adopted zone, has another zone's owner accept a job.
+	Give func(context.Context, *book.Job) error
 
 	lease  atomic.Int64 // until when this entry is the owner, Unix milliseconds
 	syncs  map[string]context.CancelFunc
@@ -162,6 +164,8 @@
 		switch {
 		case e.Reply != nil:
 			e.Reply <- e.Answer
+		case e.Give != nil:
+			go o.give(ctx, e.Give)
 		case e.Start != nil && (v == nil || !o.Valid(time.Now())):
 			o.C.Handle(Started{Task: e.Start.Task, Attempt: e.Start.Attempt, Refused: true, Why: "not sent: the owner's lease had lapsed"}, time.Now())
 		case e.Start != nil:
@@ -195,6 +199,15 @@
 	o.post(ctx, m)
 }
 
+// give hands a job to another zone; without an answer it is given again later.
+func (o *Owner) give(ctx context.Context, j *book.Job) {
+	if err := o.Give(ctx, j); err != nil {
+		o.Log.Debug("give", "job", j.ID, "error", err)
+		return
+	}
+	o.post(ctx, Delivered{j.ID})
+}
+
 func (o *Owner) post(ctx context.Context, m Message) {
 	select {
 	case o.Inbox <- m:
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -33,7 +33,10 @@
 		c.granted = now
 		c.grant(now)
 	}
-	if c.restless {
+	switch {
+	case c.Home != "":
+		c.giveAway(now)
+	case c.restless:
 		c.start(now)
 	}
 	if now.Sub(c.relieved) >= reliefEvery {
@@ -113,18 +116,24 @@
 		return
 	}
 	c.emit(now, book.Event{Job: &book.Accept{ID: m.ID, Spec: m.Spec}})
-	j := c.Book.Jobs[m.ID]
-	if j.Spec.Kind == operator.Gang {
-		c.enqueue(j, j.Tasks[0])
-	} else {
-		for _, t := range j.Tasks {
-			c.enqueue(j, t)
-		}
-	}
+	c.queueAll(c.Book.Jobs[m.ID])
 	c.note(now, "accept", m.ID, m.Spec.Member)
 	c.effect(Effect{Reply: m.Reply, Answer: Answer{OK: true, ID: m.ID}})
 }
 
+// queueAll lets the tasks of a new job wait.
+func (c *Control) queueAll(j *book.Job) {
+	for _, t := range j.Tasks {
+		if t.State != book.Queued {
+			continue
+		}
+		c.enqueue(j, t)
+		if j.Spec.Kind == operator.Gang {
+			return // one brings in all
+		}
+	}
+}
+
 func (c *Control) cancel(now time.Time, m *Cancel) {
 	j := c.Book.Jobs[m.ID]
 	if j == nil || j.Spec.Member != m.Member {
@@ -132,6 +141,10 @@
 		m.Reply <- Answer{Bad: true, Why: "no job " + m.ID + " of member " + m.Member}
 		return
 	}
+	if j.Moved != "" {
+		m.Reply <- Answer{ID: m.ID, Moved: j.Moved}
+		return
+	}
 	if j.Ended == 0 && !j.Cancelled {
 		for _, t := range j.Tasks {
 			if t.State == book.Queued {
@@ -262,7 +275,7 @@
 // hopeless ends items that no worker of the zone can ever hold. The VM list
 // lags, so a worker may be about to appear: they get some patience first.
 func (c *Control) hopeless(now time.Time) {
-	if !c.Listed || len(c.Cluster.Workers) == 0 {
+	if !c.Listed || c.Home != "" || len(c.Cluster.Workers) == 0 {
 		return
 	}
 	still := map[string]time.Time{}
--- a/internal/entry/beat.go
+++ b/internal/entry/beat.go
@@ -22,6 +22,7 @@
 	Others  []member.Info
 	Version int64 // of the configuration in force there
 	Loads   map[string]slots.Load
+	Adopted []string // zones in its care
 }
 
 // told is what another entry told of its load.
@@ -29,11 +30,12 @@
 	loads map[string]slots.Load
 	at    time.Time
 	sent  map[string]int // requests sent there since, by pool
+	zones []string       // in its care
 }
 
 func (e *Entry) beat() *Beat {
 	v, _ := e.cells.version()
-	b := &Beat{Version: v, Loads: e.slots.Loads(time.Now())}
+	b := &Beat{Version: v, Loads: e.slots.Loads(time.Now()), Adopted: e.own.zones()}
 	e.view.Lock()
 	defer e.view.Unlock()
 	b.From, b.Others = e.view.Self, e.view.Gossip()
@@ -50,7 +52,7 @@
 			changed = e.view.Merge(o, now) || changed
 		}
 	}
-	e.view.loads[b.From.ID] = told{b.Loads, now, map[string]int{}}
+	e.view.loads[b.From.ID] = told{b.Loads, now, map[string]int{}, b.Adopted}
 	e.view.Unlock()
 	if changed {
 		e.note("peer", b.From.ID, "view changed")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,8 @@
 	budget   budget
 	leaving  atomic.Bool
 	inflight sync.WaitGroup // requests accepted from callers
+	polls    atomic.Int64   // of pending, those that wait for the journal to go on
+	pending  atomic.Int64   // calls from other entries that are not answered yet
 	stopped  chan struct{}  // closed at the end of Run
 }
 
@@ -129,14 +131,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){e.guardLoop, e.beatLoop, e.listLoop, e.cellLoop, e.followLoop, e.holdLoop, e.probeLoop} {
+	for _, f := range []func(context.Context){e.guardLoop, e.beatLoop, e.listLoop, e.cellLoop, e.followLoop, e.holdLoop, e.probeLoop, e.adoptLoop, e.keepLoop} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			f(ctx)
 		}()
 	}
-	go func() { _ = peer.Serve(l, &Peer{e}) }()
+	go func() { _ = peer.Serve(l, &Peer{e}, &e.pending) }()
 	e.note("serve", e.Set.ID, "")
 	e.log.Info("serve", "peer", e.Set.Peer, "caller", e.Set.Caller, "operator", e.Set.Operator)
 	<-ctx.Done()
@@ -189,6 +191,19 @@
 	}
 }
 
+// Answered waits until no other entry waits for an answer of this one. Those
+// that were in progress when it was drained are long over; this is about the
+// last of them, whose answer may still be on its way out. Long polls do not count.
+func (e *Entry) Answered(ctx context.Context) error {
+	for e.pending.Load() > e.polls.Load() {
+		if ctx.Err() != nil {
+			return fmt.Errorf("drain: %w", ctx.Err())
+		}
+		sleep(ctx, time.Millisecond)
+	}
+	return nil
+}
+
 // note adds to the time line.
 func (e *Entry) note(kind, who, why string) {
 	e.Line.Add(timeline.Event{At: time.Now().UnixMilli(), VM: e.Set.ID, Kind: kind, Who: who, Why: why})
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -151,6 +151,8 @@
 // Tail answers TailArgs.
 func (p *Peer) Tail(a *TailArgs, r *TailReply) error {
 	e := p.e
+	e.polls.Add(1)
+	defer e.polls.Add(-1)
 	if a.Zone != e.Set.Zone {
 		r.Gap = true
 		return nil
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -31,6 +31,7 @@
 	Cancel  *control.Cancel
 	Keys    *control.KeysSeen
 	Explain *control.Explain
+	Adopted *control.Adopted
 	Limit   time.Duration // for the answer
 	Forward bool          // the asked entry may pass it on to its zone's owner
 }
@@ -38,7 +39,7 @@
 // Owner answers OwnerArgs.
 func (p *Peer) Owner(a *OwnerArgs, r *control.Answer) error {
 	ans, err := p.e.atOwner(a)
-	if errors.Is(err, errNotOwner) && a.Forward {
+	if errors.Is(err, errNotOwner) && a.Forward && a.Zone == p.e.Set.Zone {
 		ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
 		defer cancel()
 		b := *a
@@ -51,7 +52,7 @@
 
 // atOwner has this entry's control answer a, if it owns the zone.
 func (e *Entry) atOwner(a *OwnerArgs) (control.Answer, error) {
-	o := e.own.get()
+	o := e.own.of(a.Zone, e.Set.Zone)
 	if o == nil {
 		return control.Answer{}, errNotOwner
 	}
@@ -67,6 +68,8 @@
 		m = control.KeysSeen{Share: a.Keys.Share, Seen: a.Keys.Seen, Reply: reply}
 	case a.Explain != nil:
 		m = control.Explain{ID: a.Explain.ID, Reply: reply}
+	case a.Adopted != nil:
+		m = control.Adopted{Job: a.Adopted.Job, Reply: reply}
 	default:
 		return control.Answer{}, ErrWrong
 	}
@@ -116,7 +119,7 @@
 		r, err := e.oneOwner(cctx, &b)
 		cancel()
 		if err == nil {
-			if !r.OK && !r.Bad && time.Until(end) > pause {
+			if !r.OK && !r.Bad && r.Moved == "" && time.Until(end) > pause {
 				sleep(ctx, pause)
 				continue // an owner that is about to be replaced
 			}
@@ -137,7 +140,13 @@
 	if a.Zone == "" || a.Zone == e.Set.Zone {
 		return e.callOwner(ctx, a)
 	}
+	if e.own.of(a.Zone, e.Set.Zone) != nil {
+		return e.atOwner(a)
+	}
 	addr := e.anyEntry(a.Zone)
+	if addr == "" {
+		addr = e.adopterOf(a.Zone)
+	}
 	if addr == "" {
 		return control.Answer{}, errNotOwner
 	}
@@ -200,11 +209,16 @@
 
 // Cancel ends a member's job.
 func (e *Entry) Cancel(ctx context.Context, id, mem string, limit time.Duration) (Token, error) {
-	a, err := e.toOwner(ctx, &OwnerArgs{Zone: zoneOf(id), Cancel: &control.Cancel{ID: id, Member: mem}, Limit: limit})
+	args := &OwnerArgs{Zone: zoneOf(id), Cancel: &control.Cancel{ID: id, Member: mem}, Limit: limit}
+	a, err := e.toOwner(ctx, args)
+	if err == nil && a.Moved != "" {
+		args.Zone = a.Moved
+		a, err = e.toOwner(ctx, args)
+	}
 	if err == nil && a.Bad {
 		return Token{}, fmt.Errorf("%s: %w", a.Why, ErrMissing)
 	}
-	return Token{zoneOf(id), a.Seq}, verdict(a, err)
+	return Token{args.Zone, a.Seq}, verdict(a, err)
 }
 
 func verdict(a control.Answer, err error) error {
@@ -233,9 +247,10 @@
 	Waits     *place.Reason `json:"waits,omitempty"`
 }
 
-// ReadArgs asks an entry of a job's zone for its status.
+// ReadArgs asks an entry for the status of a job.
 type ReadArgs struct {
 	ID     string
+	Zone   string // whose journal has it; empty: the one that the id names
 	Member string
 	Seq    int64 // answer from this state or a later one
 	Limit  time.Duration
@@ -246,6 +261,7 @@
 // ReadReply has the status, encoded.
 type ReadReply struct {
 	Found  bool
+	Moved  string // zone whose journal has the job now
 	Status []byte
 }
 
@@ -263,19 +279,18 @@
 // blockFor is how long Block waits before it asks the owner after all.
 const blockFor = 300 * time.Millisecond
 
-// Read returns the status of a member's job, from a state no older than seq.
+// Read returns the status of a member's job, from a state no older than a.Seq.
 func (e *Entry) Read(ctx context.Context, a ReadArgs) (*Status, error) {
-	r := &ReadReply{}
-	var err error
-	if zoneOf(a.ID) == e.Set.Zone {
-		err = e.readHere(ctx, &a, r)
-	} else if addr := e.anyEntry(zoneOf(a.ID)); addr != "" {
-		err = e.peers.Call(ctx, addr, peer.Control, "Read", &a, r)
-	} else if e.cells.hasZone(zoneOf(a.ID)) {
-		return nil, fmt.Errorf("zone %s: %w", zoneOf(a.ID), ErrFar)
+	if a.Zone == "" {
+		a.Zone = zoneOf(a.ID)
+	}
+	r, err := e.readAnywhere(ctx, &a)
+	if err == nil && r.Moved != "" {
+		a.Zone, a.Seq = r.Moved, 0
+		r, err = e.readAnywhere(ctx, &a)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrFar, err)
+		return nil, err
 	}
 	if !r.Found {
 		return nil, fmt.Errorf("no job %s of member %s: %w", a.ID, a.Member, ErrMissing)
@@ -287,6 +302,30 @@
 	return s, nil
 }
 
+// readAnywhere reads where the journal of a.Zone is followed.
+func (e *Entry) readAnywhere(ctx context.Context, a *ReadArgs) (*ReadReply, error) {
+	r := &ReadReply{}
+	if e.replicaOf(a.Zone) != nil {
+		if err := e.readHere(ctx, a, r); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrFar, err)
+		}
+		return r, nil
+	}
+	addr := e.anyEntry(a.Zone)
+	if addr == "" {
+		addr = e.adopterOf(a.Zone)
+	}
+	switch {
+	case addr != "":
+		if err := e.peers.Call(ctx, addr, peer.Control, "Read", a, r); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrFar, err)
+		}
+	case e.cells.hasZone(a.Zone):
+		return nil, fmt.Errorf("zone %s: %w", a.Zone, ErrFar)
+	}
+	return r, nil
+}
+
 // Read answers ReadArgs.
 func (p *Peer) Read(a *ReadArgs, r *ReadReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
@@ -298,16 +337,23 @@
 
 // readHere answers from the replica once it is fresh enough.
 func (e *Entry) readHere(ctx context.Context, a *ReadArgs, r *ReadReply) error {
-	wait := blockFor
-	if a.Policy == Forward {
-		wait = 0
+	rep := e.replicaOf(a.Zone)
+	if rep == nil {
+		return errStale
 	}
-	addr, self := e.ownerAddr()
-	if a.Here || self || addr == "" {
+	addr, self := "", true
+	if rep == &e.rep {
+		addr, self = e.ownerAddr()
+	}
+	wait := blockFor
+	switch {
+	case a.Here || self || addr == "":
 		wait = a.Limit // nobody else to ask
+	case a.Policy == Forward:
+		wait = 0
 	}
-	if e.fresh(ctx, a.Seq, wait) {
-		return e.status(a, r)
+	if rep.fresh(ctx, a.Seq, wait) {
+		return e.status(rep, a, r)
 	}
 	if a.Here || addr == "" {
 		return errStale
@@ -317,37 +363,18 @@
 	return e.peers.Call(ctx, addr, peer.Control, "Read", &b, r)
 }
 
-// fresh waits until the replica has the state seq.
-func (e *Entry) fresh(ctx context.Context, seq int64, wait time.Duration) bool {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	for {
-		ch := e.rep.wait()
-		if e.rep.seq() >= seq && e.rep.ready() {
-			return true
-		}
-		if wait == 0 {
-			return false
-		}
-		select {
-		case <-ch:
-		case <-t.C:
-			return e.rep.seq() >= seq && e.rep.ready()
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
-func (e *Entry) status(a *ReadArgs, r *ReadReply) (err error) {
+func (e *Entry) status(rep *replica, a *ReadArgs, r *ReadReply) (err error) {
 	var s Status
-	e.rep.read(func(b *book.Book) {
+	rep.read(func(b *book.Book) {
 		j := b.Jobs[a.ID]
 		if j == nil || j.Spec.Member != a.Member {
 			return
 		}
+		if r.Moved = j.Moved; r.Moved != "" {
+			return
+		}
 		r.Found = true
-		s = Status{ID: j.ID, Spec: j.Spec, Accepted: j.Accepted, Ended: j.Ended, Cancelled: j.Cancelled, Token: Token{e.Set.Zone, b.Seq}}
+		s = Status{ID: j.ID, Spec: j.Spec, Accepted: j.Accepted, Ended: j.Ended, Cancelled: j.Cancelled, Token: Token{a.Zone, b.Seq}}
 		s.State, s.Cause = j.State()
 		for _, t := range j.Tasks {
 			s.Tasks = append(s.Tasks, *t)
@@ -356,7 +383,7 @@
 	if !r.Found {
 		return nil
 	}
-	if s.State == book.Queued {
+	if s.State == book.Queued && rep == &e.rep {
 		const limit = 500 * time.Millisecond
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -13,8 +14,9 @@
 
 // owning is the zone that this entry owns at present, if it does.
 type owning struct {
-	mu    sync.Mutex
-	owner *control.Owner
+	mu      sync.Mutex
+	owner   *control.Owner
+	adopted map[string]*adoption // by zone
 }
 
 func (o *owning) get() *control.Owner {
@@ -23,6 +25,19 @@
 	return o.owner
 }
 
+// of returns the owner of a zone that this entry owns or has adopted.
+func (o *owning) of(zone, own string) *control.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if zone == "" || zone == own {
+		return o.owner
+	}
+	if a := o.adopted[zone]; a != nil {
+		return a.owner
+	}
+	return nil
+}
+
 func (o *owning) set(x *control.Owner) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -45,23 +60,34 @@
 		e.log.Error("own", "error", err)
 		return
 	}
-	began := time.Now()
+	began, err := e.claim(ctx, e.Set.Zone, bk)
+	if err != nil {
+		e.log.Info("own lost", "seq", bk.Seq, "error", err)
+		return
+	}
+	e.ownZone(ctx, bk, began)
+}
+
+// claim writes, after the last row of bk, that this entry owns the zone, and
+// brings bk up to date. It returns when the write began.
+func (e *Entry) claim(ctx context.Context, zone string, bk *book.Book) (began time.Time, err error) {
+	began = time.Now()
 	b := &journal.Batch{
-		Zone: e.Set.Zone, Seq: bk.Seq + 1, ID: journal.NewID(), Epoch: bk.Epoch + 1,
-		Entry: e.Set.ID, Time: began.UnixMilli(),
+		Zone: zone, Seq: bk.Seq + 1, ID: journal.NewID(), Epoch: bk.Epoch + 1, Entry: e.Set.ID, Time: began.UnixMilli(),
 		Events: []book.Event{{At: began.UnixMilli(), Own: &book.Own{Entry: e.Set.ID, Boot: e.Boot, Epoch: bk.Epoch + 1}}},
 	}
-	wctx, cancel := context.WithTimeout(ctx, takeLimit)
+	ctx, cancel := context.WithTimeout(ctx, takeLimit)
 	defer cancel()
 	// The zero lease makes Append check that no row follows: this entry may
 	// have been paused since it read the table.
-	if err = journal.Append(wctx, e.platform, b, time.Time{}); err != nil {
-		e.log.Info("own lost", "seq", b.Seq, "error", err)
-		return
+	if err = journal.Append(ctx, e.platform, b, time.Time{}); err != nil {
+		return began, fmt.Errorf("claim %s: %w", zone, err)
 	}
 	journal.Replay(bk, b)
-	e.rep.apply([]journal.Batch{*b})
-	e.ownZone(ctx, bk, began)
+	if zone == e.Set.Zone {
+		e.rep.apply([]journal.Batch{*b})
+	}
+	return began, nil
 }
 
 // ownZone runs the zone's control.
@@ -88,7 +114,7 @@
 	e.note("own", e.Set.Zone, "epoch "+itoa(epoch))
 	e.log.Info("own", "epoch", epoch, "seq", bk.Seq)
 	octx, cancel := context.WithCancel(ctx)
-	go e.feed(octx, o)
+	go e.feed(octx, o, e.Set.Zone)
 	err := o.Run(octx, began)
 	cancel()
 	e.own.set(nil)
@@ -114,7 +140,7 @@
 
 // feed tells the owner's control what this entry learns: the VM list, the
 // entries of the zone and the configuration.
-func (e *Entry) feed(ctx context.Context, o *control.Owner) {
+func (e *Entry) feed(ctx context.Context, o *control.Owner, zone string) {
 	var listed time.Time
 	version := int64(-1)
 	for ctx.Err() == nil {
@@ -130,7 +156,7 @@
 			version = cell.Version
 			ms = append(ms, control.Configured{Cell: cell})
 		}
-		ms = append(ms, control.Live{Entries: e.liveEntries(time.Now())})
+		ms = append(ms, control.Live{Entries: e.liveEntries(zone, time.Now())})
 		for _, m := range ms {
 			select {
 			case o.Inbox <- m:
@@ -142,13 +168,16 @@
 	}
 }
 
-// liveEntries lists the zone's entries for the control, this one included.
-func (e *Entry) liveEntries(now time.Time) []control.Entry {
-	out := []control.Entry{{ID: e.Set.ID, Boot: e.Boot, Leaving: e.Leaving(), Alive: true}}
+// liveEntries lists a zone's entries for its control, this one included.
+func (e *Entry) liveEntries(zone string, now time.Time) []control.Entry {
+	var out []control.Entry
+	if zone == e.Set.Zone {
+		out = append(out, control.Entry{ID: e.Set.ID, Boot: e.Boot, Leaving: e.Leaving(), Alive: true})
+	}
 	e.view.Lock()
 	defer e.view.Unlock()
 	for _, p := range e.view.Peers {
-		if p.Zone == e.Set.Zone {
+		if p.Zone == zone {
 			out = append(out, control.Entry{ID: p.ID, Boot: p.Boot, Leaving: p.Status == member.Left, Alive: e.view.Alive(p, now)})
 		}
 	}
@@ -167,7 +196,7 @@
 
 // alone reports whether no other entry of the zone could take anything over.
 func (e *Entry) alone() bool {
-	for _, x := range e.liveEntries(time.Now()) {
+	for _, x := range e.liveEntries(e.Set.Zone, time.Now()) {
 		if x.ID != e.Set.ID && x.Alive && !x.Leaving {
 			return false
 		}
@@ -177,3 +206,13 @@
 
 // Owns reports whether this entry owns its zone for sure.
 func (e *Entry) Owns() bool { return e.own.valid(time.Now()) }
+
+// zones lists the zones in this entry's care besides its own.
+func (o *owning) zones() (out []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for z := range o.adopted {
+		out = append(out, z)
+	}
+	return out
+}
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
 
 	"jasminestep/internal/book"
 	"jasminestep/internal/journal"
@@ -131,3 +133,25 @@
 	}
 	return bk, bk.Rebuild()
 }
+
+// fresh waits until the replica has the state seq.
+func (r *replica) fresh(ctx context.Context, seq int64, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		ch := r.wait()
+		if r.seq() >= seq && r.ready() {
+			return true
+		}
+		if wait == 0 {
+			return false
+		}
+		select {
+		case <-ch:
+		case <-t.C:
+			return r.seq() >= seq && r.ready()
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -174,7 +174,7 @@
 	}
 	if a.Loads != nil {
 		e.view.Lock()
-		e.view.loads[t.ID] = told{a.Loads, time.Now(), map[string]int{}}
+		e.view.loads[t.ID] = told{a.Loads, time.Now(), map[string]int{}, e.view.loads[t.ID].zones}
 		e.view.Unlock()
 	}
 	return *a
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -206,7 +206,9 @@
 
 // Serve answers calls on l with the methods of svc, under the name Peer, until
 // l is closed. Accepted connections are closed with it.
-func Serve(l net.Listener, svc any) error {
+//
+// pending counts the calls that are not answered yet.
+func Serve(l net.Listener, svc any, pending *atomic.Int64) error {
 	s := rpc.NewServer()
 	if err := s.RegisterName("Peer", svc); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
@@ -229,7 +231,7 @@
 		open[nc] = true
 		mu.Unlock()
 		go func() {
-			s.ServeConn(counted{Conn: nc, c: count})
+			s.ServeCodec(newCodec(counted{Conn: nc, c: count}, pending))
 			mu.Lock()
 			delete(open, nc)
 			mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -38,7 +38,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	e := &Echo{}
-	go func() { _ = Serve(l, e) }()
+	go func() { _ = Serve(l, e, &atomic.Int64{}) }()
 	return l.Addr().String(), e
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	Task     int64    `json:"task"`
 	Lag      int64    `json:"lag"`
 	Request  int64    `json:"request"`
+	Adopt    int64    `json:"adopt"`
 	Snapshot int64    `json:"snapshot"`
 	Level    string   `json:"level"`
 }
@@ -58,6 +59,7 @@
 	{"task", "ms", "10000", "2*lease to 600000", "lease of tasks on workers"},
 	{"lag", "ms", "5000", "0 to 600000", "how late the VM list may be"},
 	{"request", "ms", "30000", "100 to 600000", "longest time a request may run on a minion"},
+	{"adopt", "ms", "60000", "5*lease to 3600000", "how long nothing is seen of another zone before its journal is taken over"},
 	{"snapshot", "rows", "2000", "100 to 1000000", "journal rows between two snapshots"},
 	{"level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"},
 }
@@ -87,6 +89,9 @@
 	return err
 }
 
+// usualAdopt is the default of adopt.
+const usualAdopt = time.Minute
+
 func (s *Settings) fill() {
 	fill := func(p *int64, usual time.Duration) {
 		if *p == 0 {
@@ -100,6 +105,7 @@
 	fill(&s.Task, d.Task)
 	fill(&s.Lag, d.Lag)
 	fill(&s.Request, d.Request)
+	fill(&s.Adopt, usualAdopt)
 	if s.Snapshot == 0 {
 		s.Snapshot = 2000
 	}
@@ -145,6 +151,7 @@
 		{"task", s.Task, 2 * s.Lease, 600_000},
 		{"lag", s.Lag, 0, 600_000},
 		{"request", s.Request, 100, 600_000},
+		{"adopt", s.Adopt, 5 * s.Lease, 3_600_000},
 		{"snapshot", s.Snapshot, 100, 1_000_000},
 	}
 	for _, r := range ranges {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -84,7 +84,7 @@
 }
 
 type waiter struct {
-	ready chan *Minion // buffered
+	ready chan *Minion // buffered; nil: there will be no slot here
 }
 
 type pool struct {
@@ -159,8 +159,25 @@
 	}
 }
 
-// serve gives free slots to whoever waits, the fairest first.
+// open reports whether the pool has a minion that may come free here.
+func (p *pool) open() bool {
+	for _, m := range p.minions {
+		if !m.Drain && !m.Leave {
+			return true
+		}
+	}
+	return false
+}
+
+// serve gives free slots to whoever waits, the fairest first. If there will be
+// none here, all are sent away at once, to be served elsewhere.
 func (p *pool) serve(now time.Time) {
+	if !p.open() {
+		for p.queue.Len() > 0 {
+			p.queue.Pop().Value.ready <- nil
+		}
+		return
+	}
 	for p.queue.Len() > 0 {
 		i := Pick(p.minions, now)
 		if i < 0 {
@@ -183,7 +200,7 @@
 func (t *Table) Take(ctx context.Context, name, member string, weight float64, deadline, now time.Time) (*Slot, error) {
 	t.mu.Lock()
 	p := t.pools[name]
-	if p == nil || len(p.minions) == 0 {
+	if p == nil || !p.open() {
 		t.mu.Unlock()
 		return nil, ErrNone
 	}
@@ -213,6 +230,9 @@
 	defer timer.Stop()
 	select {
 	case m := <-it.Value.ready:
+		if m == nil {
+			return nil, ErrNone
+		}
 		return &Slot{m, time.Now(), p}, nil
 	case <-ctx.Done():
 	case <-timer.C:
@@ -223,6 +243,9 @@
 	if !gone {
 		// A slot came at the last moment; it goes to the next.
 		m := <-it.Value.ready
+		if m == nil {
+			return nil, ErrNone
+		}
 		t.Give(&Slot{m, time.Now(), p}, Unused, time.Now())
 	}
 	return nil, ErrLate
@@ -287,6 +310,7 @@
 	defer t.mu.Unlock()
 	if m := t.all[name]; m != nil {
 		m.Leave = true
+		t.pools[m.Pool].serve(time.Now())
 	}
 }
 
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -94,6 +94,27 @@
 	assert.NilError(t, err)
 }
 
+// Who waits where the last minion is given up is sent elsewhere at once.
+func TestWaitersAreSentAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := &Table{}
+		h := []Held{{Name: "a", Pool: "p", Addr: "a", Slots: 1}}
+		tab.Set(h, 9, time.Now())
+		s, err := take(tab, 10)
+		assert.NilError(t, err)
+		got := make(chan error, 1)
+		go func() {
+			_, err := take(tab, 60000)
+			got <- err
+		}()
+		synctest.Wait()
+		h[0].Drain = true
+		tab.Set(h, 9, time.Now())
+		assert.ErrorIs(t, <-got, ErrNone)
+		tab.Give(s, Good, time.Now())
+	})
+}
+
 func TestQuietUntilSeenIdle(t *testing.T) {
 	tab := &Table{}
 	h := hold("a")
--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -103,7 +103,8 @@
 	s := &Summary{
 		Site: d.Site.Name, Seed: d.Seed, CPU: (cpuTime() - cpu).Seconds() / took.Seconds() / n,
 		Writes: float64(c.Platform.Writes.Load()-writes) / took.Seconds(), Reads: float64(c.Platform.Reads.Load()-reads) / took.Seconds(),
-		Bytes: 2 * float64(r.bytes()-bytes) / took.Seconds() / n, // each byte has two ends, and the one that opened counts Memory: memory() / n,
+		Bytes:  2 * float64(r.bytes()-bytes) / took.Seconds() / n, // each byte has two ends, and the one that opened counts
+		Memory: memory() / n,
 	}
 	r.settle()
 	r.judge(s)
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -32,6 +32,7 @@
 	slow    float64   // factor on run times; zero: one
 	silent  time.Time // connections older than this get no answers
 	half    bool      // answers are cut in the middle
+	refused int       // requests that came after it began to leave
 }
 
 type connKey struct{}
@@ -81,6 +82,13 @@
 	m.leaving = true
 }
 
+// Refused counts the requests that came after it began to leave.
+func (m *Minion) Refused() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refused
+}
+
 // Silence makes the connections that are open now silent for good; new ones work.
 func (m *Minion) Silence() {
 	m.mu.Lock()
@@ -121,6 +129,9 @@
 	}
 	w.Header().Set(minion.HeaderRequest, r.Header.Get(minion.HeaderRequest))
 	if leaving {
+		m.mu.Lock()
+		m.refused++
+		m.mu.Unlock()
 		w.Header().Set(minion.HeaderLeaving, "true")
 		w.Header().Set(minion.HeaderRefused, "true")
 		w.Header().Set("Content-Length", "0")
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -27,6 +27,7 @@
 	Kinds   []Kind
 	Members []string
 	Policy  string
+	Tune    func(*settings.Settings) // changes the settings of every entry; may be nil
 }
 
 // Sites are the two deployments at today's size.
@@ -97,6 +98,9 @@
 	}
 	for i := range out {
 		out[i].Seeds = seeds
+		if s.Tune != nil {
+			s.Tune(&out[i])
+		}
 	}
 	return out
 }
