--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jessevdk/go-flags"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"jasminestep/internal/standin"
 	"jasminestep/internal/web"
@@ -47,24 +48,20 @@
 	if err != nil {
 		return err
 	}
-	b, err := json.Marshal(s)
-	if err != nil {
-		return fmt.Errorf("summary: %w", err)
-	}
-	fmt.Println(string(b))
-	if s.Bad() > 0 {
-		os.Exit(exitFailed)
-	}
-	return nil
+	return finish(s)
 }
 
 type runCommand struct {
-	Site string        `long:"site" default:"oshana" choice:"oshana" choice:"compas" description:"whose sizes"`
-	Dir  string        `long:"dir" required:"true" description:"where a settings file for every entry is written"`
-	For  time.Duration `long:"for" default:"10m" description:"after which it ends by itself"`
+	Site  string        `long:"site" default:"oshana" choice:"oshana" choice:"compas" description:"whose sizes"`
+	Dir   string        `long:"dir" required:"true" description:"where a settings file for every entry is written"`
+	For   time.Duration `long:"for" default:"10m" description:"after which it ends by itself; with a load, how long the load lasts"`
+	Jobs  float64       `long:"jobs" description:"jobs a second"`
+	Calls float64       `long:"calls" description:"requests a second"`
+	Seed  uint64        `long:"seed" default:"1" description:"of all random choices"`
 }
 
-// Execute runs the stand-ins on their own.
+// Execute runs the stand-ins on their own, and loads and judges the entries
+// that others start, if a load is named.
 func (c *runCommand) Execute([]string) error {
 	site, err := standin.FindSite(c.Site)
 	if err != nil {
@@ -73,12 +70,35 @@
 	if err = standin.WriteSettings(site, c.Dir); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.For)
-	defer cancel()
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Jobs == 0 && c.Calls == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	logx.Disable()
 	fmt.Printf("platform %s, faults and ledger %s, settings in %s\n", site.PlatformAddr(), site.ControlAddr(), c.Dir)
-	return standin.RunParts(ctx, site)
+	d := &standin.Demo{Site: site, For: c.For, Seed: c.Seed, Out: os.Stdout, Jobs: c.Jobs, Calls: c.Calls}
+	s, err := d.RunParts(ctx)
+	if err != nil || s == nil {
+		return err
+	}
+	return finish(s)
+}
+
+// finish prints the summary as the last line and ends the process with 1 if a
+// promise was broken.
+func finish(s *standin.Summary) error {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("summary: %w", err)
+	}
+	fmt.Println(string(b))
+	if s.Bad() > 0 {
+		os.Exit(exitFailed)
+	}
+	return nil
 }
 
 func main() {
--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -79,7 +79,8 @@
 	notes  []string
 }
 
-// Run starts the site, loads it, brings about the faults, and judges.
+// Run starts the site with its entries in this process, loads it, brings about
+// the faults, and judges.
 func (d *Demo) Run(ctx context.Context) (*Summary, error) {
 	if d.Log == nil {
 		d.Log = hclog.NewNullLogger()
@@ -89,17 +90,42 @@
 		return nil, fmt.Errorf("demo: %w", err)
 	}
 	defer c.Close()
+	return d.runOn(ctx, c)
+}
+
+// RunParts does the same with entries that run in processes of their own,
+// which somebody else starts, and stops as they please.
+func (d *Demo) RunParts(ctx context.Context) (*Summary, error) {
+	p, err := StartParts(d.Site)
+	if err != nil {
+		return nil, fmt.Errorf("run: %w", err)
+	}
+	defer p.Close()
+	s, err := p.control()
+	if err != nil {
+		return nil, fmt.Errorf("run: %w", err)
+	}
+	defer s.Close()
+	if d.Calls == 0 && d.Jobs == 0 {
+		<-ctx.Done()
+		return nil, nil
+	}
+	return d.runOn(ctx, &Cluster{Parts: p, Net: &Net{}})
+}
+
+func (d *Demo) runOn(ctx context.Context, c *Cluster) (*Summary, error) {
 	bctx, stop := context.WithCancel(ctx)
 	defer stop()
 	r := &demo{Demo: d, c: c, b: NewBalancer(bctx, c.Fronts())}
-	if err = r.ready(); err != nil {
+	if err := r.ready(); err != nil {
 		return nil, err
 	}
+	_, _ = fmt.Fprintln(d.Out, "ready")
 	began, cpu := time.Now(), cpuTime()
 	writes, reads, bytes := c.Platform.Writes.Load(), c.Platform.Reads.Load(), r.bytes()
 	r.load(ctx)
 	took := time.Since(began)
-	n := float64(len(c.sets))
+	n := float64(len(c.Fronts()))
 	s := &Summary{
 		Site: d.Site.Name, Seed: d.Seed, CPU: (cpuTime() - cpu).Seconds() / took.Seconds() / n,
 		Writes: float64(c.Platform.Writes.Load()-writes) / took.Seconds(), Reads: float64(c.Platform.Reads.Load()-reads) / took.Seconds(),
@@ -111,9 +137,10 @@
 	return s, nil
 }
 
-// ready applies the configuration and waits until every zone has an owner.
+// ready applies the configuration and waits until every zone has an owner and
+// every minion a holder.
 func (r *demo) ready() error {
-	const patience = 15 * time.Second
+	const patience = 30 * time.Second
 	end := time.Now().Add(patience)
 	cell := r.Site.Cell()
 	for applied := false; ; time.Sleep(50 * time.Millisecond) {
@@ -125,39 +152,42 @@
 			applied = err == nil
 			continue
 		}
-		if r.c.settled() {
+		if r.c.settled(r.b) {
 			return nil
 		}
 	}
 }
 
-// settled reports whether every zone has an owner and every minion a holder.
-func (c *Cluster) settled() bool {
-	for _, z := range c.Site.Zones {
-		if c.Owner(z) == "" {
-			return false
+// tops asks some entry for the state of all.
+func (c *Cluster) tops(b *Balancer) (all []entry.Top) {
+	for _, f := range c.Fronts() {
+		if _, err := b.Call(f, http.MethodGet, "/top", "", nil, &all); err == nil {
+			break
 		}
 	}
-	slots := 0
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.procs {
-		for _, l := range p.Entry.Top().Pools {
-			slots += l.Slots
+	return all
+}
+
+// settled reports whether every zone has an owner and every minion a holder.
+func (c *Cluster) settled(b *Balancer) bool {
+	owners := map[string]bool{}
+	have, want := 0, 0
+	for _, t := range c.tops(b) {
+		if t.Owner != "" {
+			owners[t.Zone] = true
+		}
+		for _, l := range t.Pools {
+			have += l.Slots
 		}
 	}
-	want := 0
 	for _, m := range c.Minions {
 		want += m.Slots
 	}
-	return slots >= want
+	return len(owners) == len(c.Site.Zones) && have >= want
 }
 
 func (r *demo) bytes() (n int64) {
-	r.c.mu.Lock()
-	defer r.c.mu.Unlock()
-	for _, p := range r.c.procs {
-		t := p.Entry.Top()
+	for _, t := range r.c.tops(r.b) {
 		n += t.Sent + t.Heard
 	}
 	return n
--- a/internal/standin/parts.go
+++ b/internal/standin/parts.go
@@ -141,9 +141,9 @@
 }
 
 // Fronts lists where the entries listen.
-func (c *Cluster) Fronts() []Front {
+func (p *Parts) Fronts() []Front {
 	var out []Front
-	for _, s := range c.Site.Settings() {
+	for _, s := range p.Site.Settings() {
 		out = append(out, Front{s.Zone, s.Caller, s.Operator})
 	}
 	return out
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -41,14 +40,8 @@
 	return nil
 }
 
-// RunParts runs a site's stand-ins until ctx ends, and answers on the site's
-// control address: POST /fault, GET /ledger.
-func RunParts(ctx context.Context, s Site) error {
-	p, err := StartParts(s)
-	if err != nil {
-		return err
-	}
-	defer p.Close()
+// control answers on the site's control address: POST /fault, GET /ledger.
+func (p *Parts) control() (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", p.fault)
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
@@ -56,14 +49,13 @@
 		defer p.Ledger.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(p.Ledger) // the asker may have gone
 	})
-	l, err := net.Listen("tcp", s.ControlAddr())
+	l, err := net.Listen("tcp", p.Site.ControlAddr())
 	if err != nil {
-		return fmt.Errorf("control: %w", err)
+		return nil, fmt.Errorf("control: %w", err)
 	}
 	srv := &http.Server{Handler: mux}
 	go func() { _ = srv.Serve(l) }()
-	<-ctx.Done()
-	return srv.Close()
+	return srv, nil
 }
 
 func (p *Parts) fault(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -57,7 +57,7 @@
 		_, err := x.b.Call(c.Fronts()[0], http.MethodPost, "/cell", "", s.Cell(), nil)
 		return err == nil
 	})
-	x.until("owners and slots", c.settled)
+	x.until("owners and slots", func() bool { return c.settled(x.b) })
 	t.Cleanup(x.judge)
 	return x
 }
