Measure what an entry costs: CPU, memory, bytes by peer, by load

Cause: the target allows 3.1 % of a core, 128 MB and 18 KB/s for control, and nothing measured them by role and peer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,8 @@
 	minions  *minion.Client
 	peers    *peer.Client
 
+	bytes struct{ platform, workers, peers transport.Counter } // for control
+
 	rep    replica
 	own    owning
 	slots  slots.Table
@@ -104,12 +106,12 @@
 	}
 	e := &Entry{
 		Set: set, Boot: now.UnixMilli(), Line: &timeline.Ring{}, Meter: m, log: o.Log.With("vm", set.ID, "zone", set.Zone),
-		platform: platform.New(set.Platform, o.Dial),
-		workers:  worker.New(o.Dial),
-		minions:  minion.New(o.Dial, operator.DefaultBody),
-		peers:    peer.New(o.Dial),
-		stopped:  make(chan struct{}),
+		minions: minion.New(o.Dial, operator.DefaultBody),
+		stopped: make(chan struct{}),
 	}
+	e.platform = platform.New(set.Platform, e.bytes.platform.Dial(o.Dial))
+	e.workers = worker.New(e.bytes.workers.Dial(o.Dial))
+	e.peers = peer.New(o.Dial, &e.bytes.peers)
 	e.rep.init()
 	e.rnd.Rand = rand.New(rand.NewPCG(o.Seed, uint64(e.Boot)))
 	e.view.Self = member.Info{ID: set.ID, Zone: set.Zone, Addr: set.Peer, Boot: e.Boot}
@@ -138,7 +140,7 @@
 			f(ctx)
 		}()
 	}
-	go func() { _ = peer.Serve(l, &Peer{e}, &e.pending) }()
+	go func() { _ = peer.Serve(l, &Peer{e}, &e.pending, &e.bytes.peers) }()
 	e.note("serve", e.Set.ID, "")
 	e.log.Info("serve", "peer", e.Set.Peer, "caller", e.Set.Caller, "operator", e.Set.Operator)
 	<-ctx.Done()
--- a/internal/entry/top.go
+++ b/internal/entry/top.go
@@ -28,18 +28,26 @@
 	Holds   map[string]string     `json:"holds,omitempty"` // quarantined workers
 	Pools   map[string]slots.Load `json:"pools"`           // of the slots that this entry holds
 	Peers   map[string]string     `json:"peers"`           // what it thinks of the others
-	Sent    int64                 `json:"sent"`            // bytes for control on the connections that it opened
-	Heard   int64                 `json:"heard"`
+	Bytes   Bytes                 `json:"bytes"`
 }
 
+// Bytes counts what an entry has sent and received for control, by peer.
+type Bytes struct {
+	Entries  int64 `json:"entries"`
+	Workers  int64 `json:"workers"`
+	Platform int64 `json:"platform"`
+}
+
+// Total is the sum.
+func (b Bytes) Total() int64 { return b.Entries + b.Workers + b.Platform }
+
 // Top returns the state of this entry.
 func (e *Entry) Top() Top {
 	now := time.Now()
 	t := Top{
 		VM: e.Set.ID, Zone: e.Set.Zone, Leaving: e.Leaving(), Pools: e.slots.Loads(now),
 		Jobs: map[book.State]int{}, Tasks: map[book.State]int{}, Holds: map[string]string{}, Peers: map[string]string{},
-		Sent:  e.peers.Bytes.Sent.Load(),
-		Heard: e.peers.Bytes.Received.Load(),
+		Bytes: Bytes{e.bytes.peers.Total(), e.bytes.workers.Total(), e.bytes.platform.Total()},
 	}
 	t.Version, t.Digest = e.cells.version()
 	e.rep.read(func(b *book.Book) {
@@ -79,10 +87,14 @@
 	one := func(name string, n int64) metric.Sample { return metric.Sample{Name: name, N: float64(n)} }
 	out := []metric.Sample{
 		one("step_epoch", t.Epoch), one("step_seq", t.Seq), one("step_cell_version", t.Version),
-		one("step_control_sent_bytes", t.Sent), one("step_control_received_bytes", t.Heard), one("step_owner", 0),
+	}
+	for who, n := range map[string]int64{"entries": t.Bytes.Entries, "workers": t.Bytes.Workers, "platform": t.Bytes.Platform} {
+		out = append(out, metric.Sample{Name: "step_control_bytes", Label: "peer", Value: who, N: float64(n)})
 	}
 	if e.own.valid(time.Now()) {
-		out[len(out)-1].N = 1
+		out = append(out, one("step_owner", 1))
+	} else {
+		out = append(out, one("step_owner", 0))
 	}
 	for s, n := range t.Jobs {
 		out = append(out, metric.Sample{Name: "step_jobs", Label: "state", Value: string(s), N: float64(n)})
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -39,8 +39,7 @@
 	{"step_epoch", "1", "epoch of the zone's owner"},
 	{"step_seq", "rows", "last row of the zone's journal that this entry has"},
 	{"step_cell_version", "1", "version of the configuration in force"},
-	{"step_control_sent_bytes", "bytes", "bytes sent to other entries for control"},
-	{"step_control_received_bytes", "bytes", "bytes received from other entries for control"},
+	{"step_control_bytes", "bytes", "bytes sent and received for control, by peer"},
 	{"step_packing", "1", "share of the zone's capacity that is placed, by resource"},
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"encoding/gob"
 	"io"
+	"net"
 	"net/rpc"
 	"sync/atomic"
+
+	"jasminestep/internal/transport"
 )
 
 // codec is the server's side of a connection. It differs from the one that
@@ -17,12 +20,20 @@
 	enc     *gob.Encoder
 	buf     *bufio.Writer
 	pending *atomic.Int64
+	mine    *transport.Counter // of this connection
+	bytes   *transport.Counter // of all that carry control
+	traffic atomic.Bool
 	closed  bool
 }
 
-func newCodec(c io.ReadWriteCloser, pending *atomic.Int64) *codec {
+// bulky are the methods whose connections carry traffic.
+var bulky = map[string]bool{"Peer.Serve": true, "Peer.Home": true}
+
+func newCodec(nc net.Conn, pending *atomic.Int64, bytes *transport.Counter) *codec {
+	mine := &transport.Counter{}
+	c := mine.Conn(nc)
 	buf := bufio.NewWriter(c)
-	return &codec{rwc: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, pending: pending}
+	return &codec{rwc: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, pending: pending, mine: mine, bytes: bytes}
 }
 
 // ReadRequestHeader is for package rpc.
@@ -31,6 +42,9 @@
 		return err
 	}
 	c.pending.Add(1)
+	if bulky[r.ServiceMethod] {
+		c.traffic.Store(true)
+	}
 	return nil
 }
 
@@ -40,6 +54,9 @@
 // WriteResponse is for package rpc, which calls it once for every request.
 func (c *codec) WriteResponse(r *rpc.Response, body any) error {
 	defer c.pending.Add(-1)
+	if !c.traffic.Load() {
+		c.bytes.Take(c.mine)
+	}
 	err := c.enc.Encode(r)
 	if err == nil {
 		err = c.enc.Encode(body)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,24 +42,20 @@
 	Traffic
 )
 
-// Counter counts the bytes of connections.
-type Counter struct {
-	Sent, Received atomic.Int64
-}
-
 // Client calls other entries. Use New.
 type Client struct {
 	dial  transport.Dial
-	Bytes Counter // on the control connections that this end opened
+	bytes *transport.Counter // on control connections
 
 	mu    sync.Mutex
 	conns map[string][]*conn // by address; place 0 is for control
 	turn  int
 }
 
-// New returns a client that dials with dial.
-func New(dial transport.Dial) *Client {
-	return &Client{dial: dial, conns: map[string][]*conn{}}
+// New returns a client that dials with dial and counts into bytes what it
+// exchanges for control.
+func New(dial transport.Dial, bytes *transport.Counter) *Client {
+	return &Client{dial: dial, bytes: bytes, conns: map[string][]*conn{}}
 }
 
 type conn struct {
@@ -70,29 +66,25 @@
 	dead atomic.Bool
 }
 
-// counted counts bytes and bounds every write.
-type counted struct {
+// bounded bounds every write and notices the end of reading.
+type bounded struct {
 	net.Conn
-	c    *Counter
 	dead *atomic.Bool // set when reading ends, so that no further call takes this connection
 }
 
-// Read counts what is read.
-func (c counted) Read(b []byte) (int, error) {
+// Read notices the end.
+func (c bounded) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.c.Received.Add(int64(n))
-	if err != nil && c.dead != nil {
+	if err != nil {
 		c.dead.Store(true)
 	}
 	return n, err
 }
 
-// Write counts what is written and fails if the peer takes nothing for long.
-func (c counted) Write(b []byte) (int, error) {
+// Write fails if the peer takes nothing for long.
+func (c bounded) Write(b []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeLimit))
-	n, err := c.Conn.Write(b)
-	c.c.Sent.Add(int64(n))
-	return n, err
+	return c.Conn.Write(b)
 }
 
 // get returns a connection to addr that is open, opening one if need be.
@@ -130,11 +122,10 @@
 		k.err = errors.Mark(fmt.Errorf("dial peer %s: %w", addr, err), ErrNotSent)
 		return
 	}
-	count := &c.Bytes
-	if lane == Traffic {
-		count = &Counter{}
+	if lane == Control {
+		nc = c.bytes.Conn(nc)
 	}
-	k.rpc = rpc.NewClient(counted{nc, count, &k.dead})
+	k.rpc = rpc.NewClient(bounded{nc, &k.dead})
 	go k.watch()
 }
 
@@ -207,14 +198,15 @@
 // Serve answers calls on l with the methods of svc, under the name Peer, until
 // l is closed. Accepted connections are closed with it.
 //
-// pending counts the calls that are not answered yet.
-func Serve(l net.Listener, svc any, pending *atomic.Int64) error {
+// pending counts the calls that are not answered yet, and bytes what is
+// exchanged on connections that do not carry traffic.
+func Serve(l net.Listener, svc any, pending *atomic.Int64, bytes *transport.Counter) error {
 	s := rpc.NewServer()
 	if err := s.RegisterName("Peer", svc); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
 	}
 	var mu sync.Mutex
-	open, count := map[net.Conn]bool{}, &Counter{}
+	open := map[net.Conn]bool{}
 	defer func() {
 		mu.Lock()
 		defer mu.Unlock()
@@ -231,7 +223,7 @@
 		open[nc] = true
 		mu.Unlock()
 		go func() {
-			s.ServeCodec(newCodec(counted{Conn: nc, c: count}, pending))
+			s.ServeCodec(newCodec(nc, pending, bytes))
 			mu.Lock()
 			delete(open, nc)
 			mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -38,13 +38,13 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	e := &Echo{}
-	go func() { _ = Serve(l, e, &atomic.Int64{}) }()
+	go func() { _ = Serve(l, e, &atomic.Int64{}, &transport.Counter{}) }()
 	return l.Addr().String(), e
 }
 
 func TestCallsInParallel(t *testing.T) {
 	addr, _ := serve(t)
-	c := New(transport.From(""))
+	c := New(transport.From(""), &transport.Counter{})
 	defer c.Close()
 	var wg sync.WaitGroup
 	for i := range 100 {
@@ -64,7 +64,7 @@
 	assert.NilError(t, err)
 	addr := l.Addr().String()
 	_ = l.Close()
-	c := New(transport.From(""))
+	c := New(transport.From(""), &transport.Counter{})
 	defer c.Close()
 	err = c.Call(context.Background(), addr, Traffic, "Say", "x", new(string))
 	assert.Assert(t, errors.Is(err, ErrNotSent))
@@ -72,7 +72,7 @@
 
 func TestDeadlineIsNotProof(t *testing.T) {
 	addr, _ := serve(t)
-	c := New(transport.From(""))
+	c := New(transport.From(""), &transport.Counter{})
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
@@ -106,7 +106,7 @@
 		defer mu.Unlock()
 		gone = append(gone, &atomic.Bool{})
 		return silent{Conn: nc, gone: gone[len(gone)-1]}, err
-	})
+	}, &transport.Counter{})
 	defer c.Close()
 	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
 	mu.Lock()
--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -51,7 +51,7 @@
 	Lat99    float64 `json:"lat99"`
 	CPU      float64 `json:"cpu"`    // share of a core for each entry; stand-ins included, so an upper bound
 	Memory   float64 `json:"memory"` // MB for each entry, likewise
-	Bytes    float64 `json:"bytes"`  // that each entry exchanges with others for control, a second
+	Bytes    float64 `json:"bytes"`  // that each entry sends and receives for control, a second
 	Writes   float64 `json:"writes"` // of the table, a second
 	Reads    float64 `json:"reads"`
 }
@@ -129,7 +129,7 @@
 	s := &Summary{
 		Site: d.Site.Name, Seed: d.Seed, CPU: (cpuTime() - cpu).Seconds() / took.Seconds() / n,
 		Writes: float64(c.Platform.Writes.Load()-writes) / took.Seconds(), Reads: float64(c.Platform.Reads.Load()-reads) / took.Seconds(),
-		Bytes:  2 * float64(r.bytes()-bytes) / took.Seconds() / n, // each byte has two ends, and the one that opened counts
+		Bytes:  float64(r.bytes()-bytes) / took.Seconds() / n,
 		Memory: memory() / n,
 	}
 	r.settle()
@@ -188,7 +188,7 @@
 
 func (r *demo) bytes() (n int64) {
 	for _, t := range r.c.tops(r.b) {
-		n += t.Sent + t.Heard
+		n += t.Bytes.Total()
 	}
 	return n
 }
@@ -408,7 +408,7 @@
 	p("%-28s %.1f ms median, %.1f ms p99\n", "latency", s.Lat50, s.Lat99)
 	p("%-28s lost %d, twice %d, over %d, crossed %d, untrue %d\n", "broken promises", s.Lost, s.Twice, s.Over, s.Crossed, s.Untrue)
 	p("%-28s %.0f writes, %.0f reads a second\n", "table", s.Writes, s.Reads)
-	p("%-28s %.0f bytes a second with other entries\n", "control of one entry", s.Bytes)
+	p("%-28s %.0f bytes a second sent and received\n", "control of one entry", s.Bytes)
 	for _, n := range slices.Concat(r.notes, r.c.Ledger.Notes) {
 		p("  %s\n", n)
 	}
