Control costs less: VM list by zone and only when changed, gossip of what is new

Cause: an idle owner spent 29 KB/s, 17 of them on the VM list and 11 on heartbeats full of entries known to all. Change: the list is asked for by zone, with the tag of the last answer; heartbeats tell of entries that changed in the last 5 s and one more in turn; loops look at the clock less often.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -113,6 +113,7 @@
 	ready      map[string][]ack    // durable ends, by worker
 	flight     flight              // what Step returned and the journal has not confirmed
 	granted    time.Time
+	looked     time.Time            // when workers were last looked over
 	given      time.Time            // when jobs were last given away
 	stops      map[string]time.Time // tasks to be stopped → next try
 	starts     map[string]int       // tasks whose start is being sent → attempt
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -37,7 +37,7 @@
 }
 
 // tick is how often the loop looks at the clock when nothing happens.
-const tick = 15 * time.Millisecond
+const tick = 25 * time.Millisecond
 
 // maxAsks bounds requests that wait for the table.
 const maxAsks = 20000
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -13,13 +13,14 @@
 
 // Bounds on one step, so that a batch stays small and the loop responsive.
 const (
-	mostStarts  = 400
-	mostAsks    = 1000
-	mostStops   = 400
-	grantEvery  = 100 * time.Millisecond
-	stopRetry   = time.Second      // between tries to stop a task
-	reliefEvery = time.Second      // between looks for workers that run short
-	patience    = 10 * time.Second // before an item that fits no worker is impossible
+	mostStarts   = 400
+	mostAsks     = 1000
+	mostStops    = 400
+	grantEvery   = 200 * time.Millisecond
+	overdueEvery = 100 * time.Millisecond
+	stopRetry    = time.Second      // between tries to stop a task
+	reliefEvery  = time.Second      // between looks for workers that run short
+	patience     = 10 * time.Second // before an item that fits no worker is impossible
 )
 
 // Step decides all that can be decided now and returns the batch to be
@@ -28,7 +29,10 @@
 func (c *Control) Step(now time.Time) []book.Event {
 	c.decideAsks(now)
 	c.journalKeys(now)
-	c.overdue(now)
+	if now.Sub(c.looked) >= overdueEvery {
+		c.looked = now
+		c.overdue(now)
+	}
 	if now.Sub(c.granted) >= grantEvery || len(c.released) > 0 {
 		c.granted = now
 		c.grant(now)
--- a/internal/entry/beat.go
+++ b/internal/entry/beat.go
@@ -38,7 +38,7 @@
 	b := &Beat{Version: v, Loads: e.slots.Loads(time.Now()), Adopted: e.own.zones()}
 	e.view.Lock()
 	defer e.view.Unlock()
-	b.From, b.Others = e.view.Self, e.view.Gossip()
+	b.From, b.Others = e.view.Self, e.view.Gossip(time.Now())
 	return b
 }
 
@@ -175,15 +175,17 @@
 	}
 }
 
-// listLoop reads the platform's VM list.
+// listLoop reads the zone's part of the platform's VM list.
 func (e *Entry) listLoop(ctx context.Context) {
+	var list platform.List
 	for ctx.Err() == nil {
-		if list, err := e.platform.VMs(ctx); err == nil {
+		var err error
+		if list, err = e.platform.VMs(ctx, e.Set.Zone, list); err == nil {
 			now := time.Now()
 			e.vms.Lock()
-			e.vms.list, e.vms.at = list, now
+			e.vms.list, e.vms.at = list.VMs, now
 			e.vms.Unlock()
-			e.meet(list, now)
+			e.meet(list.VMs, now)
 		}
 		if e.own.get() != nil {
 			sleep(ctx, listEvery)
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -17,7 +17,7 @@
 }
 
 // guardTick is how often the guard looks at the clock.
-const guardTick = 50 * time.Millisecond
+const guardTick = 100 * time.Millisecond
 
 func (g *guard) start(now time.Time) { g.last = now }
 
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -16,7 +16,7 @@
 
 // Timing of holding.
 const (
-	holdTick   = 50 * time.Millisecond
+	holdTick   = 100 * time.Millisecond
 	flushEvery = 400 * time.Millisecond // between writes of outcomes to the journal
 	ownerCall  = 4 * time.Second        // a call to the owner that waits for the journal
 	probeTick  = 200 * time.Millisecond
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -10,6 +10,7 @@
 	"jasminestep/internal/control"
 	"jasminestep/internal/journal"
 	"jasminestep/internal/member"
+	"jasminestep/internal/platform"
 )
 
 // owning is the zone that this entry owns at present, if it does.
@@ -142,15 +143,24 @@
 // entries of the zone and the configuration.
 func (e *Entry) feed(ctx context.Context, o *control.Owner, zone string) {
 	var listed time.Time
+	var adopted platform.List
 	version := int64(-1)
 	for ctx.Err() == nil {
-		e.vms.Lock()
-		list, at := e.vms.list, e.vms.at
-		e.vms.Unlock()
 		var ms []control.Message
-		if at.After(listed) {
-			listed = at
-			ms = append(ms, control.Roster{VMs: list})
+		if zone == e.Set.Zone {
+			e.vms.Lock()
+			list, at := e.vms.list, e.vms.at
+			e.vms.Unlock()
+			if at.After(listed) {
+				listed = at
+				ms = append(ms, control.Roster{VMs: list})
+			}
+		} else if time.Since(listed) > listEvery {
+			var err error
+			if adopted, err = e.platform.VMs(ctx, zone, adopted); err == nil {
+				listed = time.Now()
+				ms = append(ms, control.Roster{VMs: adopted.VMs})
+			}
 		}
 		if cell := e.cells.get(); cell.Version != version {
 			version = cell.Version
@@ -164,10 +174,13 @@
 				return
 			}
 		}
-		sleep(ctx, 100*time.Millisecond)
+		sleep(ctx, feedEvery)
 	}
 }
 
+// feedEvery is how often an owner's control hears of the entries.
+const feedEvery = 200 * time.Millisecond
+
 // liveEntries lists a zone's entries for its control, this one included.
 func (e *Entry) liveEntries(zone string, now time.Time) []control.Entry {
 	var out []control.Entry
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -203,13 +203,22 @@
 	return p.Status == Alive && now.Sub(p.Heard) < limit
 }
 
-// Gossip returns some of the entries known, taking turns.
-func (v *View) Gossip() []Info {
+// newFor is how long a change is told of in every heartbeat.
+const newFor = 5 * time.Second
+
+// Gossip returns the entries of which something changed of late, and one of the
+// others in turn, so that whoever missed it learns it yet.
+func (v *View) Gossip(now time.Time) []Info {
 	all := v.sorted()
 	var out []Info
-	for i := range min(gossip, len(all)) {
-		out = append(out, all[(v.told+i)%len(all)].Info)
+	for _, p := range all {
+		if now.Sub(p.Since) < newFor && len(out) < gossip {
+			out = append(out, p.Info)
+		}
+	}
+	if len(all) > 0 && len(out) < gossip {
+		out = append(out, all[v.told%len(all)].Info)
+		v.told++
 	}
-	v.told += gossip
 	return out
 }
