Starts go to a worker in one message each step

Cause: a task start cost the owner 890 bytes with workers, mostly headers of messages for one task each. Change: one message for all tasks that a step places on a worker; its answer names those refused.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -141,8 +141,8 @@
 
 // Effect is something to be done once the journal has the batch that decided it.
 type Effect struct {
-	Start  *worker.Start // to Worker
-	Stop   *worker.Stop  // to Worker
+	Starts *worker.Starts // to Worker
+	Stop   *worker.Stop   // to Worker
 	Worker string
 	Give   *book.Job     // to the journal of the zone that it names as Moved
 	Reply  chan<- Answer // gets Answer
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -75,13 +75,23 @@
 
 func starts(fx []Effect) (n int) {
 	for _, e := range fx {
-		if e.Start != nil {
-			n++
+		if e.Starts != nil {
+			n += len(e.Starts.Tasks)
 		}
 	}
 	return n
 }
 
+// all reports that what an effect starts has ended like that.
+func (r *rig) all(e Effect, s float64, state string) {
+	if e.Starts == nil {
+		return
+	}
+	for _, t := range e.Starts.Tasks {
+		r.report(s, e.Worker, false, ended(t.Task, t.Attempt, state))
+	}
+}
+
 func run(task string, n int) worker.Status {
 	return worker.Status{Task: task, Attempt: n, State: "running"}
 }
@@ -271,9 +281,7 @@
 	}
 	for ; len(r.c.Book.Holds) == 0 && s < 20; s++ {
 		for _, e := range r.step(s) {
-			if e.Start != nil {
-				r.report(s+0.1, "w1", false, ended(e.Start.Task, e.Start.Attempt, "failed"))
-			}
+			r.all(e, s+0.1, "failed")
 		}
 	}
 	assert.Equal(t, len(r.c.Book.Holds), 1)
@@ -284,9 +292,7 @@
 	fx := r.step(s)
 	assert.Equal(t, starts(fx), 1, "one probe")
 	for _, e := range fx {
-		if e.Start != nil {
-			r.report(s+1, "w1", false, ended(e.Start.Task, e.Start.Attempt, "done"))
-		}
+		r.all(e, s+1, "done")
 	}
 	r.step(s + 1)
 	assert.Equal(t, len(r.c.Book.Holds), 0)
@@ -298,9 +304,7 @@
 	s := 1.0
 	for range 40 {
 		for _, e := range r.step(s) {
-			if e.Start != nil {
-				r.report(s, e.Worker, false, ended(e.Start.Task, e.Start.Attempt, "failed"))
-			}
+			r.all(e, s, "failed")
 		}
 		s++
 		for _, w := range []string{"w1", "w2", "w3"} {
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -135,10 +135,14 @@
 func (w *world) effect(o *ownerModel, e Effect) {
 	valid := w.now.Before(o.lease)
 	switch {
-	case e.Start != nil && !valid:
-		o.c.Handle(Started{Task: e.Start.Task, Attempt: e.Start.Attempt, Refused: true, Why: "lapsed"}, w.now)
-	case e.Start != nil:
-		w.send(e.Worker, "start "+e.Start.Task, func(x *workerModel) { w.start(o, x, e.Start) })
+	case e.Starts != nil && !valid:
+		for _, m := range outcomes(e.Starts, &worker.Started{}, "lapsed") {
+			o.c.Handle(m, w.now)
+		}
+	case e.Starts != nil:
+		for i := range e.Starts.Tasks {
+			w.send(e.Worker, "start", func(x *workerModel) { w.start(o, x, e.Starts, &e.Starts.Tasks[i]) })
+		}
 	case e.Stop != nil && valid:
 		w.send(e.Worker, "stop "+e.Stop.Task, func(x *workerModel) { x.stop(e.Stop) })
 	}
@@ -148,14 +152,14 @@
 	w.messages = append(w.messages, message{to, do, name})
 }
 
-func (w *world) start(o *ownerModel, x *workerModel, m *worker.Start) {
-	old := x.tasks[m.Task]
+func (w *world) start(o *ownerModel, x *workerModel, m *worker.Starts, t *worker.Start) {
+	old := x.tasks[t.Task]
 	refused := ""
 	switch {
 	case x.gone:
 		return
-	case old != nil && old.n == m.Attempt && old.state == "running":
-	case old != nil && old.n >= m.Attempt:
+	case old != nil && old.n == t.Attempt && old.state == "running":
+	case old != nil && old.n >= t.Attempt:
 		refused = "over"
 	case m.Boot != x.boot:
 		refused = "boot"
@@ -166,9 +170,9 @@
 	default:
 		x.epoch = m.Epoch
 		x.gen++
-		x.tasks[m.Task] = &attempt{m.Attempt, "running", time.UnixMilli(m.Until), m.Stay, m.Size}
+		x.tasks[t.Task] = &attempt{t.Attempt, "running", time.UnixMilli(m.Until), t.Stay, t.Size}
 	}
-	o.c.Handle(Started{Task: m.Task, Attempt: m.Attempt, Refused: refused != "", Why: refused}, w.now)
+	o.c.Handle(Started{Task: t.Task, Attempt: t.Attempt, Refused: refused != "", Why: refused}, w.now)
 }
 
 func (x *workerModel) stop(m *worker.Stop) {
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"jasminestep/internal/book"
@@ -166,10 +165,12 @@
 			e.Reply <- e.Answer
 		case e.Give != nil:
 			go o.give(ctx, e.Give)
-		case e.Start != nil && (v == nil || !o.Valid(time.Now())):
-			o.C.Handle(Started{Task: e.Start.Task, Attempt: e.Start.Attempt, Refused: true, Why: "not sent: the owner's lease had lapsed"}, time.Now())
-		case e.Start != nil:
-			go o.start(ctx, v.Addr, e.Start)
+		case e.Starts != nil && (v == nil || !o.Valid(time.Now())):
+			for _, m := range outcomes(e.Starts, &worker.Started{}, "not sent: the owner's lease had lapsed") {
+				o.C.Handle(m, time.Now())
+			}
+		case e.Starts != nil:
+			go o.start(ctx, v.Addr, e.Starts)
 		case e.Stop != nil && v != nil && v.Addr != "" && o.Valid(time.Now()):
 			go func(addr string) { _ = o.Workers.Stop(ctx, addr, e.Stop) }(v.Addr) // tried again until the report confirms it
 		}
@@ -179,24 +180,40 @@
 // startTries is how often an unanswered start is sent; it is idempotent.
 const startTries = 2
 
-func (o *Owner) start(ctx context.Context, addr string, s *worker.Start) {
-	m := Started{Task: s.Task, Attempt: s.Attempt, Unknown: true}
+func (o *Owner) start(ctx context.Context, addr string, s *worker.Starts) {
+	var got *worker.Started
 	for range startTries {
 		if !o.Valid(time.Now()) {
 			break
 		}
-		err := o.Workers.Start(ctx, addr, s)
+		r, err := o.Workers.Start(ctx, addr, s)
 		if err == nil {
-			m.Unknown = false
+			got = r
 			break
 		}
-		if errors.Is(err, worker.ErrRefused) {
-			m.Unknown, m.Refused, m.Why = false, true, err.Error()
-			break
+		o.Log.Debug("start unanswered", "worker", addr, "error", err)
+	}
+	for _, m := range outcomes(s, got, "") {
+		o.post(ctx, m)
+	}
+}
+
+// outcomes tells control what became of each start: refused says why all of
+// them were, got is the worker's answer, nil if there was none.
+func outcomes(s *worker.Starts, got *worker.Started, refused string) []Started {
+	out := make([]Started, len(s.Tasks))
+	for i, t := range s.Tasks {
+		out[i] = Started{Task: t.Task, Attempt: t.Attempt, Unknown: got == nil, Refused: refused != "", Why: refused}
+		if got == nil {
+			continue
+		}
+		for _, r := range got.Refused {
+			if r.Task == t.Task && r.Attempt == t.Attempt {
+				out[i].Refused, out[i].Why = true, r.Why
+			}
 		}
-		o.Log.Debug("start unanswered", "task", s.Task, "worker", addr, "error", err)
 	}
-	o.post(ctx, m)
+	return out
 }
 
 // give hands a job to another zone; without an answer it is given again later.
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -175,29 +175,27 @@
 	c.keys = nil
 }
 
-// start places what fits and journals the starts.
+// start places what fits and journals the starts. Each worker gets one message.
 func (c *Control) start(now time.Time) {
 	c.restless = false
+	until := now.Add(c.Limits.Task)
+	byWorker := map[string]*worker.Starts{}
 	for _, p := range c.policy.Decide(&c.Cluster, &c.Queue, c.members, now, mostStarts) {
 		j, t := c.Book.Task(p.Task)
 		attempt := t.Attempt + 1
 		c.emit(now, book.Event{Start: &book.Start{Task: t.ID, Attempt: attempt, Worker: p.Worker}})
 		c.note(now, "start", t.ID, p.Worker)
-		until := now.Add(c.Limits.Task)
-		v := c.vm(p.Worker, now)
-		if until.After(v.Sent) {
-			v.Sent = until
-		}
-		if _, held := c.Book.Holds[v.ID]; held {
-			v.retryAt = now.Add(lastHold) // one probe at a time
-			c.refresh(v, now)
-		}
 		c.starts[t.ID] = attempt
-		c.effect(Effect{Worker: p.Worker, Start: &worker.Start{
-			Task: t.ID, Attempt: attempt, Epoch: c.Book.Epoch, Boot: v.Boot, Until: until.UnixMilli(),
-			Stay: j.Spec.Stays(), Size: j.Spec.Size, Command: j.Spec.Command,
+		m := byWorker[p.Worker]
+		if m == nil {
+			m = c.startsAt(now, p.Worker, until)
+			byWorker[p.Worker] = m
+			c.effect(Effect{Worker: p.Worker, Starts: m})
+		}
+		m.Tasks = append(m.Tasks, worker.Start{
+			Task: t.ID, Attempt: attempt, Stay: j.Spec.Stays(), Size: j.Spec.Size, Command: j.Spec.Command,
 			Pool: j.Spec.Pool, Slots: j.Spec.Slots,
-		}})
+		})
 	}
 	// Items that wait for a moment or a reservation need another look later.
 	if c.Queue.Len() > 0 {
@@ -205,6 +203,19 @@
 	}
 }
 
+// startsAt begins a message to a worker, whose leases it prolongs.
+func (c *Control) startsAt(now time.Time, id string, until time.Time) *worker.Starts {
+	v := c.vm(id, now)
+	if until.After(v.Sent) {
+		v.Sent = until
+	}
+	if _, held := c.Book.Holds[id]; held {
+		v.retryAt = now.Add(lastHold) // one probe at a time
+		c.refresh(v, now)
+	}
+	return &worker.Starts{Epoch: c.Book.Epoch, Boot: v.Boot, Until: until.UnixMilli()}
+}
+
 // overdue ends what can no longer run on workers that have gone or are silent.
 func (c *Control) overdue(now time.Time) {
 	for _, id := range sortedKeys(c.VMs) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -132,35 +132,46 @@
 	w.change = make(chan struct{})
 }
 
-func (w *Worker) start(m *worker.Start, _ *http.Request) (int, any) {
+func (w *Worker) start(m *worker.Starts, _ *http.Request) (int, any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	out := &worker.Started{}
+	for i := range m.Tasks {
+		if why := w.startOne(m, &m.Tasks[i]); why != "" {
+			out.Refused = append(out.Refused, worker.Refusal{Ref: worker.Ref{Task: m.Tasks[i].Task, Attempt: m.Tasks[i].Attempt}, Why: why})
+		}
+	}
+	return http.StatusOK, out
+}
+
+// startOne starts one task, or says why it does not.
+func (w *Worker) startOne(m *worker.Starts, s *worker.Start) (why string) {
 	until := time.UnixMilli(m.Until)
-	old := w.tasks[m.Task]
+	old := w.tasks[s.Task]
 	switch {
-	case old != nil && old.Attempt == m.Attempt && old.State == "running":
-		return http.StatusOK, nil
-	case old != nil && old.Attempt >= m.Attempt:
-		return http.StatusConflict, "that attempt is over"
+	case old != nil && old.Attempt == s.Attempt && old.State == "running":
+		return ""
+	case old != nil && old.Attempt >= s.Attempt:
+		return "that attempt is over"
 	case m.Boot != w.boot:
-		return http.StatusConflict, "meant for this worker before its restart"
+		return "meant for this worker before its restart"
 	case m.Epoch < w.epoch:
-		return http.StatusConflict, "a later owner was here"
+		return "a later owner was here"
 	case !time.Now().Before(until):
-		return http.StatusConflict, "too late"
+		return "too late"
 	}
 	w.epoch = m.Epoch
 	ctx, stop := context.WithCancel(context.Background())
-	t := &run{Status: worker.Status{Task: m.Task, Attempt: m.Attempt, State: "running"}, size: m.Size, lease: until, stay: m.Stay, stop: stop}
-	w.tasks[m.Task] = t
-	w.Ledger.Start(w.VM.ID, m.Task, m.Attempt)
+	t := &run{Status: worker.Status{Task: s.Task, Attempt: s.Attempt, State: "running"}, size: s.Size, lease: until, stay: s.Stay, stop: stop}
+	w.tasks[s.Task] = t
+	w.Ledger.Start(w.VM.ID, s.Task, s.Attempt)
 	w.Ledger.Fit(w.VM.ID, w.used(), operator.Size{CPU: w.VM.CPU, Memory: w.VM.Memory, Accel: w.VM.Accel})
-	if m.Pool != "" {
-		w.serve(t, m)
+	if s.Pool != "" {
+		w.serve(t, s)
 	}
 	w.changed(t)
-	go w.work(ctx, t, m.Command, w.faults.FailAll)
-	return http.StatusOK, nil
+	go w.work(ctx, t, s.Command, w.faults.FailAll)
+	return ""
 }
 
 func (w *Worker) serve(t *run, m *worker.Start) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -23,16 +23,10 @@
 	"jasminestep/pkg/operator"
 )
 
-// ErrRefused means that the worker answered and did not do it.
-var ErrRefused = errors.New("worker refused")
-
-// Start asks for a task to be run.
+// Start names a task to be run.
 type Start struct {
 	Task    string        `json:"task"`
 	Attempt int           `json:"attempt"`
-	Epoch   int64         `json:"epoch"`
-	Boot    int64         `json:"boot"`  // incarnation of the worker that is meant; refused by any other
-	Until   int64         `json:"until"` // lease, Unix milliseconds; refused when past
 	Stay    bool          `json:"stay,omitempty"`
 	Size    operator.Size `json:"size"`
 	Command []string      `json:"command"`
@@ -40,6 +34,26 @@
 	Slots   int           `json:"slots,omitempty"`
 }
 
+// Starts asks for tasks to be run. It may be said again: an attempt that runs
+// already is left alone.
+type Starts struct {
+	Epoch int64   `json:"epoch"`
+	Boot  int64   `json:"boot"`  // incarnation of the worker that is meant; refused by any other
+	Until int64   `json:"until"` // leases, Unix milliseconds; refused when past
+	Tasks []Start `json:"tasks"`
+}
+
+// Refusal says that an attempt does not run and never will.
+type Refusal struct {
+	Ref
+	Why string `json:"why"`
+}
+
+// Started answers Starts: what is not refused runs.
+type Started struct {
+	Refused []Refusal `json:"refused,omitempty"`
+}
+
 // How is a way to make a task use less.
 type How string
 
@@ -144,9 +158,6 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", url, err)
 	}
-	if resp.StatusCode == http.StatusConflict {
-		return fmt.Errorf("call %s: %s: %w", url, bytes.TrimSpace(body), ErrRefused)
-	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("call %s: status %d", url, resp.StatusCode)
 	}
@@ -159,10 +170,12 @@
 	return nil
 }
 
-// Start asks the worker at addr to run a task. ErrRefused: it does not run and
-// never will; any other error: not known.
-func (c *Client) Start(ctx context.Context, addr string, s *Start) error {
-	return c.call(ctx, startTimeout, "http://"+addr+"/start", s, nil)
+// Start asks the worker at addr to run tasks. With an error it is not known
+// which of them run.
+func (c *Client) Start(ctx context.Context, addr string, s *Starts) (*Started, error) {
+	r := &Started{}
+	err := c.call(ctx, startTimeout, "http://"+addr+"/start", s, r)
+	return r, err
 }
 
 // Stop asks the worker at addr to stop a task; nil means that it heard.
