--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -25,6 +25,8 @@
 	Written func(time.Duration)
 	// Give, for an adopted zone, has another zone's owner accept a job.
 	Give func(context.Context, *book.Job) error
+	// Waited, if set, hears how long each task waited for its first start.
+	Waited func(time.Duration)
 
 	lease  atomic.Int64 // until when this entry is the owner, Unix milliseconds
 	syncs  map[string]context.CancelFunc
@@ -151,9 +153,25 @@
 	}
 	o.lease.Store(o.began.Add(o.C.Limits.Lease).UnixMilli())
 	o.Publish(b)
+	o.measure(b)
 	o.release(ctx, o.C.Committed(b.Seq))
 }
 
+// measure tells how long the tasks waited whose first starts b holds.
+func (o *Owner) measure(b *journal.Batch) {
+	if o.Waited == nil {
+		return
+	}
+	for _, e := range b.Events {
+		if e.Start == nil || e.Start.Attempt != 1 {
+			continue
+		}
+		if j, _ := o.C.Book.Task(e.Start.Task); j != nil {
+			o.Waited(time.Duration(e.At-j.Accepted) * time.Millisecond)
+		}
+	}
+}
+
 // release carries out effects that are durable. What touches a worker needs a
 // valid lease, too: without one a start is not sent and counts as refused.
 func (o *Owner) release(ctx context.Context, effects []Effect) {
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -99,6 +99,7 @@
 		C: c, Store: e.platform, Workers: e.workers, Log: e.log,
 		Inbox:   make(chan control.Message, 4096),
 		Written: e.Meter.Write,
+		Waited:  e.Meter.TaskWait,
 	}
 	saved := bk.Seq
 	o.Publish = func(b *journal.Batch) {
--- a/internal/entry/top.go
+++ b/internal/entry/top.go
@@ -11,6 +11,7 @@
 	"jasminestep/internal/peer"
 	"jasminestep/internal/slots"
 	"jasminestep/internal/timeline"
+	"jasminestep/pkg/operator"
 )
 
 // Top is the state of one entry and of its zone as it sees it.
@@ -106,6 +107,33 @@
 		out = append(out, metric.Sample{Name: "step_queue", Label: "pool", Value: p, N: float64(l.Queue)},
 			metric.Sample{Name: "step_free", Label: "pool", Value: p, N: float64(l.Free)})
 	}
+	return append(out, e.packing()...)
+}
+
+// packing is the share of the zone's listed capacity that is placed.
+func (e *Entry) packing() (out []metric.Sample) {
+	var used, total operator.Size
+	e.rep.read(func(b *book.Book) {
+		for _, j := range b.Jobs {
+			for _, t := range j.Tasks {
+				if t.Live() {
+					used = used.Add(j.Spec.Size)
+				}
+			}
+		}
+	})
+	e.vms.Lock()
+	for _, vm := range e.vms.list {
+		if vm.Role == "worker" {
+			total = total.Add(operator.Size{CPU: vm.CPU, Memory: vm.Memory, Accel: vm.Accel})
+		}
+	}
+	e.vms.Unlock()
+	for name, n := range map[string][2]int64{"cpu": {used.CPU, total.CPU}, "memory": {used.Memory, total.Memory}, "accel": {used.Accel, total.Accel}} {
+		if n[1] > 0 {
+			out = append(out, metric.Sample{Name: "step_packing", Label: "resource", Value: name, N: float64(n[0]) / float64(n[1])})
+		}
+	}
 	return out
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -43,6 +43,13 @@
 	{"step_packing", "1", "share of the zone's capacity that is placed, by resource"},
 }
 
+// instruments are the metrics that are recorded as things happen; the others
+// are read when they are shown.
+var instruments = map[string]bool{
+	"step_requests": true, "step_retries": true, "step_request_seconds": true,
+	"step_slot_wait_seconds": true, "step_write_seconds": true, "step_task_wait_seconds": true,
+}
+
 // Meter holds the instruments of one entry. Use New.
 type Meter struct {
 	registry *prometheus.Registry
@@ -117,8 +124,7 @@
 	gauges := map[string]om.Float64ObservableGauge{}
 	var all []om.Observable
 	for _, t := range Table {
-		switch t.Name {
-		case "step_requests", "step_retries", "step_request_seconds", "step_slot_wait_seconds", "step_write_seconds", "step_task_wait_seconds":
+		if instruments[t.Name] {
 			continue
 		}
 		g, err := m.meter.Float64ObservableGauge(t.Name)
