--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -35,10 +35,12 @@
 	began  time.Time // of the write in flight, or of the last
 	flying *journal.Batch
 	handed bool
+	// followed is when the workers were last compared with the synchronisers.
+	followed time.Time
 }
 
 // tick is how often the loop looks at the clock when nothing happens.
-const tick = 25 * time.Millisecond
+const tick = 100 * time.Millisecond
 
 // maxAsks bounds requests that wait for the table.
 const maxAsks = 20000
@@ -59,9 +61,10 @@
 	traffic, stop := context.WithCancel(ctx)
 	defer stop()
 	defer o.finish()
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
 	for {
+		t.Reset(o.pause(time.Now()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -74,7 +77,10 @@
 			o.committed(traffic)
 		case <-t.C:
 		}
-		o.follow(traffic)
+		if now := time.Now(); now.Sub(o.followed) >= tick {
+			o.followed = now
+			o.follow(traffic)
+		}
 		o.advance(traffic)
 		if o.handed && o.flying == nil {
 			return nil
@@ -82,6 +88,15 @@
 	}
 }
 
+// pause is how long the loop may sleep if no message comes: until the next
+// write may begin, if there is something to write.
+func (o *Owner) pause(now time.Time) time.Duration {
+	if o.flying != nil || !o.C.Busy() {
+		return tick
+	}
+	return min(tick, max(time.Millisecond, o.C.Limits.Gap-now.Sub(o.began)))
+}
+
 // drain handles m and whatever else has arrived with it.
 func (o *Owner) drain(m Message) {
 	now := time.Now()
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -55,6 +55,11 @@
 	return batch
 }
 
+// Busy reports whether a step now might decide something.
+func (c *Control) Busy() bool {
+	return c.restless || len(c.asks)+len(c.keys)+len(c.batch)+len(c.effects)+len(c.released)+len(c.acks) > 0
+}
+
 // Committed releases the effects of the batch that Step returned, which the
 // journal now holds under seq.
 func (c *Control) Committed(seq int64) []Effect {
