--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -43,6 +43,17 @@
 	Request: 30 * time.Second,
 }
 
+// poll is how long a worker holds a report back while nothing changes; its
+// leases are prolonged that often.
+func (l Limits) poll() time.Duration { return l.Task / 2 }
+
+// silence is how long a worker may be silent before it gets nothing new: a
+// whole long poll and its way.
+func (l Limits) silence() time.Duration {
+	const way = 2 * time.Second
+	return l.poll() + way
+}
+
 // Filled returns l with defaults in place of zero fields.
 func (l Limits) Filled() Limits {
 	fill := func(d *time.Duration, usual time.Duration) {
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -201,15 +201,11 @@
 	}
 }
 
-// silence is how long a worker may be silent before it gets nothing new.
-// It covers one whole long poll.
-const silence = 6 * time.Second
-
 // unusable reports whether a worker takes nothing new at present.
 func (c *Control) unusable(v *VM, now time.Time) bool {
 	_, held := c.Book.Holds[v.ID]
 	probing := held && !v.retryAt.IsZero() && !now.Before(v.retryAt)
-	return v.Addr == "" || v.Leaving || !v.Gone.IsZero() || v.Boot == 0 || now.Sub(v.Heard) > silence || held && !probing
+	return v.Addr == "" || v.Leaving || !v.Gone.IsZero() || v.Boot == 0 || now.Sub(v.Heard) > c.Limits.silence() || held && !probing
 }
 
 // Explain asks why a job waits.
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -293,7 +293,7 @@
 // sync renews the leases at one worker and brings back what changed there.
 // Tasks that move are renewed only while this entry is the owner for sure.
 func (o *Owner) sync(ctx context.Context, id, addr string) {
-	wait := o.C.Limits.Task * 2 / 5
+	wait := o.C.Limits.poll()
 	const pause = 300 * time.Millisecond
 	for ctx.Err() == nil {
 		now := time.Now()
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -229,7 +229,7 @@
 		w := c.Cluster.Workers[id]
 		gone := !v.Gone.IsZero() && now.Sub(v.Gone) > c.Limits.Lag+c.Limits.Task+c.Limits.Margin
 		lapsed := now.After(v.Sent.Add(c.Limits.Margin))
-		if !gone && (!lapsed || now.Sub(v.Heard) <= silence) {
+		if !gone && (!lapsed || now.Sub(v.Heard) <= c.Limits.silence()) {
 			continue
 		}
 		for _, task := range sortedKeys(w.Tasks) {
--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -47,6 +47,7 @@
 	Untrue   int     `json:"untrue"`
 	Wait50   float64 `json:"wait50"` // from acceptance to start of a task, milliseconds
 	Wait99   float64 `json:"wait99"`
+	Urgent99 float64 `json:"urgent99"` // the same for urgent work
 	Lat50    float64 `json:"lat50"` // of answered requests, milliseconds
 	Lat99    float64 `json:"lat99"`
 	CPU      float64 `json:"cpu"`    // share of a core for each entry; stand-ins included, so an upper bound
@@ -365,7 +366,7 @@
 // judge compares what was said with what happened.
 func (r *demo) judge(s *Summary) {
 	l := r.c.Ledger
-	var waits []time.Duration
+	var waits, urgent []time.Duration
 	for _, a := range r.jobs {
 		done := r.finished(a)
 		if a.job.Kind != operator.Service && !done {
@@ -382,6 +383,9 @@
 		for i := range a.job.Count() {
 			if at := l.Began(fmt.Sprintf("%s#%d", a.id, i)); !at.IsZero() && a.job.Kind != operator.Service {
 				waits = append(waits, at.Sub(a.at))
+				if a.job.Urgency == operator.Urgent {
+					urgent = append(urgent, at.Sub(a.at))
+				}
 			}
 		}
 	}
@@ -391,6 +395,7 @@
 	s.Tasks, s.Requests, s.Answered, s.Unrun, s.Unknown = l.Starts, t.Requests, t.Answered, t.Unrun, t.Unknown
 	s.Lost, s.Twice, s.Over, s.Crossed, s.Untrue = l.Lost, l.Twice, l.Over, l.Crossed, l.Untrue
 	s.Wait50, s.Wait99 = ms(waits, 0.5), ms(waits, 0.99)
+	s.Urgent99 = ms(urgent, 0.99)
 	s.Lat50, s.Lat99 = ms(t.Took, 0.5), ms(t.Took, 0.99)
 	r.table(s)
 }
@@ -400,7 +405,7 @@
 	p("\n%-28s %s, seed %d\n", "site", s.Site, s.Seed)
 	p("%-28s %d accepted, %d not\n", "jobs", len(r.jobs), r.refuse)
 	p("%-28s %d\n", "task starts", s.Tasks)
-	p("%-28s %.0f ms median, %.0f ms p99\n", "wait of a task", s.Wait50, s.Wait99)
+	p("%-28s %.0f ms median, %.0f ms p99, %.0f ms p99 of urgent work\n", "wait of a task", s.Wait50, s.Wait99, s.Urgent99)
 	p("%-28s %d: %d answered, %d unrun, %d unknown\n", "requests", s.Requests, s.Answered, s.Unrun, s.Unknown)
 	for why, n := range r.totals.Why {
 		p("%-28s %d %s\n", "", n, why)
