--- a/cmd/jasminestep/look.go
+++ b/cmd/jasminestep/look.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -116,6 +117,33 @@
 		fmt.Fprintf(w, "%s%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", t.VM, mark, t.Owner, t.Epoch, t.Seq, t.Version,
 			t.Tasks[book.Queued], t.Tasks[book.Running]+t.Tasks[book.Starting]+t.Tasks[book.Stopping], pools, silent)
 	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "ZONE\tMEMBER\tQUEUED\tRUNNING\tCORES\tMEMORY\tACCELERATORS")
+	for _, t := range all {
+		if t.Owner != t.VM {
+			continue // followers know the same
+		}
+		for _, m := range sorted(t.Members) {
+			x := t.Members[m]
+			if x.Queued+x.Running > 0 {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\t%d MiB\t%d\n", t.Zone, m, x.Queued, x.Running, float64(x.Size.CPU)/1000, x.Size.Memory, x.Size.Accel)
+			}
+		}
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "ZONE\tWORKERS\tIN USE\tQUARANTINED")
+	for _, t := range all {
+		if t.Owner != t.VM {
+			continue
+		}
+		used := 0
+		for _, n := range t.Workers {
+			if n > 0 {
+				used++
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", t.Zone, len(t.Workers), used, strings.Join(sorted(t.Holds), " "))
+	}
 	return w.Flush()
 }
 
--- a/examples/compas/main.go
+++ b/examples/compas/main.go
@@ -40,16 +40,7 @@
 }
 
 func main() {
-	name := "cell"
-	if len(os.Args) > 1 {
-		name = os.Args[1]
-	}
-	doc, ok := documents[name]
-	if !ok {
-		fmt.Fprintf(os.Stderr, "compas: no %q: want cell, job, gang or service\n", name)
-		os.Exit(2)
-	}
-	if err := operator.Print(os.Stdout, "Salón Compás: "+name, doc); err != nil {
+	if err := operator.Choose(os.Stdout, "Salón Compás", documents, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "compas:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"jasminestep/internal/book"
+	"jasminestep/internal/ledger"
+	"jasminestep/internal/peer"
+	"jasminestep/internal/route"
+
+	"github.com/cockroachdb/errors"
+)
+
+// keyed finds the home of a request's key and has it decide.
+func (e *Entry) keyed(ctx context.Context, r *route.Request) route.Answer {
+	k, err := ledger.Parse(r.Key)
+	if err != nil {
+		return route.No(route.Unrun, route.BadKey)
+	}
+	a := route.No(route.Unknown, route.Home)
+	for range movedTries {
+		a = e.toHome(ctx, k, r, true)
+		if a.Reason != route.Moved || ctx.Err() != nil || !time.Now().Before(time.UnixMilli(r.Deadline)) {
+			break
+		}
+		sleep(ctx, movedPause)
+	}
+	if a.Reason == route.Moved {
+		// No home took this try, but an earlier one may have run it.
+		return route.No(route.Unknown, route.Home)
+	}
+	return a
+}
+
+// HomeArgs asks an entry to decide about a request with a key, or, if it may
+// forward, to find the entry of its zone that does.
+type HomeArgs struct {
+	Request route.Request
+	Forward bool
+}
+
+// toHome sends a request to its key's home; Moved means that nobody took it.
+func (e *Entry) toHome(ctx context.Context, k ledger.Key, r *route.Request, forward bool) route.Answer {
+	zone := k.Home(e.cells.get().Zones)
+	addr, here, next := "", false, false
+	if zone == e.Set.Zone {
+		addr, here = e.homeAddr(k)
+	} else if forward {
+		addr, next = e.anyEntry(zone), true
+	}
+	if here {
+		return e.home(ctx, k, r)
+	}
+	if addr == "" || !forward {
+		return route.No(route.Unknown, route.Moved)
+	}
+	cctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.Deadline).Add(callSlack))
+	defer cancel()
+	a := &route.Answer{}
+	err := e.peers.Call(cctx, addr, peer.Traffic, "Home", &HomeArgs{*r, next}, a)
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return route.No(route.Unknown, route.Moved)
+	case err != nil:
+		return route.No(route.Unknown, route.Home)
+	}
+	return *a
+}
+
+// Home answers HomeArgs.
+func (p *Peer) Home(h *HomeArgs, a *route.Answer) error {
+	k, err := ledger.Parse(h.Request.Key)
+	if err != nil {
+		*a = route.No(route.Unrun, route.BadKey)
+		return nil
+	}
+	*a = p.e.toHome(context.Background(), k, &h.Request, h.Forward)
+	return nil
+}
+
+// homeAddr is where the home of k in this zone can be called.
+func (e *Entry) homeAddr(k ledger.Key) (addr string, here bool) {
+	var g book.Grant
+	e.rep.read(func(b *book.Book) { g = b.Grants[book.ShareName(k.Share())] })
+	if g.Entry == e.Set.ID {
+		return "", g.Boot == e.Boot
+	}
+	e.view.Lock()
+	defer e.view.Unlock()
+	if p := e.view.Peers[g.Entry]; p != nil && p.Boot == g.Boot {
+		return p.Addr, false
+	}
+	return "", false
+}
+
+// anyEntry is the address of some live entry of a zone; empty if there is none.
+func (e *Entry) anyEntry(zone string) string {
+	now := time.Now()
+	var addrs []string
+	e.view.Lock()
+	for _, p := range e.view.Peers {
+		if p.Zone == zone && e.view.Alive(p, now) {
+			addrs = append(addrs, p.Addr)
+		}
+	}
+	e.view.Unlock()
+	if len(addrs) == 0 {
+		return ""
+	}
+	e.rnd.Lock()
+	defer e.rnd.Unlock()
+	return addrs[e.rnd.IntN(len(addrs))]
+}
+
+// home decides about a request whose key is at home here.
+func (e *Entry) home(ctx context.Context, k ledger.Key, r *route.Request) route.Answer {
+	if !e.awaitAwake(ctx) {
+		return route.No(route.Unknown, route.Moved)
+	}
+	now := time.Now()
+	var known book.KeyOutcome
+	var floor time.Time
+	e.rep.read(func(b *book.Book) {
+		known = b.Keys[k.Text]
+		if f := b.Grants[book.ShareName(k.Share())].Floor; f != 0 {
+			floor = time.UnixMilli(f)
+		}
+	})
+	if z := e.cells.since(); z.After(floor) {
+		floor = z
+	}
+	en, first, v := e.ledger.Begin(k, now, func() ledger.Verdict {
+		if known.Key != "" {
+			return ledger.Unknown
+		}
+		return ledger.Judge(k.Made, floor, now, e.Set.Limits().Margin)
+	})
+	switch {
+	case v == ledger.Moved:
+		return route.No(route.Unknown, route.Moved)
+	case v == ledger.Early:
+		return route.No(route.Unrun, route.Early)
+	case v == ledger.Unknown && known.Outcome == ledger.Answered:
+		return route.No(route.Unknown, route.Forgotten)
+	case v == ledger.Unknown:
+		return route.No(route.Unknown, route.Stale)
+	case !first:
+		return e.again(ctx, en, r)
+	}
+	a := e.run(ctx, r)
+	e.ledger.End(k, en, string(a.Outcome), a, len(a.Body))
+	return a
+}
+
+// again answers a key that was seen before, with the answer of then.
+func (e *Entry) again(ctx context.Context, en *ledger.Entry, r *route.Request) route.Answer {
+	select {
+	case <-en.Done:
+	case <-ctx.Done():
+		return route.No(route.Unknown, route.Lost)
+	case <-time.After(time.Until(time.UnixMilli(r.Deadline))):
+		return route.No(route.Unknown, route.Lost)
+	}
+	if a, ok := e.ledger.Answer(en).(route.Answer); ok {
+		return a
+	}
+	return route.No(route.Unknown, route.Forgotten)
+}
--- a/internal/entry/top.go
+++ b/internal/entry/top.go
@@ -26,6 +26,8 @@
 	Digest  string                `json:"digest"`
 	Jobs    map[book.State]int    `json:"jobs"`
 	Tasks   map[book.State]int    `json:"tasks"`
+	Members map[string]MemberTop  `json:"members"`         // by name
+	Workers map[string]int        `json:"workers"`         // running tasks of each listed worker
 	Holds   map[string]string     `json:"holds,omitempty"` // quarantined workers
 	Pools   map[string]slots.Load `json:"pools"`           // of the slots that this entry holds
 	Peers   map[string]string     `json:"peers"`           // what it thinks of the others
@@ -33,6 +35,13 @@
 	Passed  int64                 `json:"passed"` // reads passed on to the zone's owner
 }
 
+// MemberTop is what a member has in a zone.
+type MemberTop struct {
+	Queued  int           `json:"queued"`  // tasks
+	Running int           `json:"running"` // tasks
+	Size    operator.Size `json:"size"`    // declared, of what runs
+}
+
 // Bytes counts what an entry has sent and received for control, by peer.
 type Bytes struct {
 	Entries  int64 `json:"entries"`
@@ -48,6 +57,7 @@
 	now := time.Now()
 	t := Top{
 		VM: e.Set.ID, Zone: e.Set.Zone, Leaving: e.Leaving(), Pools: e.slots.Loads(now),
+		Members: map[string]MemberTop{}, Workers: e.listedWorkers(),
 		Jobs: map[book.State]int{}, Tasks: map[book.State]int{}, Holds: map[string]string{}, Peers: map[string]string{},
 		Passed: e.passed.Load(),
 		Bytes:  Bytes{e.bytes.peers.Total(), e.bytes.workers.Total(), e.bytes.platform.Total()},
@@ -59,7 +69,7 @@
 			s, _ := j.State()
 			t.Jobs[s]++
 			for _, x := range j.Tasks {
-				t.Tasks[x.State]++
+				t.count(j, x)
 			}
 		}
 		for w, why := range b.Holds {
@@ -74,6 +84,34 @@
 	return t
 }
 
+// count adds a task to the sums.
+func (t *Top) count(j *book.Job, x *book.Task) {
+	t.Tasks[x.State]++
+	m := t.Members[j.Spec.Member]
+	switch {
+	case x.Live():
+		m.Running++
+		m.Size = m.Size.Add(j.Spec.Size)
+		t.Workers[x.Worker]++
+	case x.State == book.Queued:
+		m.Queued++
+	}
+	t.Members[j.Spec.Member] = m
+}
+
+// listedWorkers are the zone's workers on the VM list, with nothing counted yet.
+func (e *Entry) listedWorkers() map[string]int {
+	out := map[string]int{}
+	e.vms.Lock()
+	defer e.vms.Unlock()
+	for _, vm := range e.vms.list {
+		if vm.Role == "worker" {
+			out[vm.ID] = 0
+		}
+	}
+	return out
+}
+
 func opinion(leaving, silent bool) string {
 	switch {
 	case leaving:
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -23,66 +23,6 @@
 	ErrLate = errors.New("would not get a slot before its deadline")
 )
 
-// Minion is an upstream whose slots this entry spends.
-type Minion struct {
-	Name  string
-	Pool  string
-	Addr  string
-	Slots int
-
-	Busy   int       // slots taken, ghosts included
-	Ghosts int       // taken by requests that were abandoned
-	Limit  float64   // adaptive concurrency: 1 to Slots
-	Fails  int       // in a row
-	Until  time.Time // ejected, or quiet after an unclean handover, until then
-	Quiet  bool      // Until may end early if the minion reports that it is idle
-	Drain  bool      // take no new slots; report when Busy is zero
-	Leave  bool      // it said that it is leaving
-}
-
-// Usable reports whether m may take a request at now.
-func (m *Minion) Usable(now time.Time) bool {
-	return !m.Drain && !m.Leave && !now.Before(m.Until) && m.Busy < min(m.Slots, max(1, int(m.Limit)))
-}
-
-// Pick chooses among the minions of a pool: the usable one that is least busy
-// for its limit, failing ones last. -1 if none is usable.
-func Pick(ms []*Minion, now time.Time) int {
-	best, top := -1, 0.0
-	for i, m := range ms {
-		if !m.Usable(now) {
-			continue
-		}
-		v := float64(m.Busy)/max(1, m.Limit) + float64(m.Fails)
-		if best < 0 || v < top {
-			best, top = i, v
-		}
-	}
-	return best
-}
-
-// Ejection of minions that fail.
-const (
-	ejectAfter = 4 // failures in a row
-	ejectFor   = 3 * time.Second
-	ejectMost  = 0.5 // share of a pool that may be out at a time
-)
-
-// Eject decides whether a minion that failed again is left out for a while. At
-// most half of a pool is out at a time: a bad signal must not empty it.
-func Eject(ms []*Minion, m *Minion, now time.Time) bool {
-	if m.Fails < ejectAfter || now.Before(m.Until) {
-		return false
-	}
-	out := 1
-	for _, x := range ms {
-		if now.Before(x.Until) {
-			out++
-		}
-	}
-	return float64(out) <= ejectMost*float64(len(ms))
-}
-
 type waiter struct {
 	ready chan *Minion // buffered; nil: there will be no slot here
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -78,6 +78,15 @@
 	assert.ErrorIs(t, Print(&b, "", &j), ErrInvalid)
 }
 
+func TestChoose(t *testing.T) {
+	j := job()
+	docs := map[string]Checked{"job": &j}
+	var b bytes.Buffer
+	assert.NilError(t, Choose(&b, "x", docs, []string{"job"}))
+	assert.Assert(t, bytes.HasPrefix(b.Bytes(), []byte("// x: job\n{")))
+	assert.ErrorContains(t, Choose(&b, "x", docs, nil), `no document "cell": want one of job`)
+}
+
 func TestParseIsStrict(t *testing.T) {
 	for doc, want := range map[string]string{
 		"{\n \"name\": \"a\",\n \"bogus\": 1}": "f:3:2: json: unknown field",
