History of jobs: submissions, cancellations and token reads are linearizable

Change: eight operators work on the same jobs through all entries while the store loses replies and an owner is killed; a nondeterministic porcupine model, in which a call without an answer may have taken effect.

--- /dev/null
+++ b/internal/standin/history_test.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/entry"
+	"jasminestep/internal/ops"
+	"jasminestep/pkg/operator"
+)
+
+// jobOp is an operator's call about one job.
+type jobOp struct {
+	what string // submit, cancel or read
+	job  int
+}
+
+// States and outcomes of a job's history.
+const (
+	absent    = "absent"
+	live      = "live"
+	cancelled = "cancelled"
+	unknown   = "unknown"
+	refused   = "refused" // provably nothing was changed
+)
+
+// jobModel is a job as all operators together see it: accepted once, then
+// cancelled or not, never back. A call without an answer may have taken effect.
+var jobModel = porcupine.NondeterministicModel{
+	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
+		by := map[int][]porcupine.Operation{}
+		for _, o := range h {
+			by[o.Input.(jobOp).job] = append(by[o.Input.(jobOp).job], o)
+		}
+		var out [][]porcupine.Operation
+		for _, p := range by {
+			out = append(out, p)
+		}
+		return out
+	},
+	Init: func() []any { return []any{absent} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(string), input.(jobOp), output.(string)
+		after := s
+		switch {
+		case in.what == "submit" && s == absent:
+			after = live
+		case in.what == "cancel" && s == live:
+			after = cancelled
+		}
+		switch {
+		case in.what == "read":
+			return keepIf(out == s || out == unknown, s)
+		case out == unknown:
+			return []any{s, after}
+		case out == refused:
+			return []any{s}
+		case in.what == "cancel":
+			return keepIf(out == absent && s == absent || out == live && s != absent, after)
+		}
+		return []any{after}
+	},
+}
+
+func keepIf(ok bool, s string) []any {
+	if ok {
+		return []any{s}
+	}
+	return nil
+}
+
+// TestJobHistory has operators submit, cancel and read the same jobs through
+// all entries, while the store loses replies and an owner is killed. Reads carry
+// the latest token that anybody was given, so the whole must be linearizable.
+func TestJobHistory(t *testing.T) {
+	x := start(t, small(50))
+	var mu sync.Mutex
+	tokens := map[string]int64{}
+	var history []porcupine.Operation
+	began := time.Now()
+	x.Platform.Set(StoreFaults{Lose: 0.2})
+	var wg sync.WaitGroup
+	for c := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(3, uint64(c)))
+			for n := range 25 {
+				if c == 0 && n == 8 {
+					x.Entry(x.Owner("north")).Kill()
+				}
+				in := jobOp{[]string{"submit", "cancel", "read", "read"}[rnd.IntN(4)], rnd.IntN(20)}
+				mu.Lock()
+				seq := tokens["north"]
+				mu.Unlock()
+				call := time.Since(began).Nanoseconds()
+				out, seq := x.jobCall(in, seq)
+				back := time.Since(began).Nanoseconds()
+				if out == unknown {
+					back = math.MaxInt64 // it may take effect at any time
+				}
+				mu.Lock()
+				tokens["north"] = max(tokens["north"], seq)
+				history = append(history, porcupine.Operation{ClientId: len(history), Input: in, Call: call, Output: out, Return: back})
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Assert(t, porcupine.CheckOperations(jobModel.ToModel(), history))
+	n := map[string]int{}
+	for _, o := range history {
+		n[o.Input.(jobOp).what+" "+o.Output.(string)]++
+	}
+	assert.Assert(t, n["read cancelled"] > 0 && n["read live"] > 0 && n["read absent"] > 0, "%v", n)
+}
+
+// jobCall makes one call and returns what it proves, and its token.
+func (x *siteTest) jobCall(in jobOp, seq int64) (string, int64) {
+	f := x.b.Pick()
+	name := fmt.Sprintf("h-%d", in.job)
+	id := "north.m." + name
+	var a ops.Accepted
+	var s entry.Status
+	var code int
+	var err error
+	switch in.what {
+	case "submit":
+		code, err = x.b.Call(f, http.MethodPost, "/jobs", "m", operator.Job{Name: name, Member: "m", Zone: "north", Command: []string{"run", "1h"}, Size: operator.Size{CPU: 10}}, &a)
+	case "cancel":
+		code, err = x.b.Call(f, http.MethodDelete, "/jobs/"+id, "m", nil, &a)
+	case "read":
+		code, err = x.b.Call(f, http.MethodGet, fmt.Sprintf("/jobs/%s?seq=%d", id, seq), "m", nil, &s)
+	}
+	switch {
+	case code == http.StatusNotFound:
+		return absent, 0
+	case code == http.StatusServiceUnavailable && in.what != "read":
+		return refused, 0
+	case err != nil:
+		return unknown, 0
+	case in.what == "read" && s.Cancelled:
+		return cancelled, s.Token.Seq
+	case in.what == "read":
+		return live, s.Token.Seq
+	}
+	return live, a.Token.Seq
+}
