Peers: a late answer is dropped, not written into its caller's value

Cause: the race detector in TestStoreDown: a call returned at its deadline, its caller read the reply, and net/rpc decoded the late answer into it. Change: every call decodes into a value of its own, copied when the answer is in time. Before: data race; after: none in TestLateAnswerIsDropped under the detector.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,7 +158,9 @@
 
 // Call calls method at addr and waits for the reply or the end of ctx. An error
 // marked ErrNotSent proves that the peer never saw the call; an rpc.ServerError
-// is the peer's own answer; with any other error the fate is not known.
+// is the peer's own answer; with any other error the fate is not known. reply is
+// written only if there is no error: an answer that comes after the end of ctx
+// is decoded into a value of its own and dropped.
 func (c *Client) Call(ctx context.Context, addr string, lane Lane, method string, args, reply any) error {
 	if err := ctx.Err(); err != nil {
 		return errors.Mark(fmt.Errorf("call %s: %w", method, err), ErrNotSent)
@@ -166,7 +169,8 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", method, err)
 	}
-	call := k.rpc.Go("Peer."+method, args, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := k.rpc.Go("Peer."+method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -178,6 +182,7 @@
 	if call.Error != nil {
 		return fmt.Errorf("call %s at %s: %w", method, addr, call.Error)
 	}
+	reflect.ValueOf(reply).Elem().Set(own.Elem())
 	return nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -27,6 +27,13 @@
 	return nil
 }
 
+// Late answers late, with something.
+func (*Echo) Late(d time.Duration, r *string) error {
+	time.Sleep(d)
+	*r = "late"
+	return nil
+}
+
 // Hang answers late.
 func (*Echo) Hang(d time.Duration, _ *struct{}) error {
 	time.Sleep(d)
@@ -70,6 +77,21 @@
 	assert.Assert(t, errors.Is(err, ErrNotSent))
 }
 
+// An answer that comes too late must not be written into what its caller has
+// gone on to use. Found by the race detector in TestStoreDown.
+func TestLateAnswerIsDropped(t *testing.T) {
+	addr, _ := serve(t)
+	c := New(transport.From(""), &transport.Counter{})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	got := ""
+	err := c.Call(ctx, addr, Traffic, "Late", 60*time.Millisecond, &got)
+	assert.Assert(t, err != nil)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, got, "")
+}
+
 func TestDeadlineIsNotProof(t *testing.T) {
 	addr, _ := serve(t)
 	c := New(transport.From(""), &transport.Counter{})
