Keys that are forgotten leave their time behind

Cause: read as a newcomer would: a zone keeps 100,000 keys, and one that was dropped by that limit before ten minutes were over looked as if it had never run to a home that took over cleanly; above 167 keys a second and zone a repeated key could have run twice. Change: the state keeps the latest time of a forgotten key, and a home takes it as a floor.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -87,6 +87,9 @@
 	// their recording, so that both can be forgotten in order.
 	Gone []string `json:"gone"`
 	Old  []string `json:"old"`
+	// Lost is the latest time in a key that was forgotten: that an earlier key
+	// is absent proves nothing. Unix milliseconds.
+	Lost int64 `json:"lost,omitempty"`
 }
 
 // What a book keeps of the past.
@@ -355,6 +358,7 @@
 		b.Keys[o.Key] = o
 	}
 	for len(b.Old) > keepKeys {
+		b.Lost = max(b.Lost, b.Keys[b.Old[0]].Made)
 		delete(b.Keys, b.Old[0])
 		b.Old = b.Old[1:]
 	}
--- a/internal/book/event.go
+++ b/internal/book/event.go
@@ -133,6 +133,7 @@
 type KeyOutcome struct {
 	Key     string `json:"key"`
 	Outcome string `json:"outcome"` // answered or unknown
+	Made    int64  `json:"made"`    // time in the key, Unix milliseconds
 }
 
 // Hold takes a worker out of use, or back into it.
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -123,7 +123,7 @@
 	var floor time.Time
 	e.rep.read(func(b *book.Book) {
 		known = b.Keys[k.Text]
-		if f := b.Grants[book.ShareName(k.Share())].Floor; f != 0 {
+		if f := max(b.Lost, b.Grants[book.ShareName(k.Share())].Floor); f != 0 {
 			floor = time.UnixMilli(f)
 		}
 	})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -182,7 +182,7 @@
 	if outcome == Unrun {
 		delete(s.keys, k.Text)
 	} else {
-		s.todo = append(s.todo, book.KeyOutcome{Key: k.Text, Outcome: outcome})
+		s.todo = append(s.todo, book.KeyOutcome{Key: k.Text, Outcome: outcome, Made: k.Made.UnixMilli()})
 		e.size = size
 		l.bytes += size
 	}
