A key waits for its home until its request's deadline

Cause: the rolling restart failed once under the race detector: 42 requests unknown because their key's home could not be found. A share between two homes was waited for 60 times 40 ms, and a slow machine takes longer. Ruled out: a planned stop without handover (those keys would be stale, not homeless). Change: the wait lasts until the request's deadline; and an entry that is to stop believes that it is alone only after 3 s, so that a heartbeat that is late does not make it leave without handing over.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,7 @@
 	behind   time.Duration
 	passed   atomic.Int64 // reads passed on to the owner
 	leaving  atomic.Bool
+	since    time.Time      // for Drained alone: since when there is nobody to hand over to
 	inflight sync.WaitGroup // requests accepted from callers
 	polls    atomic.Int64   // of pending, those that wait for the journal to go on
 	pending  atomic.Int64   // calls from other entries that are not answered yet
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -168,7 +168,7 @@
 		return false
 	}
 	ms, shares := e.held()
-	return len(ms) == 0 && len(shares) == 0 || e.alone()
+	return len(ms) == 0 && len(shares) == 0 || e.alone(time.Now())
 }
 
 // probeLoop asks minions of which it is in doubt whether they are idle. Twice
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -18,13 +18,12 @@
 	if err != nil {
 		return route.No(route.Unrun, route.BadKey)
 	}
-	a := route.No(route.Unknown, route.Home)
-	for range movedTries {
-		a = e.toHome(ctx, k, r, true)
-		if a.Reason != route.Moved || ctx.Err() != nil || !time.Now().Before(time.UnixMilli(r.Deadline)) {
-			break
-		}
+	a := e.toHome(ctx, k, r, true)
+	// While a share of the keys is between two homes nobody lets its keys run;
+	// how long that takes is not for a count of tries to say.
+	for a.Reason == route.Moved && ctx.Err() == nil && time.Until(time.UnixMilli(r.Deadline)) > movedPause {
 		sleep(ctx, movedPause)
+		a = e.toHome(ctx, k, r, true)
 	}
 	if a.Reason == route.Moved {
 		// No home took this try, but an earlier one may have run it.
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -208,14 +208,27 @@
 	}
 }
 
-// alone reports whether no other entry of the zone could take anything over.
-func (e *Entry) alone() bool {
+// aloneFor is how long an entry that is to stop waits for another one to show
+// up that could take over what it holds.
+const aloneFor = 3 * time.Second
+
+// alone reports whether no other entry of the zone has for some time been able
+// to take anything over.
+func (e *Entry) alone(now time.Time) bool {
+	if e.company() || e.since.IsZero() {
+		e.since = now
+	}
+	return now.Sub(e.since) >= aloneFor
+}
+
+// company reports whether another entry of the zone is at work.
+func (e *Entry) company() bool {
 	for _, x := range e.liveEntries(e.Set.Zone, time.Now()) {
 		if x.ID != e.Set.ID && x.Alive && !x.Leaving {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Owns reports whether this entry owns its zone for sure.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -19,7 +19,6 @@
 const (
 	callSlack  = 500 * time.Millisecond // a forwarded call may take this much longer than the request
 	movedPause = 40 * time.Millisecond  // before a key's home is looked up again
-	movedTries = 60
 	minTry     = 500 * time.Millisecond // shortest try of a request that may be repeated
 	maxTries   = 4
 )
