An owner is asked through another entry after a second of silence

The table now notes urgent jobs that wait longer than wanted, which showed it. Ruled out: placement and start, which took milliseconds. Change: one try lasts a second, and an entry that did not answer is asked last until it is heard again; all that is asked of owners may be said twice.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -96,14 +96,21 @@
 // anyEntry is the address of some live entry of a zone; empty if there is none.
 func (e *Entry) anyEntry(zone string) string {
 	now := time.Now()
-	var addrs []string
+	var addrs, doubtful []string
 	e.view.Lock()
 	for _, p := range e.view.Peers {
-		if p.Zone == zone && e.view.Alive(p, now) {
+		switch {
+		case p.Zone != zone || !e.view.Alive(p, now):
+		case p.Fails > 0:
+			doubtful = append(doubtful, p.Addr)
+		default:
 			addrs = append(addrs, p.Addr)
 		}
 	}
 	e.view.Unlock()
+	if len(addrs) == 0 {
+		addrs = doubtful
+	}
 	if len(addrs) == 0 {
 		return ""
 	}
@@ -112,6 +119,18 @@
 	return addrs[e.rnd.IntN(len(addrs))]
 }
 
+// silent records that the entry at addr did not answer, so that others of its
+// zone are asked before it is heard again.
+func (e *Entry) silent(addr string) {
+	e.view.Lock()
+	defer e.view.Unlock()
+	for _, p := range e.view.Peers {
+		if p.Addr == addr {
+			p.Fails++
+		}
+	}
+}
+
 // home decides about a request whose key is at home here.
 func (e *Entry) home(ctx context.Context, k ledger.Key, r *route.Request) route.Answer {
 	if !e.awaitAwake(ctx) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -111,8 +111,8 @@
 	const pause = 50 * time.Millisecond
 	for time.Now().Before(end) && ctx.Err() == nil {
 		b := *a
-		b.Limit = time.Until(end)
-		cctx, cancel := context.WithTimeout(ctx, b.Limit+2*callSlack)
+		b.Limit = min(time.Until(end), oneTry)
+		cctx, cancel := context.WithTimeout(ctx, b.Limit+callSlack)
 		r, err := e.oneOwner(cctx, &b)
 		cancel()
 		if err == nil {
@@ -133,6 +133,10 @@
 	return control.Answer{}, ErrDown
 }
 
+// oneTry is how long one try may take. The entry asked may be paused, and
+// another one of its zone may know the owner.
+const oneTry = time.Second
+
 func (e *Entry) oneOwner(ctx context.Context, a *OwnerArgs) (control.Answer, error) {
 	if a.Zone == "" || a.Zone == e.Set.Zone {
 		return e.callOwner(ctx, a)
@@ -150,6 +154,9 @@
 	a.Forward = true
 	r := &control.Answer{}
 	err := e.peers.Call(ctx, addr, peer.Control, "Owner", a, r)
+	if ctx.Err() != nil {
+		e.silent(addr)
+	}
 	return *r, err
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,7 +53,7 @@
 	Info
 	Heard time.Time // last direct answer or message
 	Since time.Time // of Status
-	fails int       // heartbeats in a row without an answer
+	Fails int       // heartbeats in a row without an answer
 }
 
 // Timing of heartbeats.
@@ -100,7 +100,7 @@
 		p.Since = now
 	}
 	if p.Boot != in.Boot {
-		p.fails = 0
+		p.Fails = 0
 	}
 	p.Info = in
 	return changed
@@ -120,7 +120,7 @@
 	if p == nil || p.Boot != in.Boot {
 		return changed // an older incarnation still talks; the newer one counts
 	}
-	p.Heard, p.fails = now, 0
+	p.Heard, p.Fails = now, 0
 	if p.Status == Suspect {
 		p.Status, p.Since = Alive, now
 		return true
@@ -135,13 +135,13 @@
 	if p == nil {
 		return nil
 	}
-	p.fails++
-	if p.fails < suspectFails || p.Status != Alive {
+	p.Fails++
+	if p.Fails < suspectFails || p.Status != Alive {
 		return nil
 	}
 	const helpers = 2
 	for _, q := range v.sorted() {
-		if q.ID != id && q.Status == Alive && q.fails == 0 && !q.Heard.IsZero() && len(ask) < helpers {
+		if q.ID != id && q.Status == Alive && q.Fails == 0 && !q.Heard.IsZero() && len(ask) < helpers {
 			ask = append(ask, q.Info)
 		}
 	}
--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -65,7 +65,8 @@
 	job  operator.Job
 	at   time.Time
 	f    Front
-	sure bool // it was said to be accepted
+	sure bool          // it was said to be accepted
+	took time.Duration // until it was
 }
 
 type demo struct {
@@ -331,6 +332,7 @@
 		r.refuse++
 		return
 	}
+	a.took = time.Since(a.at)
 	r.jobs = append(r.jobs, a)
 }
 
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -53,6 +53,7 @@
 			if at := l.Began(fmt.Sprintf("%s#%d", a.id, i)); !at.IsZero() && a.job.Kind != operator.Service {
 				waits = append(waits, at.Sub(a.at))
 				if a.job.Urgency == operator.Urgent {
+					r.slow(a, at.Sub(a.at))
 					urgent = append(urgent, at.Sub(a.at))
 				}
 			}
@@ -69,6 +70,14 @@
 	r.table(s)
 }
 
+// slow notes an urgent job that waited for longer than it should.
+func (r *demo) slow(a accepted, wait time.Duration) {
+	const wanted = 1700 * time.Millisecond
+	if wait > wanted {
+		r.note("urgent job %s began after %v, of which its acceptance through %s took %v", a.id, wait.Round(time.Millisecond), a.f.Operator, a.took.Round(time.Millisecond))
+	}
+}
+
 func (r *demo) table(s *Summary) {
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(r.Out, format, args...) }
 	p("\n%-28s %s, seed %d\n", "site", s.Site, s.Seed)
