--- /dev/null
+++ b/cmd/jasminestep/entry.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"jasminestep/internal/server"
+	"jasminestep/internal/transport"
+	"jasminestep/internal/web"
+	"jasminestep/platform"
+)
+
+type entryCommand struct {
+	Config string `long:"config" env:"JASMINESTEP_CONFIG" required:"true" description:"settings file, JSON with comments"`
+}
+
+// Connections to each peer.
+const (
+	storeConns  = 16
+	minionConns = 4
+	adviceConns = 2
+)
+
+// Execute serves until SIGTERM or SIGINT, then stops as planned.
+func (c *entryCommand) Execute([]string) error {
+	set, err := server.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	proc.SetTimeToForceQuit(libraryExit)
+	log := hclog.New(&hclog.LoggerOptions{Name: "jasminestep", Level: hclog.LevelFromString(set.Level), JSONFormat: true, Output: os.Stdout})
+	web.UseLog(log)
+	dial := transport.From("")
+	s, err := server.New(*set, server.Parts{
+		Log:     log,
+		Store:   platform.NewStore(set.Store, transport.Client(dial, storeConns)),
+		Minions: platform.Minions{HTTP: transport.Client(dial, minionConns)},
+		Adviser: platform.NewAdviser(set.Advice, transport.Client(dial, adviceConns)),
+		Wire:    platform.Wire(),
+	})
+	if err != nil {
+		return err
+	}
+	sigs := make(chan os.Signal, 2)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
+	s.Start()
+	<-sigs
+	s.Stop()
+	return nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -61,6 +61,7 @@
 
 type conn struct {
 	once sync.Once
+	open chan struct{} // closed once rpc or err is set
 	rpc  *rpc.Client
 	err  error
 	used atomic.Int64 // Unix milliseconds of the last call
@@ -101,11 +102,16 @@
 	}
 	k := c.conns[addr][i]
 	if k == nil || k.dead.Load() {
-		k = &conn{}
+		k = &conn{open: make(chan struct{})}
 		c.conns[addr][i] = k
 	}
 	c.mu.Unlock()
-	k.once.Do(func() { c.open(ctx, k, addr, lane) })
+	k.once.Do(func() { go c.open(k, addr, lane) })
+	select {
+	case <-k.open:
+	case <-ctx.Done():
+		return nil, errors.Mark(fmt.Errorf("dial peer %s: %w", addr, ctx.Err()), ErrNotSent)
+	}
 	if k.err != nil {
 		k.dead.Store(true)
 		return nil, k.err
@@ -114,8 +120,9 @@
 	return k, nil
 }
 
-func (c *Client) open(_ context.Context, k *conn, addr string, lane Lane) {
-	// Not the caller's context: others share the connection.
+func (c *Client) open(k *conn, addr string, lane Lane) {
+	defer close(k.open)
+	// No caller's context: several share the connection.
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	nc, err := c.dial(ctx, "tcp", addr)
--- /dev/null
+++ b/internal/server/guard.go
@@ -0,0 +1,304 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"jasminestep/internal/peer"
+	"jasminestep/internal/table"
+)
+
+// Lead is the row that says who owns a shard.
+type Lead struct {
+	Name string `json:"name"` // empty: nobody
+	Addr string `json:"addr"`
+	Life string `json:"life"` // of the process
+	Term int64  `json:"term"`
+
+	version int64 // of the row
+}
+
+// Timing of ownership.
+const (
+	watchGap     = 100 * time.Millisecond
+	pingGap      = 300 * time.Millisecond
+	pingTimeout  = 600 * time.Millisecond
+	quietFor     = 1100 * time.Millisecond // without an answer or a write, before a shard is taken over
+	staleWrite   = 3 * time.Second         // an owner that answers but makes nothing durable is replaced
+	claimStagger = 100 * time.Millisecond
+	ownsAlready  = 4 // ranks that an owner of another shard steps back
+)
+
+func ownerKey(service string) table.Key {
+	return table.Key{Table: ownerTable, Part: service, Name: "owner"}
+}
+
+func seqKey(service string) table.Key { return table.Key{Table: seqTable, Part: service, Name: "seq"} }
+
+// owned takes in rows of owners.
+func (s *Server) owned(rows []table.Row, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		l, err := decodeLead(r)
+		if err != nil {
+			s.Log.Error("owner row", "service", r.Part, "why", err.Error())
+			continue
+		}
+		if l.version > s.leads[r.Part].version {
+			s.leads[r.Part] = l
+		}
+		if o := s.owners[r.Part]; o != nil && l.Term > o.term {
+			o.depose("another entry has the shard")
+		}
+	}
+	if whole {
+		s.loaded = true
+	}
+}
+
+func decodeLead(r table.Row) (Lead, error) {
+	var l Lead
+	if err := json.Unmarshal(r.Value, &l); err != nil {
+		return l, fmt.Errorf("decode: %w", err)
+	}
+	l.version = r.Version
+	return l, nil
+}
+
+func (s *Server) lead(service string) (Lead, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leads[service]
+	return l, ok
+}
+
+func (s *Server) owner(service string) *owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[service]
+}
+
+// guard watches the owner of every service.
+func (s *Server) guard(ctx context.Context) {
+	watched := map[string]bool{}
+	for ctx.Err() == nil {
+		if c := s.cfg.Load(); c != nil {
+			for _, v := range c.Services {
+				if !watched[v.Name] {
+					watched[v.Name] = true
+					s.spawn(func() { s.watch(ctx, v.Name) })
+				}
+			}
+		}
+		pause(ctx, watchGap)
+	}
+}
+
+// turn is how many entries go before this one in claiming a shard.
+func (s *Server) turn(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.Set.ID}
+	for n := range s.names {
+		if n != s.Set.ID {
+			names = append(names, n)
+		}
+	}
+	sort.Slice(names, func(a, b int) bool { return rank(service, names[a]) < rank(service, names[b]) })
+	t := 0
+	for names[t] != s.Set.ID {
+		t++
+	}
+	if len(s.owners) > 0 {
+		t += ownsAlready
+	}
+	return t
+}
+
+// watched is what an entry has seen of a shard's owner.
+type watched struct {
+	asked time.Time // last ping
+	quiet time.Time // since when there is no answer; zero if there is one
+	free  time.Time // since when nobody owns the shard
+	seq   int64     // version of the owner's last write when it fell quiet
+}
+
+// watch takes the shard of a service over when its owner is gone.
+func (s *Server) watch(ctx context.Context, service string) {
+	var v watched
+	for ctx.Err() == nil {
+		pause(ctx, watchGap)
+		if s.stopping.Load() || s.owner(service) != nil || !s.hasLeads() {
+			v = watched{}
+			continue
+		}
+		now := steady()
+		l, _ := s.lead(service)
+		stagger := time.Duration(s.turn(service)) * claimStagger
+		switch {
+		case l.Name == s.Set.ID:
+			s.claim(ctx, service, l, "a former process of this VM had it")
+		case l.Name == "":
+			if v.free.IsZero() {
+				v.free = now
+			}
+			if now.Sub(v.free) >= stagger {
+				s.claim(ctx, service, l, "nobody had it")
+			}
+		default:
+			v.free = time.Time{}
+			if s.lostOwner(ctx, service, l, &v, stagger) {
+				s.claim(ctx, service, l, "its owner was silent")
+				v = watched{}
+			}
+		}
+	}
+}
+
+func (s *Server) hasLeads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// lostOwner says that an owner neither answers nor writes any more.
+func (s *Server) lostOwner(ctx context.Context, service string, l Lead, v *watched, stagger time.Duration) bool {
+	now := steady()
+	if now.Sub(v.asked) < pingGap {
+		return false
+	}
+	v.asked = now
+	if s.ping(ctx, service, l) {
+		v.quiet = time.Time{}
+		return false
+	}
+	seq, err := s.written(ctx, service)
+	if err != nil {
+		s.Log.Debug("cannot tell whether the owner is gone", "service", service, "why", err.Error())
+		return false
+	}
+	if v.quiet.IsZero() || seq != v.seq {
+		v.quiet, v.seq = now, seq
+		return false
+	}
+	return now.Sub(v.quiet) >= quietFor+stagger
+}
+
+func (s *Server) ping(ctx context.Context, service string, l Lead) bool {
+	c, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var out aliveReply
+	err := s.peers.Call(c, l.Addr, peer.Control, "Alive", service, &out)
+	return err == nil && out.Owns && out.Age < staleWrite
+}
+
+// written is the version of the owner's last write.
+func (s *Server) written(ctx context.Context, service string) (int64, error) {
+	c, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	r, err := s.store.Read(c, seqTable, service, "", "")
+	if err != nil {
+		return 0, err
+	}
+	if len(r.Rows) == 0 {
+		return 0, nil
+	}
+	return r.Rows[0].Version, nil
+}
+
+// claim tries to make this entry the owner of a shard.
+func (s *Server) claim(ctx context.Context, service string, l Lead, why string) {
+	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	own, err := s.store.Read(c, ownerTable, service, "", "")
+	if err != nil {
+		s.Log.Warn("claim", "service", service, "why", err.Error())
+		return
+	}
+	now := Lead{}
+	if len(own.Rows) > 0 {
+		if now, err = decodeLead(own.Rows[0]); err != nil {
+			s.Log.Error("owner row", "service", service, "why", err.Error())
+			return
+		}
+	}
+	if now.version != l.version && now.Life != s.life {
+		s.owned(own.Rows, false)
+		return
+	}
+	seq, err := s.written(c, service)
+	if err != nil {
+		s.Log.Warn("claim", "service", service, "why", err.Error())
+		return
+	}
+	if now.Life == s.life && now.Name == s.Set.ID {
+		s.noteLead(service, now)
+		s.own(ctx, service, now, seq) // an earlier claim that got no answer
+		return
+	}
+	next := Lead{Name: s.Set.ID, Addr: s.Set.Peer, Life: s.life, Term: now.Term + 1}
+	res, err := s.swap(c, service, now.version, seq, next)
+	if err != nil || !res.Done {
+		s.Log.Info("claim lost", "service", service, "term", next.Term, "why", fmt.Sprint(err))
+		return
+	}
+	next.version = res.Version
+	s.Log.Info("owner", "service", service, "term", next.Term, "why", why)
+	s.noteLead(service, next)
+	s.own(ctx, service, next, res.Version)
+}
+
+// noteLead notes a lead that this entry knows first.
+func (s *Server) noteLead(service string, l Lead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leads[service] = l
+}
+
+// swap replaces the owner row if neither it nor the last write has changed.
+func (s *Server) swap(ctx context.Context, service string, own, seq int64, next Lead) (table.Result, error) {
+	b, err := json.Marshal(next)
+	if err != nil {
+		return table.Result{}, fmt.Errorf("encode owner row: %w", err)
+	}
+	return s.store.Do(ctx, table.Tx{
+		If: []table.Row{{Key: ownerKey(service), Version: own}, {Key: seqKey(service), Version: seq}},
+		Put: []table.Row{
+			{Key: ownerKey(service), Value: b},
+			{Key: seqKey(service), Value: []byte(fmt.Sprintf("%s.%d.0", next.Life, next.Term))},
+		},
+	})
+}
+
+// own starts deciding for a shard.
+func (s *Server) own(ctx context.Context, service string, l Lead, seq int64) {
+	o := newOwner(ctx, s, service, l, seq)
+	s.mu.Lock()
+	s.owners[service] = o
+	s.mu.Unlock()
+	s.spawn(func() {
+		o.run()
+		s.mu.Lock()
+		if s.owners[service] == o {
+			delete(s.owners, service)
+		}
+		s.mu.Unlock()
+	})
+}
+
+// release hands all shards over.
+func (s *Server) release() {
+	s.mu.Lock()
+	var os []*owner
+	for _, o := range s.owners {
+		os = append(os, o)
+	}
+	s.mu.Unlock()
+	for _, o := range os {
+		o.handOver()
+	}
+}
--- /dev/null
+++ b/internal/server/owner.go
@@ -0,0 +1,449 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/table"
+	"jasminestep/internal/work"
+)
+
+// Timing of an owner.
+const (
+	decideGap  = 5 * time.Millisecond   // shortest time between two decisions
+	idleGap    = 100 * time.Millisecond // longest
+	renewWrite = 400 * time.Millisecond // an owner writes at least this often
+	feedGap    = 300 * time.Millisecond // between two looks at the store's feeds
+	retryWrite = 40 * time.Millisecond
+	mostRows   = 90 // in one transaction
+)
+
+// errDeposed means that another entry owns the shard.
+var errDeposed = errors.New("another entry owns the shard")
+
+// owner decides for one shard. st belongs to the goroutine of run, which
+// carries out what is posted.
+type owner struct {
+	s       *Server
+	service string
+	term    int64
+	ctx     context.Context
+	cancel  context.CancelFunc
+	in      chan func(now time.Time)
+	st      *shard.State
+	runners map[work.Life]*runner
+
+	own, seq int64 // versions of the two rows that every write depends on
+	writes   int
+	busy     bool // a write is under way
+	leaving  bool
+	left     chan struct{}
+
+	minionFrom, jobFrom int64 // versions from which the feeds are followed
+
+	last atomic.Int64 // steady nanoseconds at which the last durable write had begun
+
+	mu     sync.RWMutex
+	shown  map[string]shard.Shown
+	queues map[string]int // jobs that have not begun, by queue
+}
+
+func newOwner(ctx context.Context, s *Server, service string, l Lead, seq int64) *owner {
+	o := &owner{
+		s: s, service: service, term: l.Term, in: make(chan func(time.Time), 4096), own: l.version, seq: seq,
+		runners: map[work.Life]*runner{}, left: make(chan struct{}),
+		shown: map[string]shard.Shown{}, queues: map[string]int{},
+	}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	o.last.Store(steady().UnixNano())
+	limits := shard.Defaults
+	limits.Lease = time.Duration(s.Set.Lease) * time.Millisecond
+	limits.Keep = time.Duration(s.Set.Keep) * time.Millisecond
+	o.st = shard.New(service, l.Term, steady(), limits)
+	return o
+}
+
+func (o *owner) lastWrite() time.Time { return time.Unix(0, o.last.Load()) }
+
+// post has f carried out by the control goroutine.
+func (o *owner) post(f func(now time.Time)) {
+	select {
+	case o.in <- f:
+	case <-o.ctx.Done():
+	}
+}
+
+// depose ends the owner; what it has not made durable is void.
+func (o *owner) depose(why string) {
+	o.s.Log.Warn("deposed", "service", o.service, "term", o.term, "why", why)
+	o.cancel()
+}
+
+// run takes the shard in and decides until it is handed over or lost.
+func (o *owner) run() {
+	defer close(o.left)
+	defer o.cancel()
+	if err := o.load(); err != nil {
+		o.depose(err.Error())
+		return
+	}
+	o.s.spawn(func() { o.followJobs() })
+	o.s.spawn(func() { o.followMinions() })
+	t := time.NewTicker(idleGap)
+	defer t.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case f := <-o.in:
+			f(steady())
+		case <-t.C:
+		}
+		o.drain()
+		o.step()
+		pause(o.ctx, decideGap)
+	}
+}
+
+// drain carries out all that is posted.
+func (o *owner) drain() {
+	now := steady()
+	for {
+		select {
+		case f := <-o.in:
+			f(now)
+		default:
+			return
+		}
+	}
+}
+
+// step decides, and carries the decisions out.
+func (o *owner) step() {
+	now := steady()
+	if !o.leaving {
+		o.st.Decide(now, time.Now())
+	}
+	orders := o.st.Orders()
+	for _, x := range orders.Stops {
+		if r := o.runners[x.Minion.Life]; r != nil {
+			r.stop(x)
+		}
+	}
+	for _, a := range orders.Asks {
+		o.ask(a)
+	}
+	o.startRunners()
+	o.log()
+	if o.busy {
+		return
+	}
+	b, err := o.st.Take()
+	if err != nil {
+		o.depose(err.Error())
+		return
+	}
+	if len(b.Rows)+len(b.Delete) == 0 && now.Sub(o.lastWrite()) < renewWrite {
+		o.effect(b)
+		return
+	}
+	o.busy = true
+	go o.commit(b)
+}
+
+// log writes the notes of the last decisions.
+func (o *owner) log() {
+	for _, n := range o.st.Notes {
+		o.s.Log.Info(n.What, "service", o.service, "term", o.term, "job", n.Job, "task", n.Task, "attempt", n.Attempt, "minion", n.Minion, "why", n.Why)
+	}
+	o.st.Notes = o.st.Notes[:0]
+}
+
+// commit makes a batch durable, and then has its effects.
+func (o *owner) commit(b shard.Batch) {
+	began, err := o.writeAll(b)
+	o.post(func(time.Time) {
+		o.busy = false
+		if err != nil {
+			o.depose(err.Error())
+			return
+		}
+		o.st.Durable(began)
+		o.effect(b)
+	})
+}
+
+// writeAll writes a batch in as many transactions as it needs.
+func (o *owner) writeAll(b shard.Batch) (began time.Time, err error) {
+	rows, gone := b.Rows, b.Delete
+	for first := true; first || len(rows)+len(gone) > 0; first = false {
+		n := min(len(rows), mostRows)
+		k := min(len(gone), mostRows-n)
+		if began, err = o.write(rows[:n], gone[:k]); err != nil {
+			return began, err
+		}
+		rows, gone = rows[n:], gone[k:]
+	}
+	return began, nil
+}
+
+// write makes rows durable if this entry still owns the shard. The row seq
+// changes with each write, so that one that got no answer can be sent again
+// and cannot land late, over a later one.
+func (o *owner) write(rows []table.Row, gone []table.Key) (time.Time, error) {
+	o.writes++
+	mark := fmt.Sprintf("%s.%d.%d", o.s.life, o.term, o.writes)
+	tx := table.Tx{
+		If:     []table.Row{{Key: ownerKey(o.service), Version: o.own}, {Key: seqKey(o.service), Version: o.seq}},
+		Put:    append([]table.Row{{Key: seqKey(o.service), Value: []byte(mark)}}, rows...),
+		Delete: gone,
+	}
+	for {
+		began := steady()
+		res, err := o.s.store.Do(o.ctx, tx)
+		switch {
+		case o.ctx.Err() != nil:
+			return began, fmt.Errorf("write: %w", o.ctx.Err())
+		case err != nil:
+			o.s.Log.Warn("write", "service", o.service, "term", o.term, "why", err.Error())
+			pause(o.ctx, retryWrite)
+			continue
+		case res.Done:
+			o.seq = res.Version
+		default:
+			if o.seq = landed(res.Rows, mark); o.seq == 0 {
+				return began, errDeposed
+			}
+		}
+		o.last.Store(began.UnixNano())
+		return began, nil
+	}
+}
+
+// landed returns the version of an earlier attempt of the same write, or 0.
+func landed(rows []table.Row, mark string) int64 {
+	for _, r := range rows {
+		if r.Table == seqTable && string(r.Value) == mark {
+			return r.Version
+		}
+	}
+	return 0
+}
+
+// effect does what a durable batch allows.
+func (o *owner) effect(b shard.Batch) {
+	now := steady()
+	for _, x := range b.Starts {
+		r := o.runners[x.Minion.Life]
+		if o.leaving || !o.st.Send(now, &x) || r == nil {
+			continue
+		}
+		r.start(x)
+	}
+	for l, n := range b.Seen {
+		if r := o.runners[l]; r != nil {
+			r.acknowledge(n)
+		}
+	}
+	o.show(b.Shown)
+	for _, id := range b.Drop {
+		go o.forget(id)
+	}
+}
+
+// forget deletes the rows of a job that is over for long.
+func (o *owner) forget(id string) {
+	tx := table.Tx{Delete: []table.Key{jobKey(id), jobKey(id + cancelMark)}}
+	if _, err := o.s.store.Do(o.ctx, tx); err != nil {
+		o.s.Log.Warn("job row stays", "job", id, "why", err.Error())
+	}
+}
+
+func (o *owner) show(shown []shard.Shown) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, sh := range shown {
+		old, had := o.shown[sh.ID]
+		if had && waits(old) {
+			o.queues[old.Queue]--
+		}
+		if sh.State == "" {
+			delete(o.shown, sh.ID)
+			continue
+		}
+		o.shown[sh.ID] = sh
+		if waits(sh) {
+			o.queues[sh.Queue]++
+		}
+	}
+}
+
+func waits(sh shard.Shown) bool { return !sh.Begun && !sh.State.Over() }
+
+func (o *owner) look(id string) (shard.Shown, bool) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	sh, ok := o.shown[id]
+	return sh, ok
+}
+
+func (o *owner) pending(queue string) int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.queues[queue]
+}
+
+// load reads the whole shard.
+func (o *owner) load() error {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	minions, err := again(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.store, o.s.Wire.MinionTable) })
+	if err != nil {
+		return fmt.Errorf("read minions: %w", err)
+	}
+	jobs, err := again(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.store, jobTable) })
+	if err != nil {
+		return fmt.Errorf("read jobs: %w", err)
+	}
+	done, err := again(ctx, func() (table.Range, error) {
+		return o.s.store.Read(ctx, shard.ProgressTable, o.service, "", "")
+	})
+	if err != nil {
+		return fmt.Errorf("read progress: %w", err)
+	}
+	o.minionFrom, o.jobFrom = minions.Version, jobs.Version
+	now := steady()
+	o.sawMinions(now, minions.Rows, true)
+	progress := make(map[string][]byte, len(done.Rows))
+	for _, r := range done.Rows {
+		progress[r.Name] = r.Value
+	}
+	o.sawJobs(now, jobs.Rows, progress)
+	o.s.Log.Info("loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
+	return nil
+}
+
+// loadTimeout bounds the reading of a shard; after it another entry may try.
+const loadTimeout = 10 * time.Second
+
+// again repeats a read until it succeeds or ctx ends.
+func again(ctx context.Context, f func() (table.Range, error)) (table.Range, error) {
+	for {
+		r, err := f()
+		if err == nil || ctx.Err() != nil {
+			return r, err
+		}
+		pause(ctx, retryWrite)
+	}
+}
+
+// sawJobs takes in rows of jobs and cancellations.
+func (o *owner) sawJobs(now time.Time, rows []table.Row, progress map[string][]byte) {
+	for _, r := range rows {
+		if r.Deleted || strings.HasSuffix(r.Name, cancelMark) {
+			continue
+		}
+		j := &work.Job{}
+		if err := json.Unmarshal(r.Value, j); err != nil {
+			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+			continue
+		}
+		if j.Service != o.service {
+			continue
+		}
+		if err := o.st.Load(now, j, progress[j.ID]); err != nil {
+			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+		}
+	}
+	for _, r := range rows {
+		if id, ok := strings.CutSuffix(r.Name, cancelMark); ok && !r.Deleted {
+			o.st.Cancel(now, id)
+		}
+	}
+}
+
+func (o *owner) sawMinions(now time.Time, rows []table.Row, whole bool) {
+	listed := map[string]bool{}
+	for _, r := range rows {
+		if r.Deleted {
+			o.st.Unlist(r.Name)
+			continue
+		}
+		m, ok := o.s.Wire.Minion(r.Name, r.Value)
+		if !ok {
+			o.s.Log.Debug("entry of a minion is not readable", "minion", r.Name)
+			continue
+		}
+		listed[m.ID] = true
+		o.st.See(now, m)
+	}
+	if whole {
+		o.st.Unlisted(listed)
+	}
+}
+
+// followJobs finds jobs and cancellations of which nobody could tell this owner.
+func (o *owner) followJobs() {
+	follow(o.ctx, o.s.store, jobTable, o.jobFrom, 0, feedGap, o.s.dependency("jobs"), func(rows []table.Row, _ bool) {
+		o.post(func(now time.Time) { o.sawJobs(now, rows, nil) })
+	})
+}
+
+func (o *owner) followMinions() {
+	follow(o.ctx, o.s.store, o.s.Wire.MinionTable, o.minionFrom, 0, feedGap, o.s.dependency("minions"), func(rows []table.Row, whole bool) {
+		o.post(func(now time.Time) { o.sawMinions(now, rows, whole) })
+	})
+}
+
+// handOver gives the shard up at once, for another entry to take.
+func (o *owner) handOver() {
+	o.post(func(time.Time) { o.leaving = true })
+	o.post(func(time.Time) { go o.giveUp() })
+	select {
+	case <-o.left:
+	case <-time.After(handOverLimit):
+		o.depose("the handover takes too long")
+	}
+}
+
+// handOverLimit bounds a handover; after it a successor has to find out.
+const handOverLimit = 2 * time.Second
+
+func (o *owner) giveUp() {
+	idle := make(chan bool, 1)
+	for o.ctx.Err() == nil {
+		o.post(func(time.Time) { idle <- !o.busy })
+		select {
+		case ok := <-idle:
+			if !ok {
+				pause(o.ctx, decideGap)
+				continue
+			}
+		case <-o.ctx.Done():
+			return
+		}
+		break
+	}
+	o.post(func(time.Time) {
+		if o.busy {
+			go o.giveUp()
+			return
+		}
+		o.busy = true // no further write
+		go func() {
+			if _, err := o.s.swap(o.ctx, o.service, o.own, o.seq, Lead{Term: o.term}); err != nil {
+				o.s.Log.Warn("handover", "service", o.service, "why", err.Error())
+			}
+			o.s.Log.Info("handed over", "service", o.service, "term", o.term)
+			o.cancel()
+		}()
+	})
+}
--- /dev/null
+++ b/internal/server/rpc.go
@@ -0,0 +1,147 @@
+package server
+
+import (
+	"context"
+	"hash/fnv"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/table"
+	"jasminestep/internal/work"
+)
+
+// rank orders names differently for each key.
+func rank(key, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key)) // a hash takes everything
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// answered says that the error is the other entry's own answer.
+func answered(err error) bool {
+	var e rpc.ServerError
+	return errors.As(err, &e)
+}
+
+// calls are what other entries may ask.
+type calls struct{ s *Server }
+
+// aliveReply tells whether an entry owns a shard.
+type aliveReply struct {
+	Owns bool
+	Age  time.Duration // since its last durable write had begun
+}
+
+// lookArgs ask an owner for a job.
+type lookArgs struct{ Service, ID string }
+
+// lookReply tells of a job. Sure means that the owner has the whole shard in view.
+type lookReply struct {
+	Owns  bool
+	Known bool
+	Shown shard.Shown
+}
+
+type pendingArgs struct{ Service, Queue string }
+
+type pendingReply struct {
+	Owns bool
+	N    int
+}
+
+type cancelArgs struct{ Service, ID string }
+
+type askArgs struct {
+	Step string
+	IDs  []string
+}
+
+type askReply struct {
+	Tickets map[string]string
+	Valid   time.Duration
+	Error   string
+}
+
+type relayReply struct {
+	Result  table.Result
+	Error   string
+	Refused bool // the store refused, nothing was done
+}
+
+// Ping answers.
+func (c *calls) Ping(struct{}, *struct{}) error { return nil }
+
+// Alive tells whether this entry owns the shard of a service.
+func (c *calls) Alive(service string, out *aliveReply) error {
+	if o := c.s.owner(service); o != nil {
+		*out = aliveReply{true, steady().Sub(o.lastWrite())}
+	}
+	return nil
+}
+
+// Submit tells the owner of an accepted job. The reply says whether it is the owner.
+func (c *calls) Submit(j *work.Job, owns *bool) error {
+	if o := c.s.owner(j.Service); o != nil {
+		*owns = true
+		o.post(func(now time.Time) { o.st.Submit(now, j) })
+	}
+	return nil
+}
+
+// Cancel tells the owner of an accepted cancellation.
+func (c *calls) Cancel(a cancelArgs, owns *bool) error {
+	if o := c.s.owner(a.Service); o != nil {
+		*owns = true
+		o.post(func(now time.Time) { o.st.Cancel(now, a.ID) })
+	}
+	return nil
+}
+
+// Look tells of a job.
+func (c *calls) Look(a lookArgs, out *lookReply) error {
+	if o := c.s.owner(a.Service); o != nil {
+		out.Owns = true
+		out.Shown, out.Known = o.look(a.ID)
+	}
+	return nil
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (c *calls) Pending(a pendingArgs, out *pendingReply) error {
+	if o := c.s.owner(a.Service); o != nil {
+		*out = pendingReply{true, o.pending(a.Queue)}
+	}
+	return nil
+}
+
+// adviceLimit bounds a question on top of the time that the service takes.
+const adviceLimit = 4 * time.Second
+
+// Advise asks the placement service on an owner's behalf: it answers one
+// question at a time for each VM.
+func (c *calls) Advise(a askArgs, out *askReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), adviceLimit)
+	defer cancel()
+	var err error
+	if out.Tickets, out.Valid, err = c.s.Adviser.Ask(ctx, a.Step, a.IDs); err != nil {
+		out.Error = err.Error()
+	}
+	return nil
+}
+
+// Relay carries out a transaction for an entry that does not reach the store.
+func (c *calls) Relay(tx table.Tx, out *relayReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	res, err := c.s.Store.Do(ctx, tx)
+	out.Result = res
+	if err != nil {
+		out.Error, out.Refused = err.Error(), errors.Is(err, table.ErrNotDone)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/runner.go
@@ -0,0 +1,186 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/work"
+)
+
+// Timing of calls to minions.
+const (
+	renewWait    = 1000 * time.Millisecond // a renewal waits this long for an end
+	orderTimeout = 800 * time.Millisecond  // for an answer, on top of a wait
+	silentGap    = 200 * time.Millisecond  // between renewals that get no answer
+	ackWait      = 400 * time.Millisecond  // for ends to become durable before the next renewal
+)
+
+// runner speaks to one life of a minion.
+type runner struct {
+	o     *owner
+	life  work.Life
+	acked atomic.Int64 // ends up to this one may be forgotten
+	wake  chan struct{}
+}
+
+// startRunners has a runner for every minion that is of interest.
+func (o *owner) startRunners() {
+	for _, l := range o.st.Lives() {
+		if o.runners[l] != nil {
+			continue
+		}
+		r := &runner{o: o, life: l, wake: make(chan struct{}, 1)}
+		o.runners[l] = r
+		o.s.spawn(r.run)
+	}
+}
+
+// run renews the leases of what runs there, and reports what has ended.
+func (r *runner) run() {
+	for r.o.ctx.Err() == nil {
+		n, ok := r.next()
+		if !ok {
+			return
+		}
+		r.renew(n)
+	}
+}
+
+// next asks the control goroutine for the next renewal. Once ok is false the
+// runner is no longer known.
+func (r *runner) next() (shard.Renewal, bool) {
+	type answer struct {
+		n  shard.Renewal
+		ok bool
+	}
+	ch := make(chan answer, 1)
+	r.o.post(func(now time.Time) {
+		n, ok := r.o.st.Renew(now, r.life)
+		if !ok {
+			delete(r.o.runners, r.life)
+		}
+		ch <- answer{n, ok}
+	})
+	select {
+	case a := <-ch:
+		return a.n, a.ok
+	case <-r.o.ctx.Done():
+		return shard.Renewal{}, false
+	}
+}
+
+func (r *runner) renew(n shard.Renewal) {
+	wait := time.Duration(0)
+	if n.Wait {
+		wait = renewWait
+	}
+	ctx, cancel := context.WithTimeout(r.o.ctx, wait+orderTimeout)
+	rep, fenced, err := r.o.s.Minions.Renew(ctx, &n.Minion, n.Token, n.Until, r.acked.Load(), wait)
+	cancel()
+	if err != nil {
+		r.o.s.Log.Debug("renewal", "minion", r.life.ID, "fenced", fenced, "why", err.Error())
+		r.o.post(func(now time.Time) { r.o.st.Silent(now, r.life) })
+		pause(r.o.ctx, silentGap)
+		return
+	}
+	r.o.post(func(now time.Time) { r.o.st.Reported(now, n, rep) })
+	if len(rep.Ended) > 0 {
+		r.await(rep.Ended[len(rep.Ended)-1].N)
+	}
+}
+
+// await waits until ends up to last may be forgotten, but not for long: the
+// leases have to be renewed.
+func (r *runner) await(last int64) {
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	for r.acked.Load() < last {
+		select {
+		case <-r.wake:
+		case <-t.C:
+			return
+		case <-r.o.ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *runner) acknowledge(n int64) {
+	r.acked.Store(max(r.acked.Load(), n))
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// start sends a start and reports what came of it.
+func (r *runner) start(x shard.Order) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
+		defer cancel()
+		why, clock, err := r.o.s.Minions.Start(ctx, &x.Minion, x.Start)
+		r.o.post(func(now time.Time) { r.o.st.Started(now, x, why, clock, err) })
+	}()
+}
+
+// stop sends a stop; its effect is seen in the reports.
+func (r *runner) stop(x shard.StopOrder) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
+		defer cancel()
+		if err := r.o.s.Minions.Stop(ctx, &x.Minion, x.Task, x.Attempt, x.Token); err != nil {
+			r.o.s.Log.Debug("stop", "task", x.Task.String(), "minion", r.life.ID, "why", err.Error())
+		}
+	}()
+}
+
+// ask has the entry with the fewest questions under way ask the placement service.
+func (o *owner) ask(a shard.Ask) {
+	addr := o.s.asker(steady(), o.service)
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, a.Cost+adviceLimit)
+		defer cancel()
+		var out askReply
+		var err error
+		args := askArgs{a.Step.StepID(), a.IDs}
+		if addr == o.s.Set.Peer {
+			err = (&calls{o.s}).Advise(args, &out)
+		} else {
+			err = o.s.call(ctx, addr, "Advise", args, &out)
+		}
+		if err == nil && out.Error != "" {
+			err = errors.New(out.Error)
+		}
+		given := steady()
+		o.s.asking(addr, -1)
+		o.post(func(now time.Time) { o.st.Advised(now, given, a, out.Tickets, out.Valid, err) })
+	}()
+}
+
+// asker picks the entry that is to ask, and counts the question.
+func (s *Server) asker(now time.Time, service string) string {
+	best := s.Set.Peer
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.names {
+		if s.blamed(now, e.Addr) {
+			continue
+		}
+		a, b := s.asked[e.Addr], s.asked[best]
+		if a < b || a == b && rank(service, e.Addr) < rank(service, best) {
+			best = e.Addr
+		}
+	}
+	s.asked[best]++
+	return best
+}
+
+func (s *Server) asking(addr string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked[addr] += n
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,333 @@
+// Package server is one entry on a platform: it takes clients' jobs, keeps them
+// in the platform's store, and owns shards, each the minions of one service.
+//
+// Every entry is alike. Any of them accepts a job by writing it to the store and
+// tells the shard's owner; the owner decides where tasks run. Ownership is a
+// row: who replaces it owns the shard, and every write of the former owner fails
+// from then on. Minions refuse orders of a former owner by their token.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"jasminestep/internal/peer"
+	"jasminestep/internal/table"
+	"jasminestep/internal/transport"
+	"jasminestep/internal/web"
+	"jasminestep/internal/work"
+)
+
+// Minions carries orders to minions.
+type Minions interface {
+	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, int64, error)
+	Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error
+	Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error)
+}
+
+// Adviser answers which minions may run a step.
+type Adviser interface {
+	Ask(ctx context.Context, step string, ids []string) (map[string]string, time.Duration, error)
+}
+
+// Wire is what the platform's adapter knows of rows and bodies that others write.
+type Wire struct {
+	ConfigTable, ConfigRow, MinionTable string
+	Config                              func([]byte) (*work.Config, error)
+	Minion                              func(id string, b []byte) (work.Minion, bool)
+	Job                                 func([]byte) (*work.Job, error)
+	State                               func(state string) any
+	Pending                             func(n int) any
+	Deadline                            string // header with the milliseconds that a client waits
+}
+
+// Parts are what an entry works with.
+type Parts struct {
+	Log     hclog.Logger
+	Store   table.Store
+	Minions Minions
+	Adviser Adviser
+	Wire    Wire
+}
+
+// Server is one entry. Use New.
+type Server struct {
+	Set Settings
+	Parts
+	store *relayed
+	life  string // this process, among all that ran under the name of the VM
+
+	peers *peer.Client
+	l     net.Listener
+	front *web.Server
+	ready *web.Server
+	busy  atomic.Int64
+
+	cfg      atomic.Pointer[work.Config]
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu     sync.Mutex
+	names  map[string]Entry     // entries, by name
+	blame  map[string]time.Time // entries that did not answer, by address
+	asked  map[string]int       // questions under way, by address
+	leads  map[string]Lead      // owners, by service
+	owners map[string]*owner    // shards owned here, by service
+	loaded bool                 // leads has all rows there are
+}
+
+// Entry is the row of an entry.
+type Entry struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+}
+
+// Tables of the product's own rows.
+const (
+	entryTable = "entry"
+	ownerTable = "owner"
+	seqTable   = "seq"
+	jobTable   = "job"
+)
+
+// New returns an entry that listens but does not serve yet.
+func New(set Settings, p Parts) (*Server, error) {
+	s := &Server{
+		Set: set, Parts: p, life: uuid.NewString()[:8],
+		names: map[string]Entry{}, blame: map[string]time.Time{}, asked: map[string]int{},
+		leads: map[string]Lead{}, owners: map[string]*owner{},
+	}
+	s.store = &relayed{Store: p.Store, via: s.relay}
+	s.peers = peer.New(transport.From(""), &transport.Counter{})
+	var err error
+	if s.l, err = net.Listen("tcp", set.Peer); err != nil {
+		return nil, fmt.Errorf("listen to entries: %w", err)
+	}
+	if s.front, err = web.Any(set.Caller, http.HandlerFunc(s.client)); err != nil {
+		return nil, fmt.Errorf("listen to clients: %w", err)
+	}
+	if s.ready, err = web.Any(set.Ready, http.HandlerFunc(s.readiness)); err != nil {
+		return nil, fmt.Errorf("listen to the balancer: %w", err)
+	}
+	return s, nil
+}
+
+// Start begins to serve.
+func (s *Server) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.front.Start()
+	s.ready.Start()
+	s.spawn(func() {
+		err := peer.Serve(s.l, &calls{s}, &s.busy, &transport.Counter{})
+		s.Log.Debug("peers end", "why", err)
+	})
+	s.spawn(func() { s.enrol(ctx) })
+	s.spawn(func() {
+		follow(ctx, s.store, s.Wire.ConfigTable, -1, feedWait, 0, s.dependency("configuration"), s.configured)
+	})
+	s.spawn(func() { follow(ctx, s.store, entryTable, -1, feedWait, entryGap, s.dependency("entries"), s.enrolled) })
+	s.spawn(func() { follow(ctx, s.store, ownerTable, -1, feedWait, 0, s.dependency("owners"), s.owned) })
+	s.spawn(func() { s.guard(ctx) })
+	s.Log.Info("start", "id", s.Set.ID, "zone", s.Set.Zone, "life", s.life)
+}
+
+func (s *Server) spawn(f func()) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		f()
+	}()
+}
+
+// How the store's feeds are followed. A feed that has gone silent is asked
+// again soon enough for a configuration to be in force in time.
+const (
+	feedWait = time.Second
+	entryGap = 2 * time.Second
+)
+
+// dependency returns a function that logs when a feed is lost and regained.
+func (s *Server) dependency(name string) func(error) {
+	up := true
+	return func(err error) {
+		if (err == nil) == up {
+			return
+		}
+		up = err == nil
+		if up {
+			s.Log.Info("regained", "what", name)
+			return
+		}
+		s.Log.Warn("lost", "what", name, "why", err.Error())
+	}
+}
+
+// enrol writes this entry's row.
+func (s *Server) enrol(ctx context.Context) {
+	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone})
+	if err != nil {
+		s.Log.Error("enrol", "why", err.Error())
+		return
+	}
+	tx := table.Tx{Put: []table.Row{{Key: table.Key{Table: entryTable, Name: s.Set.ID}, Value: b}}}
+	for ctx.Err() == nil {
+		if _, err = s.store.Do(ctx, tx); err == nil {
+			return
+		}
+		s.Log.Warn("enrol", "why", err.Error())
+		pause(ctx, retryGap)
+	}
+}
+
+// enrolled takes in rows of entries.
+func (s *Server) enrolled(rows []table.Row, _ bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		var e Entry
+		if r.Deleted || json.Unmarshal(r.Value, &e) != nil {
+			delete(s.names, r.Name)
+			continue
+		}
+		s.names[r.Name] = e
+	}
+}
+
+// configured takes in configurations.
+func (s *Server) configured(rows []table.Row, _ bool) {
+	for _, r := range rows {
+		if r.Name != s.Wire.ConfigRow || r.Deleted {
+			continue
+		}
+		c, err := s.Wire.Config(r.Value)
+		if err != nil {
+			s.Log.Error("configuration", "why", err.Error())
+			continue
+		}
+		old := s.cfg.Load()
+		if old != nil && old.Version >= c.Version {
+			continue
+		}
+		s.cfg.Store(c)
+		s.Log.Info("configuration", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
+	}
+}
+
+// others returns the addresses of other entries, those that answer first, in an
+// order that differs from entry to entry.
+func (s *Server) others(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Entry
+	for _, e := range s.names {
+		if e.Name != s.Set.ID {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool {
+		x, y := s.blamed(now, out[a].Addr), s.blamed(now, out[b].Addr)
+		if x != y {
+			return y
+		}
+		return rank(s.Set.ID, out[a].Name) < rank(s.Set.ID, out[b].Name)
+	})
+	addrs := make([]string, len(out))
+	for i, e := range out {
+		addrs[i] = e.Addr
+	}
+	return addrs
+}
+
+// blameFor is how long an entry that did not answer is passed over.
+const blameFor = 1500 * time.Millisecond
+
+func (s *Server) blamed(now time.Time, addr string) bool {
+	t, ok := s.blame[addr]
+	return ok && now.Sub(t) < blameFor
+}
+
+// call calls another entry and remembers whether it answered.
+func (s *Server) call(ctx context.Context, addr, method string, args, reply any) error {
+	err := s.peers.Call(ctx, addr, peer.Traffic, method, args, reply)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil && !answered(err) {
+		s.blame[addr] = steady()
+	} else {
+		delete(s.blame, addr)
+	}
+	return err
+}
+
+// relay has another entry carry out a transaction.
+func (s *Server) relay(ctx context.Context, n int, tx table.Tx) (table.Result, error) {
+	addrs := s.others(steady())
+	if n >= len(addrs) {
+		return table.Result{}, errors.Mark(errors.New("no other entry"), table.ErrNotDone)
+	}
+	var out relayReply
+	err := s.call(ctx, addrs[n], "Relay", tx, &out)
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return table.Result{}, errors.Mark(err, table.ErrNotDone)
+	case err != nil:
+		return table.Result{}, err
+	case out.Refused:
+		return table.Result{}, errors.Mark(errors.New(out.Error), table.ErrNotDone)
+	case out.Error != "":
+		return table.Result{}, errors.New(out.Error)
+	}
+	return out.Result, nil
+}
+
+// readiness answers the balancer.
+func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
+	if s.cfg.Load() == nil || s.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notice is how long the readiness fails before connections are refused, so
+// that the balancer has seen it twice.
+const notice = 2500 * time.Millisecond
+
+// Stop is the planned stop: shards are handed over, the balancer is told, and
+// what is in progress is answered.
+func (s *Server) Stop() {
+	s.Log.Info("stop")
+	s.stopping.Store(true)
+	s.release()
+	time.Sleep(notice)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Set.Grace)*time.Millisecond-notice-500*time.Millisecond)
+	defer cancel()
+	if err := s.front.Stop(ctx); err != nil {
+		s.Log.Warn("stop", "why", err.Error())
+	}
+	s.Kill()
+}
+
+// Kill ends at once.
+func (s *Server) Kill() {
+	s.cancel()
+	s.front.Close()
+	s.ready.Close()
+	_ = s.l.Close()
+	s.peers.Close()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/server/settings.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/pkg/operator"
+)
+
+// Settings of one entry on a platform. Times are in milliseconds.
+type Settings struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Caller string `json:"caller"`
+	Ready  string `json:"ready"`
+	Peer   string `json:"peer"`
+	Admin  string `json:"admin"`
+	Store  string `json:"store"`
+	Advice string `json:"advice"`
+	Orders string `json:"orders"`
+	Grace  int64  `json:"grace"`
+	Lease  int64  `json:"lease"`
+	Keep   int64  `json:"keep"`
+	Level  string `json:"level"`
+}
+
+// Setting documents one setting.
+type Setting struct {
+	Name    string
+	Unit    string
+	Default string
+	Bounds  string
+	Doc     string
+}
+
+// Table lists every setting.
+var Table = []Setting{
+	{"id", "name", "none", "not empty", "name of the VM"},
+	{"zone", "name", "none", "not empty", "availability zone of the VM"},
+	{"caller", "IP:port", "none", "an IP number", "where clients' requests come in"},
+	{"ready", "IP:port", "none", "an IP number", "where the balancer asks whether to send clients here"},
+	{"peer", "IP:port", "none", "an IP number", "where other entries call"},
+	{"admin", "IP:port", "none", "an IP number", "where metrics are read"},
+	{"store", "IP:port", "none", "an IP number", "the platform's store"},
+	{"advice", "IP:port", "empty", "an IP number or empty", "the placement service; empty if there is none"},
+	{"orders", "name", "call", "call", "how minions take orders: by calls to them"},
+	{"grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"},
+	{"lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"},
+	{"keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"},
+	{"level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"},
+}
+
+// ErrImpossible marks a setting that is well-formed but cannot work.
+var ErrImpossible = errors.New("impossible setting")
+
+// Load reads and checks a settings file. The error names file and place.
+func Load(file string) (*Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{}
+	if err = operator.Parse(file, b, s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if name, err := s.Check(); err != nil {
+		line, col := operator.Locate(b, name)
+		return nil, fmt.Errorf("settings: %s:%d:%d: %w", file, line, col, err)
+	}
+	return s, nil
+}
+
+func impossible(name, format string, args ...any) (string, error) {
+	return name, fmt.Errorf("%s: %s: %w", name, fmt.Sprintf(format, args...), ErrImpossible)
+}
+
+// Check fills in defaults and returns the name of the first impossible setting
+// and what is wrong with it.
+func (s *Settings) Check() (string, error) {
+	s.fill()
+	if s.ID == "" {
+		return impossible("id", "want the name of this VM")
+	}
+	if s.Zone == "" {
+		return impossible("zone", "want the availability zone of this VM")
+	}
+	for _, a := range []struct{ name, addr string }{
+		{"caller", s.Caller}, {"ready", s.Ready}, {"peer", s.Peer}, {"admin", s.Admin}, {"store", s.Store}, {"advice", s.Advice},
+	} {
+		if a.name == "advice" && a.addr == "" {
+			continue
+		}
+		host, port, err := net.SplitHostPort(a.addr)
+		if err != nil || net.ParseIP(host) == nil || port == "" {
+			return impossible(a.name, "%q: want an IP number and a port, as in 10.0.0.1:7000", a.addr)
+		}
+	}
+	for _, r := range []struct {
+		name      string
+		v, lo, hi int64
+	}{
+		{"grace", s.Grace, 1000, 600_000},
+		{"lease", s.Lease, 1000, 9000},
+		{"keep", s.Keep, 1000, 86_400_000},
+	} {
+		if r.v < r.lo || r.v > r.hi {
+			return impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
+		}
+	}
+	if s.Orders != "call" {
+		return impossible("orders", "%q: want call; minions that fetch their orders are not supported", s.Orders)
+	}
+	switch s.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		return impossible("level", "%q: want debug, info, warn or error", s.Level)
+	}
+	return "", nil
+}
+
+func (s *Settings) fill() {
+	for _, f := range []struct {
+		p     *int64
+		usual time.Duration
+	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.Keep, 150 * time.Second}} {
+		if *f.p == 0 {
+			*f.p = f.usual.Milliseconds()
+		}
+	}
+	if s.Level == "" {
+		s.Level = "info"
+	}
+	if s.Orders == "" {
+		s.Orders = "call"
+	}
+}
--- /dev/null
+++ b/internal/shard/advice.go
@@ -0,0 +1,122 @@
+package shard
+
+import (
+	"time"
+
+	"jasminestep/internal/work"
+)
+
+// advice is what the placement service has said about one step.
+type advice struct {
+	asking bool
+	asked  map[string]bool   // minions that were named in a question
+	good   map[string]ticket // minions that may run the step
+	wait   time.Time         // no further question before
+}
+
+// ticket allows starts on one life of a minion, for a time. Whether a minion
+// may run the step does not change; only the ticket has to be renewed.
+type ticket struct {
+	text  string
+	until time.Time
+	life  int64 // the minion's birth when the ticket was given
+}
+
+// forget drops a ticket that a minion did not take.
+func (a *advice) forget(id string) {
+	if t, ok := a.good[id]; ok {
+		t.until = time.Time{}
+		a.good[id] = t
+	}
+}
+
+// ticketMargin is how much earlier than told a ticket is taken to end.
+const ticketMargin = 150 * time.Millisecond
+
+// pass says what a minion may do with tasks of the step.
+type pass int8
+
+const (
+	barred  pass = iota // may not run it, or was not asked about
+	stale               // may, once its ticket is renewed
+	allowed             // may now
+)
+
+func (p *step) pass(now time.Time, m *minion) (pass, string) {
+	if p.job.Advice == nil {
+		return allowed, ""
+	}
+	t, ok := p.advice.good[m.ID]
+	if !ok {
+		return barred, ""
+	}
+	if t.life != m.Born || now.After(t.until) {
+		return stale, ""
+	}
+	return allowed, t.text
+}
+
+// Bounds on questions.
+const (
+	mostNamed  = 30 // minions named in a first question
+	renewSpare = 2  // minions named beyond those needed when tickets are renewed
+	askAgain   = 500 * time.Millisecond
+)
+
+// ask adds a question about a step, if one may be asked now.
+func (s *State) ask(now time.Time, p *step, ids []string) {
+	if len(ids) == 0 || p.advice.asking || s.asks >= s.Limits.MaxAsks || now.Before(p.advice.wait) {
+		return
+	}
+	p.advice.asking = true
+	s.asks++
+	a := p.job.Advice
+	s.now.Asks = append(s.now.Asks, Ask{
+		Step: work.TaskID{Job: p.job.ID, Round: p.round.k, Step: p.index},
+		IDs:  ids,
+		Cost: a.Decide + a.Each*time.Duration(len(ids)),
+	})
+}
+
+// unasked lists minions that the service was not asked about and that could run a task of the step.
+func (s *State) unasked(now time.Time, p *step, ms []*minion) []string {
+	var ids []string
+	for _, m := range ms {
+		if len(ids) == mostNamed {
+			break
+		}
+		if p.advice.asked[m.ID] || !m.usable(now) || !p.suits(m) {
+			continue
+		}
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// Advised takes in an answer about a step; given is when the service answered.
+func (s *State) Advised(now, given time.Time, a Ask, tickets map[string]string, valid time.Duration, err error) {
+	s.asks--
+	p := s.stepOf(a.Step)
+	if p == nil {
+		return
+	}
+	p.advice.asking = false
+	if err != nil {
+		p.advice.wait = now.Add(askAgain)
+		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
+		return
+	}
+	if p.advice.good == nil {
+		p.advice.good, p.advice.asked = map[string]ticket{}, map[string]bool{}
+	}
+	for _, id := range a.IDs {
+		p.advice.asked[id] = true
+	}
+	for id, text := range tickets {
+		m := s.minions[id]
+		if m == nil {
+			continue
+		}
+		p.advice.good[id] = ticket{text, given.Add(valid - ticketMargin), m.Born}
+	}
+}
--- /dev/null
+++ b/internal/shard/minion.go
@@ -0,0 +1,495 @@
+package shard
+
+import (
+	"time"
+
+	"jasminestep/internal/work"
+)
+
+// margin is added to every bound on when a lease has ended.
+const margin = 150 * time.Millisecond
+
+func (s *State) newMinion(w work.Minion) *minion {
+	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}}
+	s.minions[w.ID] = m
+	return m
+}
+
+func (m *minion) add(r *run) {
+	m.runs[r.key] = r
+	m.used = m.used.Plus(r.size)
+	m.count(r, 1)
+}
+
+func (m *minion) remove(r *run) {
+	if m.runs[r.key] != r {
+		return
+	}
+	delete(m.runs, r.key)
+	m.used = m.used.Minus(r.size)
+	m.count(r, -1)
+}
+
+func (m *minion) count(r *run, n int) {
+	if r.step == nil {
+		return
+	}
+	if r.step.Fill {
+		m.fills += n
+	}
+	if r.step.Target > 0 {
+		m.serves += n
+	}
+}
+
+// free is the room that is left.
+func (m *minion) free() work.Size { return m.Room.Minus(m.used) }
+
+// usable says that new work may be sent.
+func (m *minion) usable(now time.Time) bool {
+	return m.listed && m.known && !m.Draining && m.silent.IsZero() && !now.Before(m.paused)
+}
+
+// See takes in a minion's entry in the store.
+func (s *State) See(now time.Time, w work.Minion) {
+	m := s.minions[w.ID]
+	if w.Service != s.Service {
+		if m != nil && w.Born > m.Born {
+			s.reborn(now, m, w)
+			m.listed = false
+		}
+		return
+	}
+	switch {
+	case m == nil:
+		m = s.newMinion(w)
+		s.note(Note{What: "minion", Minion: w.ID})
+	case w.Born > m.Born:
+		s.reborn(now, m, w)
+	case w.Born < m.Born:
+		return // an entry of a former life
+	}
+	if w.Draining && !m.Draining {
+		s.note(Note{What: "draining", Minion: w.ID})
+	}
+	m.Minion = w
+	m.listed = true
+}
+
+// Unlist takes in that a minion's entry is gone. It may still run and answer.
+func (s *State) Unlist(id string) {
+	m := s.minions[id]
+	if m == nil || !m.listed {
+		return
+	}
+	m.listed = false
+	s.note(Note{What: "unlisted", Minion: id})
+	if len(m.runs) == 0 && m.silent.IsZero() {
+		m.silent = s.taken // nothing is lost if it never answers again
+	}
+}
+
+// Unlisted tells which minions have an entry, for a reader that has the whole list.
+func (s *State) Unlisted(listed map[string]bool) {
+	for _, m := range s.sorted() {
+		if !listed[m.ID] {
+			s.Unlist(m.ID)
+		}
+	}
+}
+
+// reborn replaces a minion's former life: nothing of it runs any more.
+func (s *State) reborn(now time.Time, m *minion, w work.Minion) {
+	s.note(Note{What: "reborn", Minion: m.ID})
+	s.drop(now, m, "its minion started anew")
+	m.Minion = w
+	m.known, m.listed = false, false
+	m.token = max(m.token, s.Term*tokensPerTerm) + 1
+	m.clock, m.until, m.seen = 0, 0, 0
+	m.at, m.silent, m.paused = time.Time{}, time.Time{}, now
+	m.strikes = 0
+}
+
+// drop gives up all runs of a minion, which certainly exist no more.
+func (s *State) drop(now time.Time, m *minion, why string) {
+	for _, r := range m.runs {
+		m.remove(r)
+		s.lost(now, r, why)
+	}
+}
+
+// lost puts the task of a run that is gone back into the queue.
+func (s *State) lost(now time.Time, r *run, why string) {
+	t := r.task
+	if t == nil || t.phase != Placed || t.attempt != r.key.attempt {
+		return
+	}
+	s.note(Note{What: "lost", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: t.life.ID, Why: why})
+	s.requeue(r.step, t)
+	s.breakGang(now, r.step)
+}
+
+// requeue makes a placed task wait again.
+func (s *State) requeue(p *step, t *task) {
+	t.phase = Waiting
+	t.life = work.Life{}
+	p.waiting++
+	p.job.dirty = true
+}
+
+// breakGang stops the other runs of a gang that has lost one.
+func (s *State) breakGang(now time.Time, p *step) {
+	if !p.Gang {
+		return
+	}
+	for _, t := range p.tasks {
+		s.giveUp(now, t)
+	}
+}
+
+// Renewal says how a minion is to be asked next.
+type Renewal struct {
+	Minion work.Minion
+	Token  int64
+	Until  int64 // 0: prolongs nothing
+	Seq    int64
+	Wait   bool // for an end, rather than answer at once
+}
+
+// Renew returns the next renewal of a minion's life. ok is false once the life
+// is over or of no interest.
+func (s *State) Renew(now time.Time, l work.Life) (n Renewal, ok bool) {
+	m := s.minions[l.ID]
+	if m == nil || m.Life != l {
+		return n, false
+	}
+	s.seq++
+	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.seq}
+	if m.at.IsZero() || now.Sub(s.durable) > s.Limits.RenewFor {
+		return n, true
+	}
+	n.Wait = m.silent.IsZero()
+	n.Until = m.lease(now, s.Limits)
+	return n, true
+}
+
+// lease returns the end of a lease from now, on the minion's clock.
+func (m *minion) lease(now time.Time, l Limits) int64 {
+	until := m.clock + (now.Sub(m.at) + l.Lease).Milliseconds()
+	m.until = max(m.until, until)
+	return m.until
+}
+
+// lapsed is when all leases that the minion was ever sent have ended for sure.
+func (s *State) lapsed(m *minion) time.Time {
+	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - s.Limits.Drift)) }
+	if m.at.IsZero() {
+		// A predecessor that cannot know of this term may have renewed for RenewFor.
+		return s.taken.Add(s.Limits.RenewFor + slow(s.Limits.Lease) + margin)
+	}
+	return m.at.Add(slow(time.Duration(m.until-m.clock)*time.Millisecond) + margin)
+}
+
+// Silent takes in that a renewal got no answer.
+func (s *State) Silent(now time.Time, l work.Life) {
+	m := s.minions[l.ID]
+	if m == nil || m.Life != l {
+		return
+	}
+	if m.silent.IsZero() {
+		m.silent = now
+		s.note(Note{What: "silent", Minion: l.ID})
+	}
+}
+
+// Reported takes in a minion's answer to a renewal.
+func (s *State) Reported(now time.Time, n Renewal, rep work.Report) {
+	m := s.minions[n.Minion.ID]
+	if m == nil || m.Life != n.Minion.Life {
+		return
+	}
+	if rep.Born > m.Born {
+		w := m.Minion
+		w.Born = rep.Born
+		listed := m.listed
+		s.reborn(now, m, w)
+		m.listed = listed
+		return
+	}
+	if rep.Born != 0 && rep.Born < m.Born {
+		return
+	}
+	m.clock, m.at = rep.Clock, now
+	if !m.silent.IsZero() {
+		m.silent = time.Time{}
+		m.token++ // orders that were on their way meanwhile must not be carried out any more
+		s.note(Note{What: "answers", Minion: m.ID})
+	}
+	for _, e := range rep.Ended {
+		if e.N > m.seen {
+			s.end(now, m, e)
+			m.seen = e.N
+		}
+	}
+	if len(rep.Ended) > 0 {
+		s.batch.Seen[m.Life] = m.seen
+	}
+	listed := s.running(now, m, rep.Running)
+	if len(rep.Ended) < s.Limits.MaxEnds {
+		s.absent(now, m, n, listed)
+	}
+	m.known = true
+}
+
+// running takes in the list of runs.
+func (s *State) running(now time.Time, m *minion, rs []work.Run) map[runKey]bool {
+	listed := make(map[runKey]bool, len(rs))
+	for _, w := range rs {
+		k := runKey{w.Task, w.Attempt}
+		listed[k] = true
+		r := m.runs[k]
+		if r == nil {
+			r = s.stray(m, k)
+		}
+		if r.state == unsure {
+			r.state = live
+		}
+		if r.task != nil && r.task.attempt == w.Attempt && r.task.phase == Placed {
+			if w.Saved != "" {
+				r.task.saved = w.Saved
+			}
+		}
+		s.halt(now, m, r)
+	}
+	return listed
+}
+
+// stray adds a run that nobody here asked for: of a job that is over or not known.
+func (s *State) stray(m *minion, k runKey) *run {
+	r := &run{key: k, size: m.Room, state: live, stop: true}
+	if p := s.stepOf(k.task); p != nil {
+		r.size, r.step = p.Reserved(), p
+	}
+	s.note(Note{What: "stray", Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: m.ID})
+	m.add(r)
+	return r
+}
+
+func (s *State) stepOf(t work.TaskID) *step {
+	j := s.jobs[t.Job]
+	if j == nil || j.rounds[t.Round] == nil || t.Step < 0 || t.Step >= len(j.rounds[t.Round].steps) {
+		return nil
+	}
+	return j.rounds[t.Round].steps[t.Step]
+}
+
+// stopAgain is when a stop that shows no effect is sent again.
+const stopAgain = 400 * time.Millisecond
+
+// halt sends a stop for a run that is to end.
+func (s *State) halt(now time.Time, m *minion, r *run) {
+	if !r.stop || r.state == unsent || r.state == cancelled || now.Sub(r.asked) < stopAgain {
+		return
+	}
+	r.asked = now
+	s.now.Stops = append(s.now.Stops, StopOrder{m.Minion, r.key.task, r.key.attempt, m.token})
+}
+
+// absent gives up the runs that a report proves to be gone: they were there, or
+// may have been, before it was asked for, and it lists them nowhere.
+func (s *State) absent(now time.Time, m *minion, n Renewal, listed map[runKey]bool) {
+	for k, r := range m.runs {
+		if listed[k] || n.Seq <= r.mark {
+			continue
+		}
+		if r.state == live || r.state == unsure && n.Token > r.fence(s) {
+			m.remove(r)
+			s.lost(now, r, "its minion does not list it")
+		}
+	}
+}
+
+// fence is the highest token with which a start of the run may still come.
+func (r *run) fence(s *State) int64 {
+	if r.mark == 0 {
+		return s.Term*tokensPerTerm - 1 // a predecessor's
+	}
+	return r.token
+}
+
+// end takes in one ended run.
+func (s *State) end(now time.Time, m *minion, e work.End) {
+	r := m.runs[runKey{e.Task, e.Attempt}]
+	if r != nil {
+		m.remove(r)
+	}
+	if r == nil || r.task == nil {
+		return
+	}
+	t, p := r.task, r.step
+	if t.phase != Placed || t.attempt != e.Attempt || t.life != m.Life {
+		return
+	}
+	s.note(Note{What: "ended", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: string(e.How)})
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	p.job.dirty = true
+	switch {
+	case e.How == work.Done && !p.Lasting:
+		m.strikes = 0
+		s.done(now, p, t)
+	case e.How == work.Failed:
+		s.failed(now, m, p, t)
+	default:
+		s.requeue(p, t)
+		s.breakGang(now, p)
+	}
+}
+
+// done marks a task finished, with its whole gang.
+func (s *State) done(now time.Time, p *step, t *task) {
+	ts := []*task{t}
+	if p.Gang {
+		ts = p.tasks
+	}
+	for _, t := range ts {
+		if t.phase == Finished {
+			continue
+		}
+		if t.phase == Waiting {
+			p.waiting--
+		}
+		t.phase, t.saved = Finished, ""
+		p.left--
+	}
+	if p.left > 0 {
+		return
+	}
+	p.round.left--
+	if p.round.left > 0 {
+		return
+	}
+	p.job.finished++
+	if p.job.finished == p.job.Rounds() && !p.job.state.Over() {
+		s.finish(now, p.job, Completed)
+	}
+}
+
+// failed counts a failed run.
+func (s *State) failed(now time.Time, m *minion, p *step, t *task) {
+	s.strike(now, m)
+	if !p.Gang || p.failedAt != t.attempt {
+		p.failedAt = t.attempt
+		t.failures++
+	}
+	s.requeue(p, t)
+	s.breakGang(now, p)
+	if p.Lasting || p.job.state.Over() {
+		return
+	}
+	n := t.failures
+	if p.Gang {
+		n = 0
+		for _, t := range p.tasks {
+			n += t.failures
+		}
+	}
+	if n >= p.job.Attempts {
+		s.finish(now, p.job, JobFailed)
+	}
+}
+
+// Pauses of minions that fail what they are given.
+const (
+	strikesAllowed = 2
+	pauseFirst     = time.Second
+	pauseMost      = 8 * time.Second
+)
+
+// strike counts a failure of a minion; several in a row without a success
+// between them pause it, for longer each time.
+func (s *State) strike(now time.Time, m *minion) {
+	m.strikes++
+	if m.strikes < strikesAllowed {
+		return
+	}
+	d := min(pauseFirst<<min(m.strikes-strikesAllowed, 3), pauseMost)
+	m.paused = now.Add(d)
+	s.note(Note{What: "paused", Minion: m.ID, Why: d.String()})
+}
+
+// Started takes in the answer to a start. err means that there was none.
+func (s *State) Started(now time.Time, o Order, why work.Refusal, clock int64, err error) {
+	m := s.minions[o.Minion.ID]
+	if m == nil || m.Life != o.Minion.Life {
+		return
+	}
+	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	if r == nil {
+		return
+	}
+	r.mark, r.token = s.seq, o.Start.Token
+	switch {
+	case err != nil:
+		if r.state == sent {
+			r.state = unsure
+		}
+		m.token = max(m.token, o.Start.Token+1)
+		s.strike(now, m)
+		s.note(Note{What: "unanswered", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: err.Error()})
+	case why == work.Accepted:
+		if r.state == sent {
+			r.state = live
+		}
+		s.halt(now, m, r)
+	default:
+		s.refused(now, m, r, why)
+	}
+}
+
+func (s *State) refused(now time.Time, m *minion, r *run, why work.Refusal) {
+	s.note(Note{What: "refused", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: string(why)})
+	m.remove(r)
+	switch why {
+	case work.BadTicket:
+		if r.step != nil {
+			r.step.advice.forget(m.ID)
+		}
+	case work.Unhealthy, work.Full:
+		s.strike(now, m)
+	}
+	s.lost(now, r, "refused: "+string(why))
+}
+
+// expire gives up what ran on minions whose leases have all ended, and forgets
+// minions that have gone.
+func (s *State) expire(now time.Time) {
+	for id, m := range s.minions {
+		if m.silent.IsZero() && !m.at.IsZero() || now.Before(s.lapsed(m)) {
+			continue
+		}
+		if m.at.IsZero() && m.listed && len(m.runs) == 0 {
+			continue
+		}
+		if len(m.runs) > 0 {
+			s.drop(now, m, "its lease ended while its minion was silent")
+		}
+		m.known = false
+		if !m.listed {
+			delete(s.minions, id)
+			s.note(Note{What: "forgotten", Minion: id})
+		}
+	}
+}
+
+// Lives returns the lives of minions that are to be asked for reports.
+func (s *State) Lives() []work.Life {
+	out := make([]work.Life, 0, len(s.minions))
+	for _, m := range s.minions {
+		if m.Address != "" {
+			out = append(out, m.Life)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/shard/persist.go
@@ -0,0 +1,194 @@
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"jasminestep/internal/table"
+	"jasminestep/internal/work"
+)
+
+// ProgressTable has a row for each job that has begun, in the part of its service.
+const ProgressTable = "progress"
+
+// ProgressKey names the row of a job's progress.
+func ProgressKey(service, id string) table.Key {
+	return table.Key{Table: ProgressTable, Part: service, Name: id}
+}
+
+// savedTask is a task in a row.
+type savedTask struct {
+	Phase    Phase  `json:"p,omitempty"`
+	Attempt  int    `json:"a,omitempty"`
+	Failures int    `json:"f,omitempty"`
+	Minion   string `json:"m,omitempty"`
+	Born     int64  `json:"b,omitempty"`
+	Saved    string `json:"c,omitempty"`
+}
+
+type savedRound struct {
+	K     int           `json:"k,omitempty"`
+	Done  bool          `json:"d,omitempty"`
+	Steps [][]savedTask `json:"s,omitempty"`
+}
+
+type progress struct {
+	State  JobState     `json:"st"`
+	Rounds []savedRound `json:"r,omitempty"`
+}
+
+// row encodes a job's progress.
+func (j *job) row(service string) (table.Row, error) {
+	p := progress{State: j.state}
+	if !j.state.Over() {
+		for _, r := range j.rounds {
+			p.Rounds = append(p.Rounds, r.save())
+		}
+		sort.Slice(p.Rounds, func(a, b int) bool { return p.Rounds[a].K < p.Rounds[b].K })
+	}
+	b, err := json.Marshal(p)
+	if err != nil {
+		return table.Row{}, fmt.Errorf("encode progress of %s: %w", j.ID, err)
+	}
+	return table.Row{Key: ProgressKey(service, j.ID), Value: b}, nil
+}
+
+func (r *round) save() savedRound {
+	out := savedRound{K: r.k, Done: r.left == 0}
+	if out.Done {
+		return out
+	}
+	for _, p := range r.steps {
+		var ts []savedTask
+		if p.left > 0 {
+			for _, t := range p.tasks {
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.life.ID, t.life.Born, t.saved})
+			}
+		}
+		out.Steps = append(out.Steps, ts)
+	}
+	return out
+}
+
+// Load takes in a job as a predecessor left it; row is nil if it had not begun.
+func (s *State) Load(now time.Time, j *work.Job, row []byte) error {
+	s.Submit(now, j)
+	if row == nil {
+		return nil
+	}
+	var p progress
+	if err := json.Unmarshal(row, &p); err != nil {
+		return fmt.Errorf("progress of %s: %w", j.ID, err)
+	}
+	n := s.jobs[j.ID]
+	n.state = p.State
+	if n.state.Over() {
+		n.begun, n.ended = true, now
+		s.show(n)
+		return nil
+	}
+	for _, r := range p.Rounds {
+		n.next = max(n.next, r.K+1)
+		if r.Done {
+			n.rounds[r.K] = &round{k: r.K}
+			n.finished++
+			continue
+		}
+		n.rounds[r.K] = s.loadRound(n, r)
+	}
+	s.show(n)
+	return nil
+}
+
+func (s *State) loadRound(j *job, in savedRound) *round {
+	r := newRound(j, in.K)
+	for i, ts := range in.Steps {
+		if i >= len(r.steps) {
+			break
+		}
+		p := r.steps[i]
+		if len(ts) == 0 && p.Tasks > 0 {
+			p.left, p.waiting = 0, 0
+			r.left--
+			for _, t := range p.tasks {
+				t.phase = Finished
+			}
+			continue
+		}
+		for x, t := range ts {
+			s.loadTask(p, p.tasks[x], t)
+		}
+	}
+	return r
+}
+
+func (s *State) loadTask(p *step, t *task, in savedTask) {
+	t.attempt, t.failures, t.saved = in.Attempt, in.Failures, in.Saved
+	if t.attempt > 0 {
+		p.job.begun = true
+	}
+	switch in.Phase {
+	case Finished:
+		t.phase = Finished
+		p.left--
+		p.waiting--
+	case Placed:
+		t.phase = Placed
+		p.waiting--
+		t.life = work.Life{ID: in.Minion, Born: in.Born}
+		m := s.minions[in.Minion]
+		if m == nil {
+			m = s.newMinion(work.Minion{Life: t.life})
+		}
+		if m.Born == in.Born {
+			m.add(&run{key: runKey{t.id, t.attempt}, size: p.Reserved(), step: p, task: t, state: unsure})
+			return
+		}
+		s.requeue(p, t) // that life of the minion is over
+	}
+}
+
+// Take returns what is to be made durable now, and starts a new batch. To be
+// called when no earlier batch is under way.
+func (s *State) Take() (Batch, error) {
+	for _, j := range s.jobs {
+		if !j.dirty {
+			continue
+		}
+		r, err := j.row(s.Service)
+		if err != nil {
+			return Batch{}, err
+		}
+		j.dirty = false
+		s.batch.Rows = append(s.batch.Rows, r)
+		s.show(j)
+	}
+	b := s.batch
+	s.batch = Batch{Seen: map[work.Life]int64{}}
+	return b, nil
+}
+
+// Orders returns what may be done at once.
+func (s *State) Orders() Orders {
+	o := s.now
+	s.now = Orders{}
+	return o
+}
+
+// Durable tells that a write that had begun at began is durable.
+func (s *State) Durable(began time.Time) {
+	if began.After(s.durable) {
+		s.durable = began
+	}
+}
+
+// SavedState reads the state of a job from its row.
+func SavedState(row []byte) (JobState, error) {
+	var p progress
+	if err := json.Unmarshal(row, &p); err != nil {
+		return "", fmt.Errorf("progress: %w", err)
+	}
+	return p.State, nil
+}
--- /dev/null
+++ b/internal/shard/place.go
@@ -0,0 +1,402 @@
+package shard
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"jasminestep/internal/work"
+)
+
+// tier orders steps before anything else does.
+type tier int8
+
+const (
+	lasting  tier = iota // services, which earn while they run
+	timely               // can still end within the objective
+	late                 // can still end within lateLimit objectives
+	hopeless             // earns nothing any more
+)
+
+// lateLimit is the number of objectives after which a job is worth nothing.
+const lateLimit = 3
+
+// candidate is a step that waits to be placed, with its rank.
+type candidate struct {
+	*step
+	tier  tier
+	slack time.Duration // until the step has to begin to meet the objective
+	size  float64       // core-seconds that the rest of the job takes
+}
+
+// chain is the longest chain of estimated work from the step on.
+func (p *step) chain() time.Duration {
+	var after time.Duration
+	for _, q := range p.round.steps[p.index+1:] {
+		if slices.Contains(q.After, p.index) {
+			after = max(after, q.chain())
+		}
+	}
+	return p.Estimate + after
+}
+
+// objective is the time from submission within which the job should end.
+func (j *job) objective() time.Duration {
+	var c time.Duration
+	if r := j.rounds[0]; r != nil {
+		for _, p := range r.steps {
+			if len(p.After) == 0 {
+				c = max(c, p.chain())
+			}
+		}
+	}
+	return time.Duration(j.Slack*float64(c)) + j.Target
+}
+
+// gpuCores is the number of cores that one accelerator counts as.
+const gpuCores = 8
+
+// effort is the work left in the step, in core-seconds.
+func (p *step) effort() float64 {
+	cores := float64(p.Size.CPU)/1000 + gpuCores*float64(p.Size.GPU)
+	return cores * p.Estimate.Seconds() * float64(p.left)
+}
+
+func (s *State) candidate(now time.Time, wall time.Time, p *step) candidate {
+	c := candidate{step: p, size: p.effort()}
+	begin := p.job.arrived
+	if due := p.job.Due(p.round.k); due > 0 {
+		begin = now.Add(time.UnixMilli(due).Sub(wall))
+	}
+	obj := p.job.objective()
+	c.slack = begin.Add(obj - p.chain()).Sub(now)
+	switch {
+	case p.Lasting:
+		c.tier = lasting
+	case c.slack >= 0:
+		c.tier = timely
+	case c.slack >= -(lateLimit-1)*obj:
+		c.tier = late
+	default:
+		c.tier = hopeless
+	}
+	return c
+}
+
+// before orders candidates: services first; then what can be in time, the most
+// urgent first; then what is late, the shortest first.
+func (c candidate) before(d candidate) bool {
+	if c.tier != d.tier {
+		return c.tier < d.tier
+	}
+	if c.tier >= late && c.size != d.size {
+		return c.size < d.size
+	}
+	if c.slack != d.slack {
+		return c.slack < d.slack
+	}
+	return c.job.ID < d.job.ID
+}
+
+// Decide places what waits, and gives up what has lapsed. wall is the time of day.
+func (s *State) Decide(now, wall time.Time) {
+	s.expire(now)
+	s.sweep(now)
+	var cs []candidate
+	for _, j := range s.active {
+		j.begin(wall)
+		for _, r := range j.rounds {
+			for _, p := range r.steps {
+				if p.runnable() {
+					cs = append(cs, s.candidate(now, wall, p))
+				}
+			}
+		}
+	}
+	sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
+	v := &view{s: s, now: now, ms: s.sorted(), shadow: map[string]work.Size{}}
+	for _, c := range cs {
+		v.place(c)
+	}
+}
+
+// view is what one decision sees of the minions.
+type view struct {
+	s        *State
+	now      time.Time
+	ms       []*minion
+	shadow   map[string]work.Size // room kept for steps whose tickets are being renewed
+	reserved map[string]bool      // minions kept for a gang that does not fit yet
+}
+
+// suits says whether a task of the step could run on m if m were empty.
+func (p *step) suits(m *minion) bool {
+	return m.Room.Fits(p.Size) && (p.Label == "" || slices.Contains(m.Labels, p.Label))
+}
+
+// apart says whether tasks of the step and those on m may run side by side:
+// tasks that fill what others leave disturb those with a bound on their times.
+func (p *step) apart(m *minion) bool {
+	if p.Fill {
+		return m.serves > 0
+	}
+	return p.Target > 0 && m.fills > 0
+}
+
+// spot is a minion for some tasks of a step.
+type spot struct {
+	*minion
+	pass   pass
+	ticket string
+	left   work.Size // room after what this decision has placed
+	here   int       // tasks of the step there
+	order  [3]float64
+}
+
+func (v *view) spots(p *step) []*spot {
+	here := map[string]int{}
+	for _, t := range p.tasks {
+		if t.phase == Placed {
+			here[t.life.ID]++
+		}
+	}
+	need := p.Reserved()
+	var out []*spot
+	for _, m := range v.ms {
+		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || v.reserved[m.ID] && need.GPU > 0 {
+			continue
+		}
+		pass, text := p.pass(v.now, m)
+		if pass == barred {
+			continue
+		}
+		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(v.shadow[m.ID]), here: here[m.ID]}
+		if sp.left.Fits(need) {
+			sp.rank(p)
+			out = append(out, sp)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		for i := range out[a].order {
+			if x, y := out[a].order[i], out[b].order[i]; x != y {
+				return x < y
+			}
+		}
+		return false
+	})
+	return out
+}
+
+// rank sets the order in which spots are used: the data's rack first; then the
+// fullest minion, so that large tasks find room. Tasks that fill go where most
+// is left.
+func (sp *spot) rank(p *step) {
+	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
+		sp.order[0] = 1
+	}
+	if p.Fill {
+		sp.order[1] = -float64(sp.left.CPU) / float64(1+sp.fills)
+		return
+	}
+	if sp.Room.GPU > 0 {
+		sp.order[1] = float64(sp.left.GPU - p.Size.GPU)
+	}
+	sp.order[2] = float64(sp.left.CPU - p.Size.CPU)
+}
+
+// take says whether one more task fits, and takes its room.
+func (sp *spot) take(p *step) bool {
+	if !sp.left.Fits(p.Reserved()) || p.PerMinion > 0 && sp.here >= p.PerMinion {
+		return false
+	}
+	sp.left = sp.left.Minus(p.Reserved())
+	sp.here++
+	return true
+}
+
+// place places what it can of one step, or asks for the advice that it lacks.
+func (v *view) place(c candidate) {
+	p := c.step
+	if p.job.Advice != nil && !p.advice.asking {
+		if ids := v.s.unasked(v.now, p, v.ms); len(p.advice.good) == 0 || len(ids) > len(p.advice.asked) {
+			v.s.ask(v.now, p, ids)
+		}
+	}
+	spots := v.spots(p)
+	if p.Gang && p.OneRack {
+		spots = oneRack(p, spots)
+	}
+	plan := fill(p, spots)
+	if p.Gang && len(plan) < p.waiting {
+		v.reserve(c)
+		return
+	}
+	v.renew(p, plan)
+	if p.Gang && slices.ContainsFunc(plan, func(sp *spot) bool { return sp.pass != allowed }) {
+		v.keep(p, plan)
+		return
+	}
+	v.start(p, plan)
+}
+
+// fill returns a spot for each task that finds one.
+func fill(p *step, spots []*spot) []*spot {
+	var plan []*spot
+	for _, sp := range spots {
+		for len(plan) < p.waiting && sp.take(p) {
+			plan = append(plan, sp)
+		}
+	}
+	return plan
+}
+
+// oneRack keeps the spots of one rack if the whole gang fits there.
+func oneRack(p *step, spots []*spot) []*spot {
+	racks := map[string][]*spot{}
+	for _, sp := range spots {
+		c := *sp
+		racks[sp.Rack()] = append(racks[sp.Rack()], &c)
+	}
+	for _, sp := range spots {
+		trial := make([]*spot, 0, len(racks[sp.Rack()]))
+		for _, o := range racks[sp.Rack()] {
+			c := *o
+			trial = append(trial, &c)
+		}
+		if len(fill(p, trial)) == p.waiting {
+			return racks[sp.Rack()]
+		}
+	}
+	return spots
+}
+
+// renew asks anew for the tickets that the plan lacks.
+func (v *view) renew(p *step, plan []*spot) {
+	var ids []string
+	for _, sp := range plan {
+		if sp.pass == stale && !slices.Contains(ids, sp.ID) {
+			ids = append(ids, sp.ID)
+		}
+	}
+	v.s.ask(v.now, p, ids)
+}
+
+// keep holds room for a plan that waits for its tickets.
+func (v *view) keep(p *step, plan []*spot) {
+	for _, sp := range plan {
+		v.shadow[sp.ID] = v.shadow[sp.ID].Plus(p.Reserved())
+	}
+}
+
+// reserve keeps the minions that a gang may use for it, until enough is free.
+// One gang at a time does so.
+func (v *view) reserve(c candidate) {
+	if v.reserved != nil || c.tier > late {
+		return
+	}
+	p := c.step
+	var ms []*minion
+	for _, m := range v.ms {
+		if pass, _ := p.pass(v.now, m); pass != barred && m.usable(v.now) && p.suits(m) {
+			ms = append(ms, m)
+		}
+	}
+	sort.SliceStable(ms, func(a, b int) bool { return ms[a].free().GPU > ms[b].free().GPU })
+	v.reserved = map[string]bool{}
+	for n := 0; len(ms) > 0 && n < p.waiting; ms = ms[1:] {
+		v.reserved[ms[0].ID] = true
+		n += p.most(ms[0])
+	}
+}
+
+// most is how many tasks of the step an empty minion takes.
+func (p *step) most(m *minion) int {
+	n := p.waiting
+	r := p.Reserved()
+	for _, d := range [][2]int64{{m.Room.CPU, r.CPU}, {m.Room.Mem, r.Mem}, {m.Room.GPU, r.GPU}} {
+		if d[1] > 0 {
+			n = min(n, int(d[0]/d[1]))
+		}
+	}
+	if p.PerMinion > 0 {
+		n = min(n, p.PerMinion)
+	}
+	return max(n, 1)
+}
+
+// start places tasks of the step according to the plan.
+func (v *view) start(p *step, plan []*spot) {
+	next := 0
+	attempt := 0
+	if p.Gang {
+		for _, t := range p.tasks {
+			attempt = max(attempt, t.attempt+1)
+		}
+	}
+	for _, sp := range plan {
+		if sp.pass != allowed {
+			v.keep(p, []*spot{sp})
+			continue
+		}
+		for p.tasks[next].phase != Waiting {
+			next++
+		}
+		t := p.tasks[next]
+		if !p.Gang {
+			attempt = t.attempt + 1
+		}
+		v.s.start(v.now, p, t, attempt, sp)
+	}
+}
+
+// start places a task and has its start sent once that is durable.
+func (s *State) start(now time.Time, p *step, t *task, attempt int, sp *spot) {
+	m := sp.minion
+	j := p.job
+	t.phase, t.attempt, t.life = Placed, attempt, m.Life
+	p.waiting--
+	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, mark: s.seq + 1})
+	j.begun, j.dirty = true, true
+	if j.state == Queued {
+		j.state = Active
+	}
+	s.note(Note{What: "placed", Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	saved := ""
+	if p.Checkpoints {
+		saved = p.checkpoint(t)
+	}
+	s.batch.Starts = append(s.batch.Starts, Order{m.Minion, work.Start{
+		Task: t.id, Attempt: attempt, Spec: j.Spec, Saved: saved, Ticket: sp.ticket,
+	}})
+}
+
+// checkpoint is where a run resumes; all members of a gang carry the same.
+func (p *step) checkpoint(t *task) string {
+	if !p.Gang {
+		return t.saved
+	}
+	return p.tasks[0].saved
+}
+
+// Send completes a start that is durable now. ok is false if it is not to be
+// sent any more.
+func (s *State) Send(now time.Time, o *Order) bool {
+	m := s.minions[o.Minion.ID]
+	if m == nil || m.Life != o.Minion.Life {
+		return false
+	}
+	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	if r == nil {
+		return false
+	}
+	if r.state == cancelled || m.at.IsZero() {
+		m.remove(r)
+		s.lost(now, r, "given up before it was sent")
+		return false
+	}
+	r.state = sent
+	o.Minion = m.Minion
+	o.Start.Token = m.token
+	o.Start.Until = m.lease(now, s.Limits)
+	return true
+}
--- /dev/null
+++ b/internal/shard/state.go
@@ -0,0 +1,384 @@
+// Package shard decides for the minions of one service: which task runs where
+// and when, and what every answer of a minion means.
+//
+// A State belongs to one goroutine. Messages go in by its methods, with the
+// present time; Decide says what is to be done. Nothing is sent that the rows of
+// a Batch do not make durable first, so that a successor knows of every run that
+// may exist, and nothing a minion reported is forgotten there before it is
+// durable here.
+//
+// The present time counts the time that the machine was suspended, and is not
+// the time of day; only Wall in a call is.
+package shard
+
+import (
+	"sort"
+	"time"
+
+	"jasminestep/internal/table"
+	"jasminestep/internal/work"
+)
+
+// Limits are the times that the shard works with.
+type Limits struct {
+	Lease    time.Duration // of runs, from each renewal on
+	RenewFor time.Duration // how long after its last durable write an owner still renews
+	Drift    float64       // how much slower a minion's clock may be, as a share
+	Keep     time.Duration // how long the outcome of an ended job is told
+	MaxEnds  int           // ends in one report of a minion; there may be more
+	MaxAsks  int           // questions for advice under way at once
+}
+
+// Defaults suit minions that allow leases of 10 s.
+var Defaults = Limits{
+	Lease: 5 * time.Second, RenewFor: 7 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
+	MaxEnds: 500, MaxAsks: 8,
+}
+
+// Phase is where a task is in its life.
+type Phase int8
+
+// The phases.
+const (
+	Waiting Phase = iota
+	Placed        // a run of it may exist
+	Finished
+)
+
+// JobState is the state of a job as clients see it.
+type JobState string
+
+// The states.
+const (
+	Queued    JobState = "queued"
+	Active    JobState = "active"
+	Completed JobState = "completed"
+	JobFailed JobState = "failed"
+	Cancelled JobState = "canceled"
+)
+
+// Over says whether the state is final.
+func (s JobState) Over() bool { return s == Completed || s == JobFailed || s == Cancelled }
+
+// task is one task of a step.
+type task struct {
+	id       work.TaskID
+	phase    Phase
+	attempt  int       // number of the last start; 0 before the first
+	failures int       // runs that ended failed
+	life     work.Life // where it is placed; only while Placed
+	saved    string    // newest checkpoint
+}
+
+// step is one step of one round.
+type step struct {
+	*work.Step
+	index    int
+	job      *job
+	round    *round
+	tasks    []*task
+	left     int // tasks that are not finished
+	waiting  int // tasks that wait
+	advice   advice
+	failedAt int // attempt of a gang whose failure was counted
+}
+
+// round is one occurrence of a job's steps.
+type round struct {
+	k     int
+	steps []*step
+	left  int // steps that are not finished
+}
+
+type job struct {
+	*work.Job
+	state    JobState
+	rounds   map[int]*round
+	next     int // first round that is not due yet
+	finished int // rounds that are done
+	begun    bool
+	ended    time.Time
+	dirty    bool
+	arrived  time.Time // on the owner's clock
+	wanted   bool      // cancel was asked before the job was known
+}
+
+// runState is what is known of a run at a minion.
+type runState int8
+
+const (
+	unsent    runState = iota // placed; its row is not durable yet or its start is not sent
+	sent                      // its start is under way
+	live                      // it runs
+	unsure                    // its start got no answer, or a predecessor may have sent it
+	cancelled                 // placed, and to be given up before it is sent
+)
+
+type runKey struct {
+	task    work.TaskID
+	attempt int
+}
+
+type run struct {
+	key   runKey
+	size  work.Size // that it takes
+	step  *step     // nil for a run of an unknown job
+	task  *task     // nil likewise
+	state runState
+	mark  int64 // renewals asked for after this one show what became of it; 0: inherited
+	token int64 // token of its start, if that was sent in this term
+	stop  bool  // it is to end
+	asked time.Time
+}
+
+// minion is what the shard believes of one minion's life.
+type minion struct {
+	work.Minion
+	listed  bool  // has an entry in the store
+	known   bool  // it has answered under this term's token, so its lists are the truth
+	token   int64 // that the next order carries
+	clock   int64 // its clock in ms when it answered at at
+	at      time.Time
+	until   int64 // longest lease it was sent, on its clock
+	seen    int64 // number of the last end that was taken in
+	runs    map[runKey]*run
+	used    work.Size
+	silent  time.Time // first renewal without an answer since the last answer
+	paused  time.Time // gets no new work until then
+	strikes int
+	fills   int // runs that fill what others leave
+	serves  int // runs that have a bound on their response times
+}
+
+// State is the state of a shard. Use New.
+type State struct {
+	Service string
+	Term    int64
+	Limits  Limits
+	Notes   []Note // decisions since they were last taken away
+
+	jobs    map[string]*job
+	active  []*job // not over, in order of arrival
+	minions map[string]*minion
+	taken   time.Time // when the term began
+	seq     int64     // of renewals
+	asks    int       // under way
+	durable time.Time // when the last write that was made durable had begun
+	batch   Batch
+	now     Orders
+}
+
+// Note is one decision, for the log.
+type Note struct {
+	What    string
+	Job     string
+	Task    string
+	Attempt int
+	Minion  string
+	Why     string
+}
+
+// Order is a start to be sent.
+type Order struct {
+	Minion work.Minion
+	Start  work.Start
+}
+
+// StopOrder is a stop to be sent.
+type StopOrder struct {
+	Minion  work.Minion
+	Task    work.TaskID
+	Attempt int
+	Token   int64
+}
+
+// Ask is a question for advice.
+type Ask struct {
+	Step work.TaskID // Index is not used
+	IDs  []string
+	Cost time.Duration
+}
+
+// Shown is what clients are told of a job.
+type Shown struct {
+	ID    string
+	Queue string
+	State JobState // empty: forgotten
+	Begun bool
+}
+
+// Batch is what is to be made durable, and what may be done once it is.
+type Batch struct {
+	Rows   []table.Row
+	Delete []table.Key
+	Starts []Order
+	Seen   map[work.Life]int64 // ends that the minions may forget
+	Shown  []Shown
+	Drop   []string // jobs whose own rows can go
+}
+
+// Empty says that there is nothing to do.
+func (b *Batch) Empty() bool {
+	return len(b.Rows) == 0 && len(b.Delete) == 0 && len(b.Starts) == 0 && len(b.Seen) == 0 && len(b.Shown) == 0
+}
+
+// Orders may be carried out at once.
+type Orders struct {
+	Stops []StopOrder
+	Asks  []Ask
+}
+
+// tokensPerTerm leaves an owner room to raise its token at one minion.
+const tokensPerTerm = 1 << 16
+
+// New returns an empty shard in a term that began at now.
+func New(service string, term int64, now time.Time, l Limits) *State {
+	return &State{
+		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{},
+		taken: now, durable: now, batch: Batch{Seen: map[work.Life]int64{}},
+	}
+}
+
+func (s *State) note(n Note) { s.Notes = append(s.Notes, n) }
+
+// Submit takes in an accepted job. It may be said again.
+func (s *State) Submit(now time.Time, j *work.Job) {
+	if s.jobs[j.ID] != nil {
+		return
+	}
+	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrived: now}
+	s.jobs[j.ID] = n
+	s.active = append(s.active, n)
+	s.show(n)
+	s.note(Note{What: "job", Job: j.ID})
+}
+
+// Cancel ends a job. It may be said again, and of jobs that are over.
+func (s *State) Cancel(now time.Time, id string) {
+	j := s.jobs[id]
+	if j == nil || j.state.Over() {
+		return
+	}
+	s.note(Note{What: "cancel", Job: id})
+	s.finish(now, j, Cancelled)
+}
+
+// Has says whether the job is known.
+func (s *State) Has(id string) bool { return s.jobs[id] != nil }
+
+func (s *State) show(j *job) {
+	s.batch.Shown = append(s.batch.Shown, Shown{j.ID, j.Queue, j.state, j.begun})
+}
+
+// finish makes a state final; what still runs is stopped.
+func (s *State) finish(now time.Time, j *job, st JobState) {
+	j.state, j.ended, j.dirty = st, now, true
+	s.note(Note{What: "over", Job: j.ID, Why: string(st)})
+	for _, r := range j.rounds {
+		for _, p := range r.steps {
+			for _, t := range p.tasks {
+				s.giveUp(now, t)
+			}
+		}
+	}
+}
+
+// giveUp stops the run of a task, if there may be one.
+func (s *State) giveUp(now time.Time, t *task) {
+	if t.phase != Placed {
+		return
+	}
+	m := s.minions[t.life.ID]
+	if m == nil || m.Life != t.life {
+		return
+	}
+	r := m.runs[runKey{t.id, t.attempt}]
+	if r == nil {
+		return
+	}
+	r.stop = true
+	if r.state == unsent {
+		r.state = cancelled
+		return
+	}
+	if r.state != sent {
+		s.halt(now, m, r)
+	}
+}
+
+// begin creates the rounds that are due by the time of day.
+func (j *job) begin(wall time.Time) {
+	for j.next < j.Rounds() && j.Due(j.next) <= wall.UnixMilli() {
+		j.rounds[j.next] = newRound(j, j.next)
+		j.next++
+	}
+}
+
+func newRound(j *job, k int) *round {
+	r := &round{k: k, left: len(j.Steps)}
+	for i := range j.Steps {
+		p := &step{Step: &j.Steps[i], index: i, job: j, round: r, left: j.Steps[i].Tasks, waiting: j.Steps[i].Tasks}
+		for x := range p.Tasks {
+			p.tasks = append(p.tasks, &task{id: work.TaskID{Job: j.ID, Round: k, Step: i, Index: x}})
+		}
+		r.steps = append(r.steps, p)
+	}
+	return r
+}
+
+// open says whether the step's turn has come.
+func (p *step) open() bool {
+	for _, a := range p.After {
+		if p.round.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// near says that a step's turn comes soon: all that it waits for is placed.
+func (p *step) near() bool {
+	for _, a := range p.After {
+		if p.round.steps[a].waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runnable says that the step can have tasks placed now.
+func (p *step) runnable() bool {
+	if p.waiting == 0 || !p.open() {
+		return false
+	}
+	return !p.Gang || p.waiting == p.left
+}
+
+// sweep forgets jobs that were over for long enough, and rounds that are done.
+func (s *State) sweep(now time.Time) {
+	kept := s.active[:0]
+	for _, j := range s.active {
+		if !j.state.Over() {
+			kept = append(kept, j)
+		}
+	}
+	s.active = kept
+	for id, j := range s.jobs {
+		if j.state.Over() && !j.dirty && !j.ended.IsZero() && now.Sub(j.ended) > s.Limits.Keep {
+			delete(s.jobs, id)
+			s.batch.Delete = append(s.batch.Delete, ProgressKey(s.Service, id))
+			s.batch.Drop = append(s.batch.Drop, id)
+			s.batch.Shown = append(s.batch.Shown, Shown{ID: id, Queue: j.Queue})
+		}
+	}
+}
+
+// sorted returns the minions by id, for decisions that do not depend on chance.
+func (s *State) sorted() []*minion {
+	ms := make([]*minion, 0, len(s.minions))
+	for _, m := range s.minions {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(a, b int) bool { return ms[a].ID < ms[b].ID })
+	return ms
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
@@ -61,3 +62,10 @@
 	breaker.NoBreakerFor(name)
 	return httpc.NewServiceWithClient(name, cli)
 }
+
+// NotDialled says that a call failed because no connection could be opened, so
+// that the peer never saw it.
+func NotDialled(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
