Peer calls: argument types are exported

Cause: net/rpc registers only methods whose types are exported; every question for advice failed, and jobs waited for the owner's own share of the questions. Ruled out: the placement service refusing (no 429 was seen). Change: types of peer calls exported.

--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -210,7 +210,7 @@
 const lookTimeout = 700 * time.Millisecond
 
 // look asks the owner of a service for a job.
-func (s *Server) look(ctx context.Context, service, id string) (out lookReply, err error) {
+func (s *Server) look(ctx context.Context, service, id string) (out LookReply, err error) {
 	if o := s.owner(service); o != nil {
 		out.Owns = true
 		out.Shown, out.Known = o.look(id)
@@ -222,7 +222,7 @@
 	}
 	c, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	err = s.call(c, l.Addr, "Look", lookArgs{service, id}, &out)
+	err = s.call(c, l.Addr, "Look", LookArgs{service, id}, &out)
 	return out, err
 }
 
@@ -317,7 +317,7 @@
 		s.failed(w, id, err)
 		return
 	}
-	s.tellOwner(j.Service, "Cancel", cancelArgs{j.Service, id}, func(o *owner) {
+	s.tellOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
 		o.post(func(now time.Time) { o.st.Cancel(now, id) })
 	})
 	s.Log.Info("cancelled", "job", id)
@@ -331,11 +331,11 @@
 		web.Reply(w, http.StatusOK, s.Wire.Pending(o.pending(key)))
 		return
 	}
-	var out pendingReply
+	var out PendingReply
 	if l, ok := s.lead(q.Service); ok && l.Addr != "" {
 		c, cancel := context.WithTimeout(ctx, lookTimeout)
 		defer cancel()
-		if err := s.call(c, l.Addr, "Pending", pendingArgs{q.Service, key}, &out); err != nil {
+		if err := s.call(c, l.Addr, "Pending", PendingArgs{q.Service, key}, &out); err != nil {
 			s.Log.Debug("pending", "why", err.Error())
 		}
 	}
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -191,7 +191,7 @@
 func (s *Server) ping(ctx context.Context, service string, l Lead) bool {
 	c, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	var out aliveReply
+	var out AliveReply
 	err := s.peers.Call(c, l.Addr, peer.Control, "Alive", service, &out)
 	return err == nil && out.Owns && out.Age < staleWrite
 }
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -31,43 +31,49 @@
 // calls are what other entries may ask.
 type calls struct{ s *Server }
 
-// aliveReply tells whether an entry owns a shard.
-type aliveReply struct {
+// AliveReply tells whether an entry owns a shard.
+type AliveReply struct {
 	Owns bool
 	Age  time.Duration // since its last durable write had begun
 }
 
-// lookArgs ask an owner for a job.
-type lookArgs struct{ Service, ID string }
+// LookArgs ask an owner for a job.
+type LookArgs struct{ Service, ID string }
 
-// lookReply tells of a job. Sure means that the owner has the whole shard in view.
-type lookReply struct {
+// LookReply tells of a job. Sure means that the owner has the whole shard in view.
+type LookReply struct {
 	Owns  bool
 	Known bool
 	Shown shard.Shown
 }
 
-type pendingArgs struct{ Service, Queue string }
+// PendingArgs ask an owner for a queue.
+type PendingArgs struct{ Service, Queue string }
 
-type pendingReply struct {
+// PendingReply counts jobs that have not begun.
+type PendingReply struct {
 	Owns bool
 	N    int
 }
 
-type cancelArgs struct{ Service, ID string }
+// CancelArgs name a job that was cancelled.
+type CancelArgs struct{ Service, ID string }
 
-type askArgs struct {
+// AskArgs are a question for advice.
+type AskArgs struct {
 	Step string
 	IDs  []string
 }
 
-type askReply struct {
+// AskReply is the service's answer, or why there is none.
+type AskReply struct {
 	Tickets map[string]string
 	Valid   time.Duration
 	Error   string
 }
 
-type relayReply struct {
+// RelayReply is what the store answered.
+type RelayReply struct {
 	Result  table.Result
 	Error   string
 	Refused bool // the store refused, nothing was done
@@ -77,9 +83,9 @@
 func (c *calls) Ping(struct{}, *struct{}) error { return nil }
 
 // Alive tells whether this entry owns the shard of a service.
-func (c *calls) Alive(service string, out *aliveReply) error {
+func (c *calls) Alive(service string, out *AliveReply) error {
 	if o := c.s.owner(service); o != nil {
-		*out = aliveReply{true, steady().Sub(o.lastWrite())}
+		*out = AliveReply{true, steady().Sub(o.lastWrite())}
 	}
 	return nil
 }
@@ -94,7 +100,7 @@
 }
 
 // Cancel tells the owner of an accepted cancellation.
-func (c *calls) Cancel(a cancelArgs, owns *bool) error {
+func (c *calls) Cancel(a CancelArgs, owns *bool) error {
 	if o := c.s.owner(a.Service); o != nil {
 		*owns = true
 		o.post(func(now time.Time) { o.st.Cancel(now, a.ID) })
@@ -103,7 +109,7 @@
 }
 
 // Look tells of a job.
-func (c *calls) Look(a lookArgs, out *lookReply) error {
+func (c *calls) Look(a LookArgs, out *LookReply) error {
 	if o := c.s.owner(a.Service); o != nil {
 		out.Owns = true
 		out.Shown, out.Known = o.look(a.ID)
@@ -112,9 +118,9 @@
 }
 
 // Pending counts the jobs of a queue that have not begun.
-func (c *calls) Pending(a pendingArgs, out *pendingReply) error {
+func (c *calls) Pending(a PendingArgs, out *PendingReply) error {
 	if o := c.s.owner(a.Service); o != nil {
-		*out = pendingReply{true, o.pending(a.Queue)}
+		*out = PendingReply{true, o.pending(a.Queue)}
 	}
 	return nil
 }
@@ -124,7 +130,7 @@
 
 // Advise asks the placement service on an owner's behalf: it answers one
 // question at a time for each VM.
-func (c *calls) Advise(a askArgs, out *askReply) error {
+func (c *calls) Advise(a AskArgs, out *AskReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), adviceLimit)
 	defer cancel()
 	var err error
@@ -135,7 +141,7 @@
 }
 
 // Relay carries out a transaction for an entry that does not reach the store.
-func (c *calls) Relay(tx table.Tx, out *relayReply) error {
+func (c *calls) Relay(tx table.Tx, out *RelayReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	res, err := c.s.Store.Do(ctx, tx)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -122,8 +122,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
 		defer cancel()
-		why, clock, err := r.o.s.Minions.Start(ctx, &x.Minion, x.Start)
-		r.o.post(func(now time.Time) { r.o.st.Started(now, x, why, clock, err) })
+		why, err := r.o.s.Minions.Start(ctx, &x.Minion, x.Start)
+		r.o.post(func(now time.Time) { r.o.st.Started(now, x, why, err) })
 	}()
 }
 
@@ -144,9 +144,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, a.Cost+adviceLimit)
 		defer cancel()
-		var out askReply
+		var out AskReply
 		var err error
-		args := askArgs{a.Step.StepID(), a.IDs}
+		args := AskArgs{a.Step.StepID(), a.IDs}
 		if addr == o.s.Set.Peer {
 			err = (&calls{o.s}).Advise(args, &out)
 		} else {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,7 +31,7 @@
 
 // Minions carries orders to minions.
 type Minions interface {
-	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, int64, error)
+	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error)
 	Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error
 	Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error)
 }
@@ -279,7 +279,7 @@
 	if n >= len(addrs) {
 		return table.Result{}, errors.Mark(errors.New("no other entry"), table.ErrNotDone)
 	}
-	var out relayReply
+	var out RelayReply
 	err := s.call(ctx, addrs[n], "Relay", tx, &out)
 	switch {
 	case errors.Is(err, peer.ErrNotSent):
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -420,7 +420,7 @@
 }
 
 // Started takes in the answer to a start. err means that there was none.
-func (s *State) Started(now time.Time, o Order, why work.Refusal, clock int64, err error) {
+func (s *State) Started(now time.Time, o Order, why work.Refusal, err error) {
 	m := s.minions[o.Minion.ID]
 	if m == nil || m.Life != o.Minion.Life {
 		return
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -345,12 +345,12 @@
 		if !p.Gang {
 			attempt = t.attempt + 1
 		}
-		v.s.start(v.now, p, t, attempt, sp)
+		v.s.start(p, t, attempt, sp)
 	}
 }
 
 // start places a task and has its start sent once that is durable.
-func (s *State) start(now time.Time, p *step, t *task, attempt int, sp *spot) {
+func (s *State) start(p *step, t *task, attempt int, sp *spot) {
 	m := sp.minion
 	j := p.job
 	t.phase, t.attempt, t.life = Placed, attempt, m.Life
