Store calls are hedged through other entries; planned stops end in time

Cause: a 503 was sent though an earlier attempt of the same request was open (REFUSED); a slow store timed out at 0.9 s; SIGHUP ended processes (code 129); stops outlived the grace time; cheap questions for advice waited behind long ones. Ruled out: the store reordering writes (the row seq shows one chain). Change: a rejection needs every attempt refused; other entries are tried beside a slow own way; a store that is down rejects at once; SIGHUP reloads; each shard asks for advice through entries of its own, one question at a time each.

--- a/cmd/jasminestep/entry.go
+++ b/cmd/jasminestep/entry.go
@@ -46,9 +46,26 @@
 		return err
 	}
 	sigs := make(chan os.Signal, 2)
-	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s.Start()
-	<-sigs
+	for sig := range sigs {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		c.reload(s, log)
+	}
 	s.Stop()
 	return nil
 }
+
+// reload takes in a changed settings file. Of a running entry only the level of
+// its log changes; addresses change with the next start.
+func (c *entryCommand) reload(s *server.Server, log hclog.Logger) {
+	set, err := server.Load(c.Config)
+	if err != nil {
+		log.Error("reload", "why", err.Error())
+		return
+	}
+	log.SetLevel(hclog.LevelFromString(set.Level))
+	log.Info("reload", "level", set.Level, "addresses", s.Set.SameAddresses(set))
+}
--- /dev/null
+++ b/internal/server/ask.go
@@ -0,0 +1,133 @@
+package server
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+)
+
+// The placement service answers one question at a time for each VM that asks.
+// Owners therefore spread their questions over the entries, one at a time each.
+// Every shard has entries of its own for that, and of these some are kept for
+// short questions, so that urgent work does not wait behind long answers.
+
+// longAnswer is the time from which on a question counts as long.
+const longAnswer = 100 * time.Millisecond
+
+// askers returns the addresses of the entries that ask for a shard, in an order
+// that all entries agree on. There is always one.
+func (s *Server) askers(now time.Time, service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.Set.ID}
+	addrs := map[string]string{s.Set.ID: s.Set.Peer}
+	for n, e := range s.names {
+		if n != s.Set.ID && !s.blamed(now, e.Addr) {
+			names = append(names, n)
+			addrs[n] = e.Addr
+		}
+	}
+	sort.Slice(names, func(a, b int) bool { return rank("ask", names[a]) < rank("ask", names[b]) })
+	services := s.services()
+	i := sort.SearchStrings(services, service)
+	var out []string
+	for k, n := range names {
+		if len(services) == 0 || k%len(services) == i%len(services) {
+			out = append(out, addrs[n])
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, s.Set.Peer)
+	}
+	return out
+}
+
+// services lists the services that have shards, sorted.
+func (s *Server) services() []string {
+	c := s.cfg.Load()
+	if c == nil {
+		return nil
+	}
+	var out []string
+	for _, v := range c.Services {
+		if !v.Standby {
+			out = append(out, v.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// asking are the questions of an owner that are under way. It belongs to the
+// control goroutine.
+type asking struct {
+	addrs []string
+	busy  map[string]bool
+	at    time.Time // when addrs was made
+}
+
+// askersFor is how long a list of askers is used.
+const askersFor = 500 * time.Millisecond
+
+// free says how many more questions can be asked now, and how many of them may be long.
+func (o *owner) free(now time.Time) (all, long int) {
+	if now.Sub(o.asking.at) > askersFor {
+		o.asking.addrs, o.asking.at = o.s.askers(now, o.service), now
+	}
+	for _, a := range o.asking.addrs {
+		if !o.asking.busy[a] {
+			all++
+		}
+	}
+	if len(o.asking.addrs) == 1 {
+		return all, all
+	}
+	return all, all - 1
+}
+
+// ask sends a question through an entry that asks nothing at present.
+func (o *owner) ask(a shard.Ask) {
+	addr := ""
+	for _, x := range o.asking.addrs {
+		if !o.asking.busy[x] {
+			addr = x
+			break
+		}
+	}
+	if addr == "" {
+		o.st.Advised(steady(), steady(), a, nil, 0, errors.New("every entry is asking"))
+		return
+	}
+	o.asking.busy[addr] = true
+	go func() {
+		out, err := o.question(addr, a)
+		given := steady()
+		o.post(func(now time.Time) {
+			delete(o.asking.busy, addr)
+			o.st.Advised(now, given, a, out.Tickets, out.Valid, err)
+		})
+	}()
+}
+
+// askMargin is added to the time that the service takes.
+const askMargin = 1500 * time.Millisecond
+
+// question asks through the entry at addr.
+func (o *owner) question(addr string, a shard.Ask) (out AskReply, err error) {
+	ctx, cancel := context.WithTimeout(o.ctx, a.Cost+askMargin)
+	defer cancel()
+	args := AskArgs{a.Step.StepID(), a.IDs}
+	if addr == o.s.Set.Peer {
+		err = (&calls{o.s}).Advise(args, &out)
+	} else {
+		err = o.s.call(ctx, addr, "Advise", args, &out)
+	}
+	if err == nil && out.Error != "" {
+		err = errors.New(out.Error)
+	}
+	return out, err
+}
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -28,7 +28,7 @@
 	maxTasks      = 10_000 // of a job, over all steps
 	maxRow        = 64 << 10
 	retryAfter    = "1" // seconds
-	jobParts      = 4
+	jobParts      = 16
 )
 
 var jobID = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
@@ -146,14 +146,19 @@
 func (s *Server) accept(ctx context.Context, j *work.Job, row []byte) (fresh bool, err error) {
 	k := jobKey(j.ID)
 	tx := table.Tx{If: []table.Row{{Key: k}}, Put: []table.Row{{Key: k, Value: row}}}
+	open := false // an attempt may have been, or may yet be carried out
 	for {
 		res, err := s.store.Do(ctx, tx)
 		if err == nil {
 			return res.Done, nil // if not done, the row is there: the job was accepted before
 		}
-		if errors.Is(err, table.ErrNotDone) || ctx.Err() != nil {
+		if !open && errors.Is(err, table.ErrNotDone) {
 			return false, err
 		}
+		open = true
+		if ctx.Err() != nil {
+			return false, fmt.Errorf("fate unknown: %v", err)
+		}
 		pause(ctx, retryGap/5)
 	}
 }
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -299,6 +299,6 @@
 	}
 	s.mu.Unlock()
 	for _, o := range os {
-		o.handOver()
+		go o.handOver()
 	}
 }
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -40,6 +40,7 @@
 	in      chan func(now time.Time)
 	st      *shard.State
 	runners map[work.Life]*runner
+	asking  asking
 
 	own, seq int64 // versions of the two rows that every write depends on
 	writes   int
@@ -59,7 +60,7 @@
 func newOwner(ctx context.Context, s *Server, service string, l Lead, seq int64) *owner {
 	o := &owner{
 		s: s, service: service, term: l.Term, in: make(chan func(time.Time), 4096), own: l.version, seq: seq,
-		runners: map[work.Life]*runner{}, left: make(chan struct{}),
+		runners: map[work.Life]*runner{}, asking: asking{busy: map[string]bool{}}, left: make(chan struct{}),
 		shown: map[string]shard.Shown{}, queues: map[string]int{},
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -130,7 +131,8 @@
 func (o *owner) step() {
 	now := steady()
 	if !o.leaving {
-		o.st.Decide(now, time.Now())
+		all, long := o.free(now)
+		o.st.Decide(now, time.Now(), shard.Askers{All: all, Long: long, From: longAnswer})
 	}
 	orders := o.st.Orders()
 	for _, x := range orders.Stops {
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"jasminestep/internal/shard"
 	"jasminestep/internal/work"
 )
@@ -137,50 +135,3 @@
 		}
 	}()
 }
-
-// ask has the entry with the fewest questions under way ask the placement service.
-func (o *owner) ask(a shard.Ask) {
-	addr := o.s.asker(steady(), o.service)
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, a.Cost+adviceLimit)
-		defer cancel()
-		var out AskReply
-		var err error
-		args := AskArgs{a.Step.StepID(), a.IDs}
-		if addr == o.s.Set.Peer {
-			err = (&calls{o.s}).Advise(args, &out)
-		} else {
-			err = o.s.call(ctx, addr, "Advise", args, &out)
-		}
-		if err == nil && out.Error != "" {
-			err = errors.New(out.Error)
-		}
-		given := steady()
-		o.s.asking(addr, -1)
-		o.post(func(now time.Time) { o.st.Advised(now, given, a, out.Tickets, out.Valid, err) })
-	}()
-}
-
-// asker picks the entry that is to ask, and counts the question.
-func (s *Server) asker(now time.Time, service string) string {
-	best := s.Set.Peer
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.names {
-		if s.blamed(now, e.Addr) {
-			continue
-		}
-		a, b := s.asked[e.Addr], s.asked[best]
-		if a < b || a == b && rank(service, e.Addr) < rank(service, best) {
-			best = e.Addr
-		}
-	}
-	s.asked[best]++
-	return best
-}
-
-func (s *Server) asking(addr string, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.asked[addr] += n
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,7 +82,6 @@
 	mu     sync.Mutex
 	names  map[string]Entry     // entries, by name
 	blame  map[string]time.Time // entries that did not answer, by address
-	asked  map[string]int       // questions under way, by address
 	leads  map[string]Lead      // owners, by service
 	owners map[string]*owner    // shards owned here, by service
 	loaded bool                 // leads has all rows there are
@@ -107,7 +106,7 @@
 func New(set Settings, p Parts) (*Server, error) {
 	s := &Server{
 		Set: set, Parts: p, life: uuid.NewString()[:8],
-		names: map[string]Entry{}, blame: map[string]time.Time{}, asked: map[string]int{},
+		names: map[string]Entry{}, blame: map[string]time.Time{},
 		leads: map[string]Lead{}, owners: map[string]*owner{},
 	}
 	s.store = &relayed{Store: p.Store, via: s.relay}
@@ -307,19 +306,23 @@
 // that the balancer has seen it twice.
 const notice = 2500 * time.Millisecond
 
+// exitMargin is how long before the end of the grace time a planned stop ends.
+const exitMargin = 700 * time.Millisecond
+
 // Stop is the planned stop: shards are handed over, the balancer is told, and
 // what is in progress is answered.
 func (s *Server) Stop() {
 	s.Log.Info("stop")
 	s.stopping.Store(true)
-	s.release()
-	time.Sleep(notice)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Set.Grace)*time.Millisecond-notice-500*time.Millisecond)
+	grace, cancel := context.WithTimeout(context.Background(), time.Duration(s.Set.Grace)*time.Millisecond-exitMargin)
 	defer cancel()
-	if err := s.front.Stop(ctx); err != nil {
+	s.release()
+	pause(grace, notice)
+	if err := s.front.Stop(grace); err != nil {
 		s.Log.Warn("stop", "why", err.Error())
 	}
-	s.Kill()
+	s.cancel()
+	s.Log.Info("end")
 }
 
 // Kill ends at once.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -138,3 +138,8 @@
 		s.Orders = "call"
 	}
 }
+
+// SameAddresses says whether o has the same name and addresses.
+func (s *Settings) SameAddresses(o *Settings) bool {
+	return s.ID == o.ID && s.Caller == o.Caller && s.Ready == o.Ready && s.Peer == o.Peer && s.Store == o.Store && s.Advice == o.Advice
+}
--- a/internal/server/store.go
+++ b/internal/server/store.go
@@ -13,10 +13,13 @@
 
 // Bounds on calls to the store.
 const (
-	storeTimeout = 900 * time.Millisecond
-	relayTimeout = 1200 * time.Millisecond
-	relayTries   = 2
-	distrust     = time.Second // after a failure, how long other entries are tried before the store
+	storeTimeout = 2 * time.Second
+	relayTimeout = 2200 * time.Millisecond
+	hedgeLeast   = 250 * time.Millisecond // without an answer, before another entry is asked too
+	hedgeTimes   = 3                      // the same, in usual times of an answer
+	distrust     = time.Second            // after a failure, how long other entries are asked at once
+	downGap      = 250 * time.Millisecond // between tries while the store is not to be reached at all
+	usualShare   = 0.2                    // of the newest time in the usual one
 )
 
 // relayed is a store that is reached through another entry when this one does
@@ -26,74 +29,123 @@
 	via func(ctx context.Context, n int, tx table.Tx) (table.Result, error) // through the n-th other entry
 
 	mu     sync.Mutex
-	failed time.Time
+	failed time.Time     // last failure of this entry's own way, since its last success
+	down   time.Time     // last time that every way failed, since the last success
+	usual  time.Duration // time of an answer
 }
 
-func (s *relayed) trusted(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failed.IsZero() || now.Sub(s.failed) > distrust
-}
+// errDown means that the store was not to be reached a moment ago.
+var errDown = errors.Mark(errors.New("the store is not to be reached"), table.ErrNotDone)
 
-func (s *relayed) told(now time.Time, err error) {
+// hedge is how long to wait for this entry's own way before another is tried
+// too. ok is false if the store was just seen to be down.
+func (s *relayed) hedge(now time.Time) (d time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = time.Time{}
-	if err != nil {
-		s.failed = now
+	if !s.down.IsZero() {
+		if now.Sub(s.down) < downGap {
+			return 0, false
+		}
+		s.down = now // this call finds out for the others
+	}
+	if !s.failed.IsZero() && now.Sub(s.failed) < distrust {
+		return 0, true
 	}
+	return max(hedgeLeast, hedgeTimes*s.usual), true
 }
 
 // direct carries out a transaction without help.
 func (s *relayed) direct(ctx context.Context, tx table.Tx) (table.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := steady()
 	res, err := s.Store.Do(ctx, tx)
-	s.told(steady(), err)
+	now := steady()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.failed = time.Time{}
+		s.usual += time.Duration(usualShare * float64(now.Sub(began)-s.usual))
+	case ctx.Err() == nil || now.Sub(began) >= hedgeLeast:
+		s.failed = now
+	}
 	return res, err
 }
 
+// attempt is what came of one way.
+type attempt struct {
+	res table.Result
+	err error
+}
+
 // Do carries out a transaction, if need be through other entries. Its
 // conditions must make it safe to be sent more than once. The error is marked
 // table.ErrNotDone only if every attempt was refused.
 func (s *relayed) Do(ctx context.Context, tx table.Tx) (table.Result, error) {
-	var first error
-	open := false // an attempt may have been, or may yet be carried out
-	note := func(err error) {
-		first = errors.CombineErrors(first, err)
-		open = open || !errors.Is(err, table.ErrNotDone)
+	wait, ok := s.hedge(steady())
+	if !ok {
+		return table.Result{}, errDown
 	}
-	trusted := s.trusted(steady())
-	if trusted {
-		res, err := s.direct(ctx, tx)
-		if err == nil {
-			return res, nil
-		}
-		note(err)
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	ch := make(chan attempt, 3)
+	send := func(f func() (table.Result, error)) {
+		go func() {
+			res, err := f()
+			ch <- attempt{res, err}
+		}()
 	}
-	for n := range relayTries {
-		if ctx.Err() != nil {
-			break
-		}
-		rctx, cancel := context.WithTimeout(ctx, relayTimeout)
-		res, err := s.via(rctx, n, tx)
-		cancel()
-		if err == nil {
-			return res, nil
+	send(func() (table.Result, error) { return s.direct(ctx, tx) })
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	var first error
+	open := false // an attempt may have been, or may yet be carried out
+	for under, relays := 1, 0; under > 0; {
+		next := false
+		select {
+		case a := <-ch:
+			under--
+			if a.err == nil {
+				s.up()
+				return a.res, nil
+			}
+			first = errors.CombineErrors(first, a.err)
+			open = open || !errors.Is(a.err, table.ErrNotDone)
+			next = true
+		case <-t.C:
+			next = true
+		case <-ctx.Done():
+			return table.Result{}, s.unreached(fmt.Errorf("store, fate unknown: %w", ctx.Err()), true)
 		}
-		note(err)
-	}
-	if !trusted && ctx.Err() == nil {
-		res, err := s.direct(ctx, tx)
-		if err == nil {
-			return res, nil
+		if next && relays < relayTries {
+			n := relays
+			relays++
+			under++
+			send(func() (table.Result, error) { return s.via(ctx, n, tx) })
 		}
-		note(err)
 	}
+	return table.Result{}, s.unreached(first, open)
+}
+
+// relayTries is how many other entries are asked.
+const relayTries = 2
+
+func (s *relayed) up() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = time.Time{}
+}
+
+// unreached notes that no way led to the store.
+func (s *relayed) unreached(err error, open bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = steady()
 	if open {
-		return table.Result{}, fmt.Errorf("store, fate unknown: %v", first)
+		return fmt.Errorf("store, fate unknown: %v", err)
 	}
-	return table.Result{}, errors.Mark(fmt.Errorf("store: %w", first), table.ErrNotDone)
+	return errors.Mark(fmt.Errorf("store: %w", err), table.ErrNotDone)
 }
 
 // follow keeps calling take with the changes of a table, beginning with all of
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -65,19 +65,42 @@
 
 // ask adds a question about a step, if one may be asked now.
 func (s *State) ask(now time.Time, p *step, ids []string) {
-	if len(ids) == 0 || p.advice.asking || s.asks >= s.Limits.MaxAsks || now.Before(p.advice.wait) {
+	if len(ids) == 0 || p.advice.asking || now.Before(p.advice.wait) {
 		return
 	}
-	p.advice.asking = true
-	s.asks++
 	a := p.job.Advice
+	cost := a.Decide + a.Each*time.Duration(len(ids))
+	if !s.askers.take(cost) {
+		return
+	}
+	p.advice.asking = true
 	s.now.Asks = append(s.now.Asks, Ask{
 		Step: work.TaskID{Job: p.job.ID, Round: p.round.k, Step: p.index},
 		IDs:  ids,
-		Cost: a.Decide + a.Each*time.Duration(len(ids)),
+		Cost: cost,
 	})
 }
 
+// Askers says how many questions can be asked at present.
+type Askers struct {
+	All  int
+	Long int           // of these, how many may take From or longer
+	From time.Duration // the time from which on a question is long
+}
+
+// take says whether one more question can be asked that takes cost, and counts it.
+func (a *Askers) take(cost time.Duration) bool {
+	if a.All == 0 || cost >= a.From && a.Long == 0 {
+		return false
+	}
+	a.All--
+	if cost >= a.From {
+		a.Long--
+	}
+	a.Long = min(a.Long, a.All)
+	return true
+}
+
 // unasked lists minions that the service was not asked about and that could run a task of the step.
 func (s *State) unasked(now time.Time, p *step, ms []*minion) []string {
 	var ids []string
@@ -95,7 +118,6 @@
 
 // Advised takes in an answer about a step; given is when the service answered.
 func (s *State) Advised(now, given time.Time, a Ask, tickets map[string]string, valid time.Duration, err error) {
-	s.asks--
 	p := s.stepOf(a.Step)
 	if p == nil {
 		return
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -99,7 +99,8 @@
 }
 
 // Decide places what waits, and gives up what has lapsed. wall is the time of day.
-func (s *State) Decide(now, wall time.Time) {
+func (s *State) Decide(now, wall time.Time, free Askers) {
+	s.askers = free
 	s.expire(now)
 	s.sweep(now)
 	var cs []candidate
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -26,13 +26,12 @@
 	Drift    float64       // how much slower a minion's clock may be, as a share
 	Keep     time.Duration // how long the outcome of an ended job is told
 	MaxEnds  int           // ends in one report of a minion; there may be more
-	MaxAsks  int           // questions for advice under way at once
 }
 
 // Defaults suit minions that allow leases of 10 s.
 var Defaults = Limits{
 	Lease: 5 * time.Second, RenewFor: 7 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
-	MaxEnds: 500, MaxAsks: 8,
+	MaxEnds: 500,
 }
 
 // Phase is where a task is in its life.
@@ -162,7 +161,7 @@
 	minions map[string]*minion
 	taken   time.Time // when the term began
 	seq     int64     // of renewals
-	asks    int       // under way
+	askers  Askers    // left in this decision
 	durable time.Time // when the last write that was made durable had begun
 	batch   Batch
 	now     Orders
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // Key names a row. Rows of one transaction share the part.
@@ -71,12 +72,20 @@
 	if err != nil {
 		return Range{}, err
 	}
+	all := make([]Range, len(parts))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(readsAtOnce)
+	for i, p := range parts {
+		g.Go(func() (err error) {
+			all[i], err = s.Read(ctx, table, p, "", "")
+			return err
+		})
+	}
+	if err = g.Wait(); err != nil {
+		return Range{}, err
+	}
 	var out Range
-	for _, p := range parts {
-		r, err := s.Read(ctx, table, p, "", "")
-		if err != nil {
-			return Range{}, err
-		}
+	for _, r := range all {
 		out.Rows = append(out.Rows, r.Rows...)
 		if out.Version == 0 || r.Version < out.Version {
 			out.Version = r.Version
@@ -84,3 +93,6 @@
 	}
 	return out, nil
 }
+
+// readsAtOnce is how many parts ReadAll reads side by side.
+const readsAtOnce = 8
