Owners on strong VMs, cheaper decisions, further questions for advice

Cause: on 350 minions an owner on a VM of 0.19 cores was saturated (0.22 used), each decision looked at every minion for every step; steps wider than the allowed minions that were named waited for ever (LOST). Ruled out: the store (60 writes a second) and the minions' answers. Change: owners are chosen by strength; a step looks only at minions it may use; a step that does not fit asks about further minions with room.

--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sort"
 	"time"
 
 	"jasminestep/internal/peer"
@@ -28,6 +27,7 @@
 	pingTimeout  = 600 * time.Millisecond
 	quietFor     = 1100 * time.Millisecond // without an answer or a write, before a shard is taken over
 	staleWrite   = 3 * time.Second         // an owner that answers but makes nothing durable is replaced
+	enrolTime    = 700 * time.Millisecond  // from the first list of entries, for others to be in it
 	claimStagger = 100 * time.Millisecond
 	ownsAlready  = 4 // ranks that an owner of another shard steps back
 )
@@ -102,16 +102,12 @@
 func (s *Server) turn(service string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := []string{s.Set.ID}
-	for n := range s.names {
-		if n != s.Set.ID {
-			names = append(names, n)
-		}
-	}
-	sort.Slice(names, func(a, b int) bool { return rank(service, names[a]) < rank(service, names[b]) })
+	me := Entry{Name: s.Set.ID, Strength: s.Set.Strength()}
 	t := 0
-	for names[t] != s.Set.ID {
-		t++
+	for n, e := range s.names {
+		if n != me.Name && e.before(me, service) {
+			t++
+		}
 	}
 	if len(s.owners) > 0 {
 		t += ownsAlready
@@ -119,6 +115,14 @@
 	return t
 }
 
+// before says whether e claims a shard before f: the stronger first.
+func (e Entry) before(f Entry, service string) bool {
+	if e.Strength != f.Strength {
+		return e.Strength > f.Strength
+	}
+	return rank(service, e.Name) < rank(service, f.Name)
+}
+
 // watched is what an entry has seen of a shard's owner.
 type watched struct {
 	asked time.Time // last ping
@@ -162,7 +166,10 @@
 func (s *Server) hasLeads() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loaded
+	if !s.loaded || s.enrolledAt.IsZero() {
+		return false
+	}
+	return !s.Set.First || steady().Sub(s.enrolledAt) >= enrolTime
 }
 
 // lostOwner says that an owner neither answers nor writes any more.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -80,11 +80,13 @@
 	wg       sync.WaitGroup
 
 	mu     sync.Mutex
-	names  map[string]Entry     // entries, by name
-	blame  map[string]time.Time // entries that did not answer, by address
-	leads  map[string]Lead      // owners, by service
-	owners map[string]*owner    // shards owned here, by service
-	loaded bool                 // leads has all rows there are
+	names  map[string]Entry  // entries, by name
+	blame  map[string]blame  // entries that did not answer, by address
+	leads  map[string]Lead   // owners, by service
+	owners map[string]*owner // shards owned here, by service
+	loaded bool              // leads has all rows there are
+
+	enrolledAt time.Time // first list of entries
 }
 
 // Entry is the row of an entry.
@@ -92,6 +94,8 @@
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
+
+	Strength float64 `json:"strength"` // as an owner
 }
 
 // Tables of the product's own rows.
@@ -106,7 +110,7 @@
 func New(set Settings, p Parts) (*Server, error) {
 	s := &Server{
 		Set: set, Parts: p, life: uuid.NewString()[:8],
-		names: map[string]Entry{}, blame: map[string]time.Time{},
+		names: map[string]Entry{}, blame: map[string]blame{},
 		leads: map[string]Lead{}, owners: map[string]*owner{},
 	}
 	s.store = &relayed{Store: p.Store, via: s.relay}
@@ -156,7 +160,7 @@
 // again soon enough for a configuration to be in force in time.
 const (
 	feedWait = time.Second
-	entryGap = 2 * time.Second
+	entryGap = 300 * time.Millisecond
 )
 
 // dependency returns a function that logs when a feed is lost and regained.
@@ -177,7 +181,7 @@
 
 // enrol writes this entry's row.
 func (s *Server) enrol(ctx context.Context) {
-	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone})
+	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone, s.Set.Strength()})
 	if err != nil {
 		s.Log.Error("enrol", "why", err.Error())
 		return
@@ -196,6 +200,9 @@
 func (s *Server) enrolled(rows []table.Row, _ bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.enrolledAt.IsZero() {
+		s.enrolledAt = steady()
+	}
 	for _, r := range rows {
 		var e Entry
 		if r.Deleted || json.Unmarshal(r.Value, &e) != nil {
@@ -251,12 +258,21 @@
 	return addrs
 }
 
-// blameFor is how long an entry that did not answer is passed over.
-const blameFor = 1500 * time.Millisecond
+// blame is what is held against an entry that did not answer.
+type blame struct {
+	times int
+	until time.Time // it is passed over
+}
+
+// Bounds on how long an entry that did not answer is passed over; longer each time.
+const (
+	blameLeast = time.Second
+	blameMost  = 16 * time.Second
+)
 
 func (s *Server) blamed(now time.Time, addr string) bool {
-	t, ok := s.blame[addr]
-	return ok && now.Sub(t) < blameFor
+	b, ok := s.blame[addr]
+	return ok && now.Before(b.until)
 }
 
 // call calls another entry and remembers whether it answered.
@@ -264,10 +280,15 @@
 	err := s.peers.Call(ctx, addr, peer.Traffic, method, args, reply)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && !answered(err) {
-		s.blame[addr] = steady()
-	} else {
+	if err == nil || answered(err) {
 		delete(s.blame, addr)
+		return err
+	}
+	b := s.blame[addr]
+	if now := steady(); !now.Before(b.until) {
+		b.until = now.Add(min(blameLeast<<min(b.times, 8), blameMost))
+		b.times++
+		s.blame[addr] = b
 	}
 	return err
 }
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -13,19 +13,22 @@
 
 // Settings of one entry on a platform. Times are in milliseconds.
 type Settings struct {
-	ID     string `json:"id"`
-	Zone   string `json:"zone"`
-	Caller string `json:"caller"`
-	Ready  string `json:"ready"`
-	Peer   string `json:"peer"`
-	Admin  string `json:"admin"`
-	Store  string `json:"store"`
-	Advice string `json:"advice"`
-	Orders string `json:"orders"`
-	Grace  int64  `json:"grace"`
-	Lease  int64  `json:"lease"`
-	Keep   int64  `json:"keep"`
-	Level  string `json:"level"`
+	ID     string  `json:"id"`
+	Zone   string  `json:"zone"`
+	Caller string  `json:"caller"`
+	Ready  string  `json:"ready"`
+	Peer   string  `json:"peer"`
+	Admin  string  `json:"admin"`
+	Store  string  `json:"store"`
+	Advice string  `json:"advice"`
+	Orders string  `json:"orders"`
+	Grace  int64   `json:"grace"`
+	Lease  int64   `json:"lease"`
+	Keep   int64   `json:"keep"`
+	Cores  float64 `json:"cores"`
+	Link   float64 `json:"link"`
+	First  bool    `json:"first"`
+	Level  string  `json:"level"`
 }
 
 // Setting documents one setting.
@@ -48,6 +51,9 @@
 	{"store", "IP:port", "none", "an IP number", "the platform's store"},
 	{"advice", "IP:port", "empty", "an IP number or empty", "the placement service; empty if there is none"},
 	{"orders", "name", "call", "call", "how minions take orders: by calls to them"},
+	{"cores", "cores", "1", "above 0", "processor that the VM gives this process"},
+	{"link", "Mbit/s", "1000", "above 0", "bandwidth of the VM's link"},
+	{"first", "true, false", "false", "", "the whole system starts for the first time: owners are chosen once all entries are known"},
 	{"grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"},
 	{"lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"},
 	{"keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"},
@@ -134,6 +140,12 @@
 	if s.Level == "" {
 		s.Level = "info"
 	}
+	if s.Cores <= 0 {
+		s.Cores = 1
+	}
+	if s.Link <= 0 {
+		s.Link = 1000
+	}
 	if s.Orders == "" {
 		s.Orders = "call"
 	}
@@ -143,3 +155,9 @@
 func (s *Settings) SameAddresses(o *Settings) bool {
 	return s.ID == o.ID && s.Caller == o.Caller && s.Ready == o.Ready && s.Peer == o.Peer && s.Store == o.Store && s.Advice == o.Advice
 }
+
+// enoughLink is the bandwidth, in Mbit/s, beyond which more does not help an owner.
+const enoughLink = 100
+
+// Strength tells how well the VM suits an owner; more is better.
+func (s *Settings) Strength() float64 { return s.Cores * min(1, s.Link/enoughLink) }
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -58,14 +58,15 @@
 
 // Bounds on questions.
 const (
-	mostNamed  = 30 // minions named in a first question
-	renewSpare = 2  // minions named beyond those needed when tickets are renewed
-	askAgain   = 500 * time.Millisecond
+	leastNamed   = 16
+	mostNamed    = 60
+	namedForEach = 4 // minions named for each that is needed, since many are not allowed
+	askAgain     = 500 * time.Millisecond
 )
 
 // ask adds a question about a step, if one may be asked now.
 func (s *State) ask(now time.Time, p *step, ids []string) {
-	if len(ids) == 0 || p.advice.asking || now.Before(p.advice.wait) {
+	if len(ids) == 0 || p.advice.asking {
 		return
 	}
 	a := p.job.Advice
@@ -74,6 +75,7 @@
 		return
 	}
 	p.advice.asking = true
+	p.advice.wait = now.Add(askAgain)
 	s.now.Asks = append(s.now.Asks, Ask{
 		Step: work.TaskID{Job: p.job.ID, Round: p.round.k, Step: p.index},
 		IDs:  ids,
@@ -101,19 +103,39 @@
 	return true
 }
 
-// unasked lists minions that the service was not asked about and that could run a task of the step.
-func (s *State) unasked(now time.Time, p *step, ms []*minion) []string {
-	var ids []string
-	for _, m := range ms {
-		if len(ids) == mostNamed {
-			break
-		}
-		if p.advice.asked[m.ID] || !m.usable(now) || !p.suits(m) {
+// named is how many minions a question about the step names.
+func (p *step) named() int {
+	need := p.waiting
+	if p.PerMinion != 1 {
+		need = (need + 1) / 2
+	}
+	return min(max(namedForEach*need, leastNamed), mostNamed)
+}
+
+// unasked lists minions that the service was not asked about and that could run
+// a task of the step, those with room for one first. Others come first each
+// time, so that steps do not crowd on the same minions.
+func (s *State) unasked(now time.Time, p *step, ms []*minion, roomy bool) []string {
+	n := p.named()
+	need := p.Reserved()
+	var ids, full []string
+	for i := range ms {
+		m := ms[(int(s.turn)+i)%len(ms)]
+		if p.advice.asked[m.ID] || !m.usable(now) || !p.suits(m) || p.apart(m) {
 			continue
 		}
-		ids = append(ids, m.ID)
+		if m.free().Fits(need) {
+			ids = append(ids, m.ID)
+		} else if !roomy {
+			full = append(full, m.ID)
+		}
+		if len(ids) == n {
+			break
+		}
 	}
-	return ids
+	s.turn += uint(n)
+	ids = append(ids, full...)
+	return ids[:min(n, len(ids))]
 }
 
 // Advised takes in an answer about a step; given is when the service answered.
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -12,6 +12,7 @@
 func (s *State) newMinion(w work.Minion) *minion {
 	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}}
 	s.minions[w.ID] = m
+	s.order = nil
 	return m
 }
 
@@ -478,6 +479,7 @@
 		m.known = false
 		if !m.listed {
 			delete(s.minions, id)
+			s.order = nil
 			s.note(Note{What: "forgotten", Minion: id})
 		}
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -29,28 +29,19 @@
 	size  float64       // core-seconds that the rest of the job takes
 }
 
-// chain is the longest chain of estimated work from the step on.
-func (p *step) chain() time.Duration {
-	var after time.Duration
-	for _, q := range p.round.steps[p.index+1:] {
-		if slices.Contains(q.After, p.index) {
-			after = max(after, q.chain())
-		}
-	}
-	return p.Estimate + after
-}
-
 // objective is the time from submission within which the job should end.
 func (j *job) objective() time.Duration {
-	var c time.Duration
-	if r := j.rounds[0]; r != nil {
-		for _, p := range r.steps {
-			if len(p.After) == 0 {
-				c = max(c, p.chain())
+	if j.aim == 0 {
+		var c time.Duration
+		for _, r := range j.rounds {
+			for _, p := range r.steps {
+				c = max(c, p.chain)
 			}
+			break
 		}
+		j.aim = time.Duration(j.Slack*float64(c)) + j.Target
 	}
-	return time.Duration(j.Slack*float64(c)) + j.Target
+	return j.aim
 }
 
 // gpuCores is the number of cores that one accelerator counts as.
@@ -69,7 +60,7 @@
 		begin = now.Add(time.UnixMilli(due).Sub(wall))
 	}
 	obj := p.job.objective()
-	c.slack = begin.Add(obj - p.chain()).Sub(now)
+	c.slack = begin.Add(obj - p.chain).Sub(now)
 	switch {
 	case p.Lasting:
 		c.tier = lasting
@@ -154,16 +145,34 @@
 	order  [3]float64
 }
 
+// possible lists the minions that may run tasks of the step, by id.
+func (v *view) possible(p *step) []*minion {
+	if p.job.Advice == nil {
+		return v.ms
+	}
+	ms := make([]*minion, 0, len(p.advice.good))
+	for id := range p.advice.good {
+		if m := v.s.minions[id]; m != nil {
+			ms = append(ms, m)
+		}
+	}
+	sort.Slice(ms, func(a, b int) bool { return ms[a].ID < ms[b].ID })
+	return ms
+}
+
 func (v *view) spots(p *step) []*spot {
-	here := map[string]int{}
-	for _, t := range p.tasks {
-		if t.phase == Placed {
-			here[t.life.ID]++
+	var here map[string]int
+	if p.PerMinion > 0 {
+		here = map[string]int{}
+		for _, t := range p.tasks {
+			if t.phase == Placed {
+				here[t.life.ID]++
+			}
 		}
 	}
 	need := p.Reserved()
 	var out []*spot
-	for _, m := range v.ms {
+	for _, m := range v.possible(p) {
 		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || v.reserved[m.ID] && need.GPU > 0 {
 			continue
 		}
@@ -218,16 +227,14 @@
 // place places what it can of one step, or asks for the advice that it lacks.
 func (v *view) place(c candidate) {
 	p := c.step
-	if p.job.Advice != nil && !p.advice.asking {
-		if ids := v.s.unasked(v.now, p, v.ms); len(p.advice.good) == 0 || len(ids) > len(p.advice.asked) {
-			v.s.ask(v.now, p, ids)
-		}
-	}
 	spots := v.spots(p)
 	if p.Gang && p.OneRack {
 		spots = oneRack(p, spots)
 	}
 	plan := fill(p, spots)
+	if len(plan) < p.waiting {
+		v.askMore(c)
+	}
 	if p.Gang && len(plan) < p.waiting {
 		v.reserve(c)
 		return
@@ -240,6 +247,16 @@
 	v.start(p, plan)
 }
 
+// askMore asks about further minions for a step that the known ones do not
+// take. Once some are known to be allowed, only minions with room are of use.
+func (v *view) askMore(c candidate) {
+	p := c.step
+	if p.job.Advice == nil || p.advice.asking || v.s.askers.All == 0 || v.now.Before(p.advice.wait) {
+		return
+	}
+	v.s.ask(v.now, p, v.s.unasked(v.now, p, v.ms, len(p.advice.good) > 0))
+}
+
 // fill returns a spot for each task that finds one.
 func fill(p *step, spots []*spot) []*spot {
 	var plan []*spot
@@ -297,8 +314,8 @@
 	}
 	p := c.step
 	var ms []*minion
-	for _, m := range v.ms {
-		if pass, _ := p.pass(v.now, m); pass != barred && m.usable(v.now) && p.suits(m) {
+	for _, m := range v.possible(p) {
+		if m.usable(v.now) && p.suits(m) {
 			ms = append(ms, m)
 		}
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -12,6 +12,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -79,7 +80,8 @@
 	left     int // tasks that are not finished
 	waiting  int // tasks that wait
 	advice   advice
-	failedAt int // attempt of a gang whose failure was counted
+	failedAt int           // attempt of a gang whose failure was counted
+	chain    time.Duration // longest chain of estimated work from this step on
 }
 
 // round is one occurrence of a job's steps.
@@ -98,8 +100,9 @@
 	begun    bool
 	ended    time.Time
 	dirty    bool
-	arrived  time.Time // on the owner's clock
-	wanted   bool      // cancel was asked before the job was known
+	arrived  time.Time     // on the owner's clock
+	aim      time.Duration // objective: from submission, or its due time, to the end
+	wanted   bool          // cancel was asked before the job was known
 }
 
 // runState is what is known of a run at a minion.
@@ -159,9 +162,11 @@
 	jobs    map[string]*job
 	active  []*job // not over, in order of arrival
 	minions map[string]*minion
+	order   []*minion // by id; nil when minions has changed
 	taken   time.Time // when the term began
 	seq     int64     // of renewals
 	askers  Askers    // left in this decision
+	turn    uint      // where the next question begins to name minions
 	durable time.Time // when the last write that was made durable had begun
 	batch   Batch
 	now     Orders
@@ -322,9 +327,24 @@
 		}
 		r.steps = append(r.steps, p)
 	}
+	for i := len(r.steps) - 1; i >= 0; i-- {
+		r.steps[i].chain = r.steps[i].longest()
+	}
 	return r
 }
 
+// longest is the longest chain of estimated work from the step on; those of
+// later steps are known.
+func (p *step) longest() time.Duration {
+	var after time.Duration
+	for _, q := range p.round.steps[p.index+1:] {
+		if slices.Contains(q.After, p.index) {
+			after = max(after, q.chain)
+		}
+	}
+	return p.Estimate + after
+}
+
 // open says whether the step's turn has come.
 func (p *step) open() bool {
 	for _, a := range p.After {
@@ -374,10 +394,13 @@
 
 // sorted returns the minions by id, for decisions that do not depend on chance.
 func (s *State) sorted() []*minion {
-	ms := make([]*minion, 0, len(s.minions))
+	if s.order != nil {
+		return s.order
+	}
+	s.order = make([]*minion, 0, len(s.minions))
 	for _, m := range s.minions {
-		ms = append(ms, m)
+		s.order = append(s.order, m)
 	}
-	sort.Slice(ms, func(a, b int) bool { return ms[a].ID < ms[b].ID })
-	return ms
+	sort.Slice(s.order, func(a, b int) bool { return s.order[a].ID < s.order[b].ID })
+	return s.order
 }
