--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -107,6 +107,7 @@
 	}
 	sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
 	v := &view{s: s, now: now, ms: s.sorted(), shadow: map[string]work.Size{}}
+	v.unbook()
 	for _, c := range cs {
 		v.place(c)
 	}
@@ -114,11 +115,11 @@
 
 // view is what one decision sees of the minions.
 type view struct {
-	s        *State
-	now      time.Time
-	ms       []*minion
-	shadow   map[string]work.Size // room kept for steps whose tickets are being renewed
-	reserved map[string]bool      // minions kept for a gang that does not fit yet
+	s      *State
+	now    time.Time
+	ms     []*minion
+	shadow map[string]work.Size // room kept for steps whose tickets are being renewed
+	booked int                  // minions that are kept for gangs
 }
 
 // suits says whether a task of the step could run on m if m were empty.
@@ -173,7 +174,7 @@
 	need := p.Reserved()
 	var out []*spot
 	for _, m := range v.possible(p) {
-		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || v.reserved[m.ID] && need.GPU > 0 {
+		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.booked != nil && m.booked != p && need.GPU > 0 {
 			continue
 		}
 		pass, text := p.pass(v.now, m)
@@ -236,7 +237,7 @@
 		v.askMore(c)
 	}
 	if p.Gang && len(plan) < p.waiting {
-		v.reserve(c)
+		v.book(p)
 		return
 	}
 	v.renew(p, plan)
@@ -306,27 +307,6 @@
 	}
 }
 
-// reserve keeps the minions that a gang may use for it, until enough is free.
-// One gang at a time does so.
-func (v *view) reserve(c candidate) {
-	if v.reserved != nil || c.tier > late {
-		return
-	}
-	p := c.step
-	var ms []*minion
-	for _, m := range v.possible(p) {
-		if m.usable(v.now) && p.suits(m) {
-			ms = append(ms, m)
-		}
-	}
-	sort.SliceStable(ms, func(a, b int) bool { return ms[a].free().GPU > ms[b].free().GPU })
-	v.reserved = map[string]bool{}
-	for n := 0; len(ms) > 0 && n < p.waiting; ms = ms[1:] {
-		v.reserved[ms[0].ID] = true
-		n += p.most(ms[0])
-	}
-}
-
 // most is how many tasks of the step an empty minion takes.
 func (p *step) most(m *minion) int {
 	n := p.waiting
@@ -363,17 +343,18 @@
 		if !p.Gang {
 			attempt = t.attempt + 1
 		}
-		v.s.start(p, t, attempt, sp)
+		v.begin(p, t, attempt, sp)
 	}
 }
 
-// start places a task and has its start sent once that is durable.
-func (s *State) start(p *step, t *task, attempt int, sp *spot) {
+// begin places a task and has its start sent once that is durable.
+func (v *view) begin(p *step, t *task, attempt int, sp *spot) {
+	s := v.s
 	m := sp.minion
 	j := p.job
 	t.phase, t.attempt, t.life = Placed, attempt, m.Life
 	p.waiting--
-	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, mark: s.seq + 1})
+	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, mark: s.seq + 1, placed: v.now})
 	j.begun, j.dirty = true, true
 	if j.state == Queued {
 		j.state = Active
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -122,15 +122,16 @@
 }
 
 type run struct {
-	key   runKey
-	size  work.Size // that it takes
-	step  *step     // nil for a run of an unknown job
-	task  *task     // nil likewise
-	state runState
-	mark  int64 // renewals asked for after this one show what became of it; 0: inherited
-	token int64 // token of its start, if that was sent in this term
-	stop  bool  // it is to end
-	asked time.Time
+	key    runKey
+	size   work.Size // that it takes
+	step   *step     // nil for a run of an unknown job
+	task   *task     // nil likewise
+	state  runState
+	mark   int64     // renewals asked for after this one show what became of it; 0: inherited
+	token  int64     // token of its start, if that was sent in this term
+	stop   bool      // it is to end
+	asked  time.Time // when it was last told to
+	placed time.Time
 }
 
 // minion is what the shard believes of one minion's life.
@@ -148,8 +149,9 @@
 	silent  time.Time // first renewal without an answer since the last answer
 	paused  time.Time // gets no new work until then
 	strikes int
-	fills   int // runs that fill what others leave
-	serves  int // runs that have a bound on their response times
+	fills   int   // runs that fill what others leave
+	serves  int   // runs that have a bound on their response times
+	booked  *step // gang that it is kept for
 }
 
 // State is the state of a shard. Use New.
