A gang keeps its plan while its tickets are renewed

Ruled out: too few allowed minions (22 known at the end of the job traced). Change: minions of the plan are booked while the tickets of the whole gang, and of two to spare, are renewed. Bookings of minions to be emptied: a tenth at most.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -1,9 +1,8 @@
 package shard
 
 import (
+	"fmt"
 	"time"
-
-	"jasminestep/internal/work"
 )
 
 // advice is what the placement service has said about one step.
@@ -61,6 +60,7 @@
 	leastNamed   = 16
 	mostNamed    = 60
 	namedForEach = 4 // minions named for each that is needed, since many are not allowed
+	renewSpare   = 2 // minions named beyond those of a gang whose tickets are renewed
 	askAgain     = 500 * time.Millisecond
 )
 
@@ -74,10 +74,11 @@
 	if !s.askers.take(cost) {
 		return
 	}
+	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.good))})
 	p.advice.asking = true
 	p.advice.wait = now.Add(askAgain)
 	s.now.Asks = append(s.now.Asks, Ask{
-		Step: work.TaskID{Job: p.job.ID, Round: p.round.k, Step: p.index},
+		Step: p.id(),
 		IDs:  ids,
 		Cost: cost,
 	})
@@ -153,6 +154,7 @@
 	if p.advice.good == nil {
 		p.advice.good, p.advice.asked = map[string]ticket{}, map[string]bool{}
 	}
+	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
 	for _, id := range a.IDs {
 		p.advice.asked[id] = true
 	}
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -10,7 +10,7 @@
 
 // bookedShare is the share of the minions that may be booked at once. A gang
 // that needs more books alone.
-const bookedShare = 0.5
+const bookedShare = 0.1
 
 // unbook frees the minions of gangs that no longer wait, and counts the rest.
 func (v *view) unbook() {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -202,8 +202,11 @@
 // fullest minion, so that large tasks find room. Tasks that fill go where most
 // is left.
 func (sp *spot) rank(p *step) {
+	if p.Gang && sp.booked != p {
+		sp.order[0] = 2
+	}
 	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
-		sp.order[0] = 1
+		sp.order[0]++
 	}
 	if p.Fill {
 		sp.order[1] = -float64(sp.left.CPU) / float64(1+sp.fills)
@@ -240,11 +243,11 @@
 		v.book(p)
 		return
 	}
-	v.renew(p, plan)
 	if p.Gang && slices.ContainsFunc(plan, func(sp *spot) bool { return sp.pass != allowed }) {
-		v.keep(p, plan)
+		v.renewGang(p, plan, spots)
 		return
 	}
+	v.renew(p, plan)
 	v.start(p, plan)
 }
 
@@ -300,6 +303,29 @@
 	v.s.ask(v.now, p, ids)
 }
 
+// renewGang asks anew for the tickets of a whole gang, and of a few minions to
+// spare, and keeps the minions of the plan for it meanwhile: a gang whose plan
+// changed with every answer would never have all of its tickets at once.
+func (v *view) renewGang(p *step, plan, spots []*spot) {
+	v.keep(p, plan)
+	for _, sp := range plan {
+		sp.booked = p
+	}
+	var ids []string
+	spare := renewSpare
+	for _, sp := range spots {
+		switch {
+		case slices.Contains(ids, sp.ID):
+		case slices.ContainsFunc(plan, func(o *spot) bool { return o.minion == sp.minion }):
+			ids = append(ids, sp.ID)
+		case spare > 0:
+			ids = append(ids, sp.ID)
+			spare--
+		}
+	}
+	v.s.ask(v.now, p, ids)
+}
+
 // keep holds room for a plan that waits for its tickets.
 func (v *view) keep(p *step, plan []*spot) {
 	for _, sp := range plan {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -347,6 +347,9 @@
 	return p.Estimate + after
 }
 
+// id names the step; its Index is not used.
+func (p *step) id() work.TaskID { return work.TaskID{Job: p.job.ID, Round: p.round.k, Step: p.index} }
+
 // open says whether the step's turn has come.
 func (p *step) open() bool {
 	for _, a := range p.After {
