--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -153,7 +153,7 @@
 		o.depose(err.Error())
 		return
 	}
-	if len(b.Rows)+len(b.Delete) == 0 && now.Sub(o.lastWrite()) < renewWrite {
+	if !b.NeedsWrite() && now.Sub(o.lastWrite()) < renewWrite {
 		o.effect(b)
 		return
 	}
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -166,10 +166,12 @@
 	}
 	s.seq++
 	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.seq}
-	if m.at.IsZero() || now.Sub(s.durable) > s.Limits.RenewFor {
+	if m.at.IsZero() || !m.silent.IsZero() || now.Sub(s.durable) > s.Limits.RenewFor {
+		// A silent minion is only asked: a lease that may or may not have
+		// reached it would put off the moment at which its tasks start elsewhere.
 		return n, true
 	}
-	n.Wait = m.silent.IsZero()
+	n.Wait = true
 	n.Until = m.lease(now, s.Limits)
 	return n, true
 }
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,337 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/work"
+)
+
+// begun returns a world of n minions with one owner that knows them.
+func begun(t *testing.T, n int) (*world, *boss) {
+	w := newWorld(t, n)
+	o := w.takeOver()
+	w.turn()
+	return w, o
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	w, _ := begun(t, 2)
+	second := tasks(2, 1000)
+	second.After = []int{0}
+	w.submit(newJob("a", tasks(3, 1000), second))
+	w.turn()
+	assert.Equal(t, w.running(), 3)
+	assert.Equal(t, w.state("a"), Active)
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.running(), 2)
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+	assert.Equal(t, w.running(), 0)
+}
+
+func (w *world) running() int {
+	n := 0
+	for _, b := range w.minions {
+		n += len(b.runs)
+	}
+	return n
+}
+
+func TestRoomIsNeverExceeded(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", tasks(30, 1500)))
+	for range 20 {
+		w.turn()
+		assert.Assert(t, w.running() <= 4)
+		w.finishAll()
+	}
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+}
+
+func TestStartWithoutAnswerIsSettledByAToken(t *testing.T) {
+	for _, ran := range []bool{true, false} {
+		w, o := begun(t, 2)
+		w.submit(newJob("a", tasks(1, 1000)))
+		o.step()
+		b := *o.batch
+		o.commit(true)
+		assert.Equal(t, len(w.flying), 1)
+		late := w.flying[0]
+		w.flying = nil
+		if ran {
+			size := work.Size{CPU: 1000, Mem: 100}
+			x := b.Starts[0]
+			assert.Assert(t, o.st.minions[x.Minion.ID].runs[runKey{x.Start.Task, 1}] != nil)
+			x.Start.Token, x.Start.Until = o.st.minions[x.Minion.ID].token, 60_000
+			w.box(x.Minion.ID).start(x.Minion.Life, x.Start, size)
+		}
+		x := b.Starts[0]
+		x.Start.Token = o.st.minions[x.Minion.ID].token
+		o.lose(x)
+		w.pass(2 * time.Second)
+		w.turn()
+		assert.Equal(t, w.running(), 1)
+		late() // carried out late: the token, or the run that is there, refuses it
+		w.turn()
+		assert.Equal(t, w.running(), 1)
+	}
+}
+
+func TestSuccessorKeepsWhatRuns(t *testing.T) {
+	w, _ := begun(t, 3)
+	w.submit(newJob("a", tasks(6, 1000)))
+	w.turn()
+	assert.Equal(t, w.running(), 6)
+	w.takeOver()
+	w.turn()
+	assert.Equal(t, w.running(), 6)
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+}
+
+func TestSuccessorWaitsForAMinionItCannotReach(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", tasks(4, 2000)))
+	w.turn()
+	assert.Equal(t, w.running(), 4)
+	out := w.minions[0]
+	n := len(out.runs)
+	out.up = false // cut off: it runs on
+	w.takeOver()
+	w.turn()
+	w.pass(3 * time.Second)
+	out.up = true
+	out.tick()
+	out.up = false
+	w.finishOn(w.minions[1])
+	w.turn()
+	assert.Equal(t, len(w.minions[1].runs), 0, "tasks of the silent minion must wait")
+	w.pass(10 * time.Second)
+	w.turn()
+	assert.Equal(t, len(w.minions[1].runs), n)
+}
+
+func (w *world) finishOn(b *box) {
+	for k := range b.runs {
+		b.end(k, work.Done)
+	}
+}
+
+func TestLapsedRunsStartElsewhere(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", tasks(2, 2000)))
+	w.turn()
+	out := w.minions[0]
+	if len(out.runs) == 0 {
+		out = w.minions[1]
+	}
+	out.up = false
+	for range 80 {
+		w.pass(100 * time.Millisecond)
+		w.turn()
+	}
+	n := 0
+	for _, b := range w.minions {
+		if b.up {
+			n += len(b.runs)
+		}
+	}
+	assert.Equal(t, n, 2)
+}
+
+func TestRebornMinionHasLostItsRuns(t *testing.T) {
+	w, o := begun(t, 1)
+	w.submit(newJob("a", tasks(2, 1000)))
+	w.turn()
+	w.pass(time.Second)
+	w.minions[0].reborn()
+	assert.Equal(t, w.running(), 0)
+	w.turn()
+	w.turn()
+	assert.Equal(t, w.running(), 2)
+	assert.Assert(t, o.st.minions["m0"].token > w.term*tokensPerTerm, "a new life is greeted with a raised token")
+}
+
+func TestFailuresEndAJob(t *testing.T) {
+	w, o := begun(t, 3)
+	w.submit(newJob("a", tasks(1, 1000), tasks(2, 500)))
+	for range 3 {
+		w.turn()
+		for _, b := range w.minions {
+			for k := range b.runs {
+				if k.task.Step == 0 {
+					b.end(k, work.Failed)
+				}
+			}
+		}
+		w.turn()
+		w.pass(10 * time.Second)
+		for _, b := range w.minions {
+			o.renew(b)
+		}
+	}
+	w.turn()
+	w.turn()
+	assert.Equal(t, w.state("a"), JobFailed)
+	assert.Equal(t, w.running(), 0)
+}
+
+func TestCancelStopsEverything(t *testing.T) {
+	w, o := begun(t, 2)
+	w.submit(newJob("a", tasks(4, 1000)))
+	w.turn()
+	assert.Equal(t, w.running(), 4)
+	w.gone["a"] = true
+	o.st.Cancel(w.now, "a")
+	w.turn()
+	assert.Equal(t, w.running(), 0)
+	assert.Equal(t, w.state("a"), Cancelled)
+	w.takeOver()
+	w.turn()
+	assert.Equal(t, w.state("a"), Cancelled)
+}
+
+func TestGangStartsWhole(t *testing.T) {
+	w, _ := begun(t, 3)
+	gang := tasks(3, 4000)
+	gang.Gang = true
+	w.submit(newJob("small", tasks(1, 100)))
+	w.turn()
+	w.submit(newJob("gang", gang))
+	w.turn()
+	assert.Equal(t, w.running(), 1, "the gang does not fit yet")
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.running(), 3)
+	w.finishOn(w.minions[0]) // one end stands for all
+	for range 2 {
+		w.turn()
+	}
+	assert.Equal(t, w.state("gang"), Completed)
+}
+
+func TestGangIsPlacedAnewAsAWhole(t *testing.T) {
+	w, _ := begun(t, 3)
+	gang := tasks(3, 4000)
+	gang.Gang = true
+	w.submit(newJob("gang", gang))
+	w.turn()
+	b := w.minions[1]
+	for k := range b.runs {
+		b.end(k, work.Failed)
+	}
+	w.turn()
+	w.turn()
+	attempts := map[int]int{}
+	for _, b := range w.minions {
+		for k := range b.runs {
+			attempts[k.attempt]++
+		}
+	}
+	assert.DeepEqual(t, attempts, map[int]int{2: 3})
+}
+
+func TestLastingTasksAreKeptUp(t *testing.T) {
+	w, _ := begun(t, 2)
+	p := tasks(3, 1000)
+	p.Lasting = true
+	w.submit(newJob("svc", p))
+	for range 5 {
+		w.turn()
+		w.turn()
+		assert.Equal(t, w.running(), 3)
+		for _, b := range w.minions {
+			for k := range b.runs {
+				b.end(k, work.Failed)
+			}
+			break
+		}
+		w.pass(9 * time.Second / 10)
+		w.turn()
+		w.pass(9 * time.Second / 10)
+	}
+	assert.Equal(t, w.state("svc"), Active)
+}
+
+func TestDrainingMinionGetsNothingNew(t *testing.T) {
+	w, o := begun(t, 1)
+	m := w.minions[0].Minion
+	m.Draining = true
+	o.st.See(w.now, m)
+	w.submit(newJob("a", tasks(1, 100)))
+	w.turn()
+	assert.Equal(t, w.running(), 0)
+}
+
+func TestFillsAndServesStayApart(t *testing.T) {
+	w, _ := begun(t, 1)
+	serve := tasks(1, 1000)
+	serve.Lasting, serve.Target = true, 50*time.Millisecond
+	filler := tasks(2, 1000)
+	filler.Fill = true
+	w.submit(newJob("serve", serve))
+	w.turn()
+	w.submit(newJob("fill", filler))
+	w.turn()
+	assert.Equal(t, w.running(), 1, "a task that fills would disturb the one that serves")
+}
+
+func TestOccurrencesBeginWhenDue(t *testing.T) {
+	w, _ := begun(t, 1)
+	j := newJob("a", tasks(1, 100))
+	j.First, j.Every, j.Times = w.now.Add(time.Second).UnixMilli(), 2*time.Second, 2
+	w.submit(j)
+	w.turn()
+	assert.Equal(t, w.running(), 0)
+	w.pass(1100 * time.Millisecond)
+	w.turn()
+	assert.Equal(t, w.running(), 1)
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.state("a"), Active)
+	w.takeOver()
+	w.pass(2 * time.Second)
+	w.turn()
+	assert.Equal(t, w.running(), 1)
+	w.finishAll()
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+}
+
+func TestTicketsAreRenewedBeforeUse(t *testing.T) {
+	w, o := begun(t, 2)
+	j := newJob("a", tasks(1, 4000))
+	j.Advice = &work.Advice{Decide: 10 * time.Millisecond, Each: time.Millisecond, Valid: time.Second}
+	w.submit(j)
+	free := Askers{All: 1, Long: 1, From: time.Second}
+	o.st.Decide(w.now, w.now, free)
+	asks := o.st.Orders().Asks
+	assert.Equal(t, len(asks), 1)
+	assert.Equal(t, len(asks[0].IDs), 2)
+	o.st.Advised(w.now, w.now, asks[0], map[string]string{"m1": "t1"}, time.Second, nil)
+	w.pass(2 * time.Second)
+	for _, b := range w.minions {
+		o.renew(b)
+	}
+	o.st.Decide(w.now, w.now, free)
+	b, err := o.st.Take()
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Starts), 0, "the ticket has ended")
+	asks = o.st.Orders().Asks
+	assert.Equal(t, len(asks), 1)
+	assert.DeepEqual(t, asks[0].IDs, []string{"m1"})
+	o.st.Advised(w.now, w.now, asks[0], map[string]string{"m1": "t2"}, time.Second, nil)
+	o.st.Decide(w.now, w.now, free)
+	b, err = o.st.Take()
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Starts), 1)
+	assert.Equal(t, b.Starts[0].Start.Ticket, "t2")
+	assert.Equal(t, b.Starts[0].Minion.ID, "m1")
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -223,10 +223,10 @@
 	Drop   []string // jobs whose own rows can go
 }
 
-// Empty says that there is nothing to do.
-func (b *Batch) Empty() bool {
-	return len(b.Rows) == 0 && len(b.Delete) == 0 && len(b.Starts) == 0 && len(b.Seen) == 0 && len(b.Shown) == 0
-}
+// NeedsWrite says that the batch must not have its effects before a write has
+// shown that this owner still has the shard: a former owner that lets a minion
+// forget an end would hide it from its successor.
+func (b *Batch) NeedsWrite() bool { return len(b.Rows)+len(b.Delete)+len(b.Seen) > 0 }
 
 // Orders may be carried out at once.
 type Orders struct {
