Gangs book all the minions that they need, or none

Ruled out: advice (eight allowed minions known, no question for 30 s). Change: bookings are whole and renewed with each decision; a start whose ticket has ended is not sent; two shards may share askers.

--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -12,7 +12,7 @@
 
 // The placement service answers one question at a time for each VM that asks.
 // Owners therefore spread their questions over the entries, one at a time each.
-// Every shard has entries of its own for that, and of these some are kept for
+// Every shard begins with entries of its own for that, and one is kept for
 // short questions, so that urgent work does not wait behind long answers.
 
 // longAnswer is the time from which on a question counts as long.
@@ -33,19 +33,22 @@
 	}
 	sort.Slice(names, func(a, b int) bool { return rank("ask", names[a]) < rank("ask", names[b]) })
 	services := s.services()
-	i := sort.SearchStrings(services, service)
-	var out []string
-	for k, n := range names {
-		if len(services) == 0 || k%len(services) == i%len(services) {
-			out = append(out, addrs[n])
-		}
+	first := 0
+	if i := sort.SearchStrings(services, service); i < len(services) {
+		first = i * len(names) / len(services)
 	}
-	if len(out) == 0 {
-		out = append(out, s.Set.Peer)
+	most := max(1, int(askersShare*float64(len(names))))
+	out := make([]string, 0, most)
+	for k := range most {
+		out = append(out, addrs[names[(first+k)%len(names)]])
 	}
 	return out
 }
 
+// askersShare is the share of the entries that ask for one shard. Two shards
+// share a few, which each of them uses last.
+const askersShare = 0.7
+
 // services lists the services that have shards, sorted.
 func (s *Server) services() []string {
 	c := s.cfg.Load()
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -41,18 +41,18 @@
 	allowed             // may now
 )
 
-func (p *step) pass(now time.Time, m *minion) (pass, string) {
+func (p *step) pass(now time.Time, m *minion) (pass, ticket) {
 	if p.job.Advice == nil {
-		return allowed, ""
+		return allowed, ticket{}
 	}
 	t, ok := p.advice.good[m.ID]
 	if !ok {
-		return barred, ""
+		return barred, t
 	}
 	if t.life != m.Born || now.After(t.until) {
-		return stale, ""
+		return stale, t
 	}
-	return allowed, t.text
+	return allowed, t
 }
 
 // Bounds on questions.
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -24,22 +24,18 @@
 	}
 }
 
-// book keeps minions for a gang that does not fit.
+// book keeps minions for a gang that does not fit: as many as it needs, or
+// none, so that two gangs never wait for each other's.
 func (v *view) book(p *step) {
-	have := 0
+	v.release(p)
 	var ms []*minion
 	for _, m := range v.possible(p) {
-		switch {
-		case m.booked == p:
-			have += p.most(m)
-		case m.booked == nil && m.usable(v.now) && p.suits(m):
+		if m.booked == nil && m.usable(v.now) && p.suits(m) {
 			ms = append(ms, m)
 		}
 	}
-	if have >= p.waiting {
-		return
-	}
 	sort.SliceStable(ms, func(a, b int) bool { return v.busy(ms[a]) < v.busy(ms[b]) })
+	have := 0
 	var pick []*minion
 	for _, m := range ms {
 		if have >= p.waiting {
@@ -48,13 +44,35 @@
 		pick = append(pick, m)
 		have += p.most(m)
 	}
-	if v.booked > 0 && float64(v.booked+len(pick)) > bookedShare*float64(len(v.ms)) {
+	if have < p.waiting || v.booked > 0 && float64(v.booked+len(pick)) > bookedShare*float64(len(v.ms)) {
 		return
 	}
-	for _, m := range pick {
+	v.take(p, pick)
+}
+
+// take books minions.
+func (v *view) take(p *step, ms []*minion) {
+	for _, m := range ms {
+		if m.booked == nil {
+			v.booked++
+		}
 		m.booked = p
 	}
-	v.booked += len(pick)
+	p.booked = true
+}
+
+// release gives up what a gang has booked.
+func (v *view) release(p *step) {
+	if !p.booked {
+		return
+	}
+	p.booked = false
+	for _, m := range v.ms {
+		if m.booked == p {
+			m.booked = nil
+			v.booked--
+		}
+	}
 }
 
 // busy estimates the work that still runs on a minion, in device seconds.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -140,7 +140,7 @@
 type spot struct {
 	*minion
 	pass   pass
-	ticket string
+	ticket ticket
 	left   work.Size // room after what this decision has placed
 	here   int       // tasks of the step there
 	order  [3]float64
@@ -308,8 +308,9 @@
 // changed with every answer would never have all of its tickets at once.
 func (v *view) renewGang(p *step, plan, spots []*spot) {
 	v.keep(p, plan)
+	v.release(p)
 	for _, sp := range plan {
-		sp.booked = p
+		v.take(p, []*minion{sp.minion})
 	}
 	var ids []string
 	spare := renewSpare
@@ -391,8 +392,8 @@
 		saved = p.checkpoint(t)
 	}
 	s.batch.Starts = append(s.batch.Starts, Order{m.Minion, work.Start{
-		Task: t.id, Attempt: attempt, Spec: j.Spec, Saved: saved, Ticket: sp.ticket,
-	}})
+		Task: t.id, Attempt: attempt, Spec: j.Spec, Saved: saved, Ticket: sp.ticket.text,
+	}, sp.ticket.until})
 }
 
 // checkpoint is where a run resumes; all members of a gang carry the same.
@@ -403,6 +404,19 @@
 	return p.tasks[0].saved
 }
 
+// pointless says why a start is not worth sending any more, if so.
+func (s *State) pointless(now time.Time, m *minion, r *run, o *Order) string {
+	switch {
+	case r.state == cancelled:
+		return "given up before it was sent"
+	case m.at.IsZero() || !m.silent.IsZero():
+		return "its minion fell silent before it was sent"
+	case o.Start.Ticket != "" && now.After(o.valid):
+		return "its ticket ended before it was sent"
+	}
+	return ""
+}
+
 // Send completes a start that is durable now. ok is false if it is not to be
 // sent any more.
 func (s *State) Send(now time.Time, o *Order) bool {
@@ -414,9 +428,9 @@
 	if r == nil {
 		return false
 	}
-	if r.state == cancelled || m.at.IsZero() {
+	if why := s.pointless(now, m, r, o); why != "" {
 		m.remove(r)
-		s.lost(now, r, "given up before it was sent")
+		s.lost(now, r, why)
 		return false
 	}
 	r.state = sent
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -80,6 +80,7 @@
 	left     int // tasks that are not finished
 	waiting  int // tasks that wait
 	advice   advice
+	booked   bool          // minions are kept for it
 	failedAt int           // attempt of a gang whose failure was counted
 	chain    time.Duration // longest chain of estimated work from this step on
 }
@@ -188,6 +189,7 @@
 type Order struct {
 	Minion work.Minion
 	Start  work.Start
+	valid  time.Time // end of the ticket, if there is one
 }
 
 // StopOrder is a stop to be sent.
