Blame of minions, runs that stand still, faster takeovers, owners apart

Ruled out: reading the shard (0.1 s of the takeover). Change: owners are pinged every 0.2 s and replaced 0.7 s after their last sign; claims of one entry are one at a time; one strike a pause, one probe after it; runs without progress are ended; slow minions come last.

--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -23,12 +23,12 @@
 // Timing of ownership.
 const (
 	watchGap     = 100 * time.Millisecond
-	pingGap      = 300 * time.Millisecond
-	pingTimeout  = 600 * time.Millisecond
-	quietFor     = 1100 * time.Millisecond // without an answer or a write, before a shard is taken over
-	staleWrite   = 3 * time.Second         // an owner that answers but makes nothing durable is replaced
-	enrolTime    = 700 * time.Millisecond  // from the first list of entries, for others to be in it
-	claimStagger = 100 * time.Millisecond
+	pingGap      = 200 * time.Millisecond
+	pingTimeout  = 300 * time.Millisecond
+	quietFor     = 700 * time.Millisecond // without an answer or a write, before a shard is taken over
+	staleWrite   = 3 * time.Second        // an owner that answers but makes nothing durable is replaced
+	enrolTime    = 700 * time.Millisecond // from the first list of entries, for others to be in it
+	claimStagger = 80 * time.Millisecond
 	ownsAlready  = 4 // ranks that an owner of another shard steps back
 )
 
@@ -142,21 +142,22 @@
 		}
 		now := steady()
 		l, _ := s.lead(service)
+		stepped := s.owns()
 		stagger := time.Duration(s.turn(service)) * claimStagger
 		switch {
 		case l.Name == s.Set.ID:
-			s.claim(ctx, service, l, "a former process of this VM had it")
+			s.claim(ctx, service, l, stepped, "a former process of this VM had it")
 		case l.Name == "":
 			if v.free.IsZero() {
 				v.free = now
 			}
 			if now.Sub(v.free) >= stagger {
-				s.claim(ctx, service, l, "nobody had it")
+				s.claim(ctx, service, l, stepped, "nobody had it")
 			}
 		default:
 			v.free = time.Time{}
 			if s.lostOwner(ctx, service, l, &v, stagger) {
-				s.claim(ctx, service, l, "its owner was silent")
+				s.claim(ctx, service, l, stepped, "its owner was silent")
 				v = watched{}
 			}
 		}
@@ -217,8 +218,20 @@
 	return r.Rows[0].Version, nil
 }
 
+// owns says that this entry owns a shard.
+func (s *Server) owns() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.owners) > 0
+}
+
 // claim tries to make this entry the owner of a shard.
-func (s *Server) claim(ctx context.Context, service string, l Lead, why string) {
+func (s *Server) claim(ctx context.Context, service string, l Lead, stepped bool, why string) {
+	s.claiming.Lock() // one at a time: an owner of one shard lets others go first
+	defer s.claiming.Unlock()
+	if s.owns() && !stepped {
+		return // the wait was for an entry that owns nothing
+	}
 	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	own, err := s.store.Read(c, ownerTable, service, "", "")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -79,6 +79,8 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
+	claiming sync.Mutex
+
 	mu     sync.Mutex
 	names  map[string]Entry  // entries, by name
 	blame  map[string]blame  // entries that did not answer, by address
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -257,6 +257,7 @@
 		if r.state == unsure {
 			r.state = live
 		}
+		s.watch(now, m, r, w)
 		if r.task != nil && r.task.attempt == w.Attempt && r.task.phase == Placed {
 			if w.Saved != "" {
 				r.task.saved = w.Saved
@@ -340,7 +341,7 @@
 	p.job.dirty = true
 	switch {
 	case e.How == work.Done && !p.Lasting:
-		m.strikes = 0
+		s.learn(now, m, r)
 		s.done(now, p, t)
 	case e.How == work.Failed:
 		s.failed(now, m, p, t)
@@ -385,6 +386,7 @@
 	if !p.Gang || p.failedAt != t.attempt {
 		p.failedAt = t.attempt
 		t.failures++
+		p.failures++
 	}
 	s.requeue(p, t)
 	s.breakGang(now, p)
@@ -403,25 +405,6 @@
 	}
 }
 
-// Pauses of minions that fail what they are given.
-const (
-	strikesAllowed = 2
-	pauseFirst     = time.Second
-	pauseMost      = 8 * time.Second
-)
-
-// strike counts a failure of a minion; several in a row without a success
-// between them pause it, for longer each time.
-func (s *State) strike(now time.Time, m *minion) {
-	m.strikes++
-	if m.strikes < strikesAllowed {
-		return
-	}
-	d := min(pauseFirst<<min(m.strikes-strikesAllowed, 3), pauseMost)
-	m.paused = now.Add(d)
-	s.note(Note{What: "paused", Minion: m.ID, Why: d.String()})
-}
-
 // Started takes in the answer to a start. err means that there was none.
 func (s *State) Started(now time.Time, o Order, why work.Refusal, err error) {
 	m := s.minions[o.Minion.ID]
@@ -439,7 +422,7 @@
 			r.state = unsure
 		}
 		m.token = max(m.token, o.Start.Token+1)
-		s.strike(now, m)
+		m.paused = maxTime(m.paused, now.Add(unansweredPause))
 		s.note(Note{What: "unanswered", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: err.Error()})
 	case why == work.Accepted:
 		if r.state == sent {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -143,7 +143,7 @@
 	ticket ticket
 	left   work.Size // room after what this decision has placed
 	here   int       // tasks of the step there
-	order  [3]float64
+	order  [4]float64
 }
 
 // possible lists the minions that may run tasks of the step, by id.
@@ -174,7 +174,7 @@
 	need := p.Reserved()
 	var out []*spot
 	for _, m := range v.possible(p) {
-		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.booked != nil && m.booked != p && need.GPU > 0 {
+		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() || m.booked != nil && m.booked != p && need.GPU > 0 {
 			continue
 		}
 		pass, text := p.pass(v.now, m)
@@ -208,19 +208,20 @@
 	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
 		sp.order[0]++
 	}
+	sp.order[1] = sp.pace() + p.distrust(sp.minion)
 	if p.Fill {
-		sp.order[1] = -float64(sp.left.CPU) / float64(1+sp.fills)
+		sp.order[2] = -float64(sp.left.CPU) / float64(1+sp.fills)
 		return
 	}
 	if sp.Room.GPU > 0 {
-		sp.order[1] = float64(sp.left.GPU - p.Size.GPU)
+		sp.order[2] = float64(sp.left.GPU - p.Size.GPU)
 	}
-	sp.order[2] = float64(sp.left.CPU - p.Size.CPU)
+	sp.order[3] = float64(sp.left.CPU - p.Size.CPU)
 }
 
 // take says whether one more task fits, and takes its room.
 func (sp *spot) take(p *step) bool {
-	if !sp.left.Fits(p.Reserved()) || p.PerMinion > 0 && sp.here >= p.PerMinion {
+	if sp.suspect() && sp.here > 0 || !sp.left.Fits(p.Reserved()) || p.PerMinion > 0 && sp.here >= p.PerMinion {
 		return false
 	}
 	sp.left = sp.left.Minus(p.Reserved())
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -335,3 +335,55 @@
 	assert.Equal(t, b.Starts[0].Start.Ticket, "t2")
 	assert.Equal(t, b.Starts[0].Minion.ID, "m1")
 }
+
+func TestRunThatStandsStillIsEnded(t *testing.T) {
+	w, o := begun(t, 2)
+	w.submit(newJob("a", tasks(1, 1000)))
+	w.turn()
+	first := w.minions[0]
+	if len(first.runs) == 0 {
+		first = w.minions[1]
+	}
+	first.stuck = true
+	for range 30 {
+		w.pass(100 * time.Millisecond)
+		w.turn()
+	}
+	assert.Equal(t, len(first.runs), 0)
+	assert.Equal(t, w.running(), 1)
+	assert.Equal(t, o.st.minions[first.ID].strikes, 1)
+}
+
+func TestMinionThatFailsEverythingIsProbed(t *testing.T) {
+	w, o := begun(t, 2)
+	p := tasks(8, 1000)
+	p.Lasting = true
+	w.submit(newJob("a", p))
+	bad := w.minions[0]
+	most := 0
+	for range 100 {
+		w.turn()
+		if o.st.minions[bad.ID].suspect() {
+			most = max(most, len(bad.runs))
+		}
+		for k := range bad.runs {
+			bad.end(k, work.Failed)
+		}
+		w.pass(200 * time.Millisecond)
+	}
+	assert.Assert(t, o.st.minions[bad.ID].strikes > 3)
+	assert.Equal(t, most, 1, "a minion under suspicion gets one run at a time")
+}
+
+func TestOneBadMomentIsOneStrike(t *testing.T) {
+	w, o := begun(t, 1)
+	w.submit(newJob("a", tasks(4, 1000)))
+	w.turn()
+	m := o.st.minions["m0"]
+	m.strikes = 1
+	for k := range w.minions[0].runs {
+		w.minions[0].end(k, work.Failed)
+	}
+	o.renew(w.minions[0])
+	assert.Equal(t, m.strikes, 2)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -80,6 +80,7 @@
 	left     int // tasks that are not finished
 	waiting  int // tasks that wait
 	advice   advice
+	failures int           // runs of its tasks that ended failed or stood still
 	booked   bool          // minions are kept for it
 	failedAt int           // attempt of a gang whose failure was counted
 	chain    time.Duration // longest chain of estimated work from this step on
@@ -123,16 +124,18 @@
 }
 
 type run struct {
-	key    runKey
-	size   work.Size // that it takes
-	step   *step     // nil for a run of an unknown job
-	task   *task     // nil likewise
-	state  runState
-	mark   int64     // renewals asked for after this one show what became of it; 0: inherited
-	token  int64     // token of its start, if that was sent in this term
-	stop   bool      // it is to end
-	asked  time.Time // when it was last told to
-	placed time.Time
+	key     runKey
+	size    work.Size // that it takes
+	step    *step     // nil for a run of an unknown job
+	task    *task     // nil likewise
+	state   runState
+	mark    int64     // renewals asked for after this one show what became of it; 0: inherited
+	token   int64     // token of its start, if that was sent in this term
+	stop    bool      // it is to end
+	asked   time.Time // when it was last told to
+	placed  time.Time
+	percent int       // of its work, as last reported
+	moved   time.Time // when percent last changed
 }
 
 // minion is what the shard believes of one minion's life.
@@ -149,10 +152,11 @@
 	used    work.Size
 	silent  time.Time // first renewal without an answer since the last answer
 	paused  time.Time // gets no new work until then
-	strikes int
-	fills   int   // runs that fill what others leave
-	serves  int   // runs that have a bound on their response times
-	booked  *step // gang that it is kept for
+	strikes int       // failures since the last success
+	slow    float64   // of the time that runs take there, to that which they take elsewhere; 0 is not known
+	fills   int       // runs that fill what others leave
+	serves  int       // runs that have a bound on their response times
+	booked  *step     // gang that it is kept for
 }
 
 // State is the state of a shard. Use New.
@@ -165,12 +169,13 @@
 	jobs    map[string]*job
 	active  []*job // not over, in order of arrival
 	minions map[string]*minion
-	order   []*minion // by id; nil when minions has changed
-	taken   time.Time // when the term began
-	seq     int64     // of renewals
-	askers  Askers    // left in this decision
-	turn    uint      // where the next question begins to name minions
-	durable time.Time // when the last write that was made durable had begun
+	order   []*minion          // by id; nil when minions has changed
+	taken   time.Time          // when the term began
+	seq     int64              // of renewals
+	usual   map[string]float64 // of a run's time to its estimate, by queue
+	askers  Askers             // left in this decision
+	turn    uint               // where the next question begins to name minions
+	durable time.Time          // when the last write that was made durable had begun
 	batch   Batch
 	now     Orders
 }
@@ -242,7 +247,7 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{},
+		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{}, usual: map[string]float64{},
 		taken: now, durable: now, batch: Batch{Seen: map[work.Life]int64{}},
 	}
 }
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -47,6 +47,7 @@
 	ends   []work.End
 	barred map[runKey]bool // stopped or ended here
 	up     bool
+	stuck  bool    // its runs make no progress
 	slow   float64 // of its clock
 }
 
@@ -157,6 +158,14 @@
 	return work.Accepted, true
 }
 
+// percent moves while runs do.
+func (b *box) percent() int {
+	if b.stuck {
+		return 0
+	}
+	return int(b.clock()/100) % 100
+}
+
 func (b *box) stop(token int64, k runKey) {
 	if !b.up || token < b.token {
 		return
@@ -193,7 +202,7 @@
 	b.ends = kept
 	r := work.Report{Born: b.Born, Clock: b.clock(), Ended: append([]work.End(nil), kept...)}
 	for k := range b.runs {
-		r.Running = append(r.Running, work.Run{Task: k.task, Attempt: k.attempt})
+		r.Running = append(r.Running, work.Run{Task: k.task, Attempt: k.attempt, Percent: b.percent()})
 	}
 	sort.Slice(r.Running, func(x, y int) bool { return r.Running[x].Task.String() < r.Running[y].Task.String() })
 	return r, true
