Reads go through other entries too; tests of whole entries over a store in memory

Ruled out: notifications being lost alone (they fail only while the owner moves). Change: reads and feeds are relayed like writes. Peers: a connection that is opened while its client closes is closed.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -134,6 +134,10 @@
 		nc = c.bytes.Conn(nc)
 	}
 	k.rpc = rpc.NewClient(bounded{nc, &k.dead})
+	if k.dead.Load() {
+		k.close()
+		return
+	}
 	go k.watch()
 }
 
@@ -199,8 +203,16 @@
 	defer c.mu.Unlock()
 	for _, ks := range c.conns {
 		for _, k := range ks {
-			if k != nil && k.rpc != nil {
-				k.close()
+			if k == nil {
+				continue
+			}
+			k.dead.Store(true)
+			select {
+			case <-k.open:
+				if k.rpc != nil {
+					k.close()
+				}
+			default: // open closes what it opens
 			}
 		}
 	}
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -206,9 +206,9 @@
 
 // written is the version of the owner's last write.
 func (s *Server) written(ctx context.Context, service string) (int64, error) {
-	c, cancel := context.WithTimeout(ctx, storeTimeout)
+	c, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	r, err := s.store.Read(c, seqTable, service, "", "")
+	r, err := s.Store.Read(c, seqTable, service, "", "")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -151,3 +151,15 @@
 	}
 	return nil
 }
+
+// Read makes a reading call for an entry that gets no answer from the store.
+func (c *calls) Read(f Fetch, out *Fetched) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	got, err := fetch(ctx, c.s.Store, f, 0)
+	*out = got
+	if err != nil {
+		out.Error = err.Error()
+	}
+	return nil
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -115,7 +115,7 @@
 		names: map[string]Entry{}, blame: map[string]blame{},
 		leads: map[string]Lead{}, owners: map[string]*owner{},
 	}
-	s.store = &relayed{Store: p.Store, via: s.relay}
+	s.store = &relayed{Store: p.Store, via: s.relay, readVia: s.relayRead}
 	s.peers = peer.New(transport.From(""), &transport.Counter{})
 	var err error
 	if s.l, err = net.Listen("tcp", set.Peer); err != nil {
@@ -316,6 +316,18 @@
 	return out.Result, nil
 }
 
+// relayRead has another entry make a reading call.
+func (s *Server) relayRead(ctx context.Context, n int, f Fetch) (out Fetched, err error) {
+	addrs := s.others(steady())
+	if n >= len(addrs) {
+		return out, errors.New("no other entry")
+	}
+	if err = s.call(ctx, addrs[n], "Read", f, &out); err == nil && out.Error != "" {
+		err = errors.New(out.Error)
+	}
+	return out, err
+}
+
 // readiness answers the balancer.
 func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
 	if s.cfg.Load() == nil || s.stopping.Load() {
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,242 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/table"
+	"jasminestep/internal/table/tabletest"
+)
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	assert.Equal(t, s.submit(s.entries[0], jobName(1), "50ms", 5), http.StatusOK)
+	for _, e := range s.entries {
+		s.until("completed", func() bool { return s.state(e, jobName(1)) == "completed" })
+	}
+	assert.Equal(t, s.fleet.starts, 5)
+	assert.Equal(t, s.submit(s.entries[1], jobName(1), "50ms", 5), http.StatusOK)
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, s.fleet.starts, 5, "the same id is one job")
+}
+
+func TestBadJobsLeaveNothing(t *testing.T) {
+	s := newSite(t, 1, 1)
+	e := s.entries[0]
+	s.until("a configuration", func() bool { return e.cfg.Load() != nil })
+	for name, c := range map[string]struct {
+		path string
+		body any
+		want int
+	}{
+		"no queue":         {"/x/" + jobName(1), nil, http.StatusNotFound},
+		"bad id":           {"/q/xyz", nil, http.StatusBadRequest},
+		"no steps":         {"/q/" + jobName(1), map[string]any{}, http.StatusBadRequest},
+		"no object":        {"/q/" + jobName(1), "text", http.StatusBadRequest},
+		"cycle":            {"/q/" + jobName(1), map[string]any{"st": []any{map[string]any{"n": 1, "a": []int{0}}}}, http.StatusBadRequest},
+		"negative size":    {"/q/" + jobName(1), map[string]any{"st": []any{map[string]any{"n": 1, "s": map[string]any{"c": -1}}}}, http.StatusBadRequest},
+		"impossible count": {"/q/" + jobName(1), map[string]any{"st": []any{map[string]any{"n": 1_000_000}}}, http.StatusBadRequest},
+	} {
+		code, _ := s.call(e, http.MethodPost, c.path, c.body)
+		assert.Equal(t, code, c.want, name)
+	}
+	r, err := table.ReadAll(context.Background(), s.rows, jobTable)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Rows), 0)
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	i, o := s.owner()
+	assert.Equal(t, s.submit(o, jobName(1), "600ms", 6), http.StatusOK)
+	s.until("runs", func() bool { return s.fleet.running() == 6 })
+	o.Kill()
+	s.entries = append(s.entries[:i], s.entries[i+1:]...)
+	began := time.Now()
+	assert.Equal(t, s.submit(s.entries[0], jobName(2), "10ms", 1), http.StatusOK, "a job is accepted without an owner")
+	s.until("both completed", func() bool {
+		return s.state(s.entries[0], jobName(1)) == "completed" && s.state(s.entries[1], jobName(2)) == "completed"
+	})
+	t.Logf("%v from the kill to the end of the jobs", time.Since(began))
+	assert.Equal(t, s.fleet.starts, 7)
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	i, o := s.owner()
+	began := time.Now()
+	go o.Stop()
+	s.until("another owner", func() bool { return s.entries[1-i].owner("svc") != nil })
+	t.Logf("%v from the signal to the next owner", time.Since(began))
+	code, _ := s.call(o, http.MethodGet, "/q/", nil)
+	assert.Equal(t, code, http.StatusOK, "it still answers")
+}
+
+func TestOwnerCutFromTheStoreGoesOn(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	i, o := s.owner()
+	s.until("it knows the others", func() bool { return len(o.others(steady())) == 2 })
+	s.views[i].set(true)
+	for n := range 5 {
+		assert.Equal(t, s.submit(o, jobName(n+1), "20ms", 2), http.StatusOK, "through another entry")
+	}
+	s.until("completed", func() bool { return s.state(o, jobName(5)) == "completed" })
+	assert.Equal(t, s.fleet.starts, 10)
+}
+
+func TestStoreOutageIsToldAtOnce(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	var down atomic.Bool
+	down.Store(true)
+	s.rows.Judge(func(table.Tx) tabletest.Fate {
+		if down.Load() {
+			return tabletest.Refused
+		}
+		return tabletest.Fine
+	})
+	began := time.Now()
+	assert.Equal(t, s.submit(s.entries[0], jobName(1), "10ms", 1), http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+	down.Store(false)
+	time.Sleep(2 * downGap)
+	assert.Equal(t, s.submit(s.entries[0], jobName(1), "10ms", 1), http.StatusOK)
+	s.until("completed", func() bool { return s.state(s.entries[1], jobName(1)) == "completed" })
+}
+
+func TestLostAnswersAcceptOnce(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	var n atomic.Int64
+	s.rows.Judge(func(table.Tx) tabletest.Fate {
+		switch n.Add(1) % 3 {
+		case 0:
+			return tabletest.Lost
+		case 1:
+			return tabletest.Later
+		}
+		return tabletest.Fine
+	})
+	for i := range 6 {
+		s.until("accepted", func() bool { // as a client does that gets no answer, or is told to come again
+			code := s.submit(s.entries[i%2], jobName(i+1), "20ms", 2)
+			s.rows.Land()
+			return code == http.StatusOK
+		})
+	}
+	for i := range 6 {
+		s.until("completed", func() bool { s.rows.Land(); return s.state(s.entries[0], jobName(i+1)) == "completed" })
+	}
+	assert.Equal(t, s.fleet.starts, 12)
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	for i := range 3 {
+		s.rows.Trim()
+		assert.Equal(t, s.submit(s.entries[0], jobName(i+1), "10ms", 1), http.StatusOK)
+		s.rows.Trim()
+		s.until("completed", func() bool { return s.state(s.entries[1], jobName(i+1)) == "completed" })
+	}
+}
+
+func TestCancelStopsRuns(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	assert.Equal(t, s.submit(s.entries[0], jobName(1), "1h", 4), http.StatusOK)
+	s.until("runs", func() bool { return s.fleet.running() == 4 })
+	code, _ := s.call(s.entries[1], http.MethodDelete, "/q/"+jobName(1), nil)
+	assert.Equal(t, code, http.StatusOK)
+	s.until("nothing runs", func() bool { return s.fleet.running() == 0 })
+	s.until("shown", func() bool { return s.state(s.entries[0], jobName(1)) == "canceled" })
+	code, _ = s.call(s.entries[0], http.MethodDelete, "/q/"+jobName(2), nil)
+	assert.Equal(t, code, http.StatusGone)
+}
+
+func TestEveryoneKilledKeepsWhatWasAccepted(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	for i := range 6 {
+		assert.Equal(t, s.submit(s.entries[i%3], jobName(i+1), "300ms", 2), http.StatusOK)
+	}
+	for _, e := range s.entries {
+		e.Kill()
+	}
+	s.entries, s.views = nil, nil
+	for _, id := range []string{"e0", "e3"} {
+		s.entry(id)
+	}
+	for i := range 6 {
+		s.until("completed", func() bool { return s.state(s.entries[0], jobName(i+1)) == "completed" })
+	}
+}
+
+func TestOneWriteOfAChainLands(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	var later atomic.Bool
+	s.rows.Judge(func(tx table.Tx) tabletest.Fate {
+		if later.Swap(false) {
+			return tabletest.Later
+		}
+		return tabletest.Fine
+	})
+	later.Store(true)
+	assert.Equal(t, s.submit(s.entries[0], jobName(1), "10ms", 3), http.StatusOK)
+	s.until("completed", func() bool { return s.state(s.entries[0], jobName(1)) == "completed" })
+	s.rows.Land() // a write of the owner, or the job's, that was overtaken
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, s.state(s.entries[0], jobName(1)), "completed")
+	_, o := s.owner()
+	assert.Assert(t, o != nil)
+}
+
+func TestRefusedOnlyIfEveryWayRefused(t *testing.T) {
+	refuse := func() (table.Result, error) {
+		return table.Result{}, errors.Mark(errors.New("no"), table.ErrNotDone)
+	}
+	silent := func() (table.Result, error) { return table.Result{}, errors.New("silence") }
+	for name, c := range map[string]struct {
+		direct, via func() (table.Result, error)
+		notDone     bool
+	}{
+		"all refuse":      {refuse, refuse, true},
+		"own way is open": {silent, refuse, false},
+		"relay's is open": {refuse, silent, false},
+		"nothing is sure": {silent, silent, false},
+	} {
+		r := &relayed{
+			Store: doStore{c.direct},
+			via:   func(context.Context, int, table.Tx) (table.Result, error) { return c.via() },
+		}
+		_, err := r.Do(context.Background(), table.Tx{})
+		assert.Assert(t, err != nil, name)
+		assert.Equal(t, errors.Is(err, table.ErrNotDone), c.notDone, name)
+	}
+}
+
+// doStore answers transactions by a function.
+type doStore struct{ do func() (table.Result, error) }
+
+func (d doStore) Do(context.Context, table.Tx) (table.Result, error) { return d.do() }
+
+func (d doStore) Read(context.Context, string, string, string, string) (table.Range, error) {
+	return table.Range{}, nil
+}
+
+func (d doStore) Parts(context.Context, string) ([]string, error) { return nil, nil }
+
+func (d doStore) Feed(context.Context, string, int64, time.Duration) (table.Range, error) {
+	return table.Range{}, nil
+}
--- a/internal/server/store.go
+++ b/internal/server/store.go
@@ -26,7 +26,8 @@
 // not reach it itself.
 type relayed struct {
 	table.Store
-	via func(ctx context.Context, n int, tx table.Tx) (table.Result, error) // through the n-th other entry
+	via     func(ctx context.Context, n int, tx table.Tx) (table.Result, error) // through the n-th other entry
+	readVia func(ctx context.Context, n int, f Fetch) (Fetched, error)
 
 	mu     sync.Mutex
 	failed time.Time     // last failure of this entry's own way, since its last success
@@ -148,6 +149,93 @@
 	return errors.Mark(fmt.Errorf("store: %w", err), table.ErrNotDone)
 }
 
+// Fetch names a reading call of the store.
+type Fetch struct {
+	Kind  FetchKind
+	Table string
+	Part  string
+	From  string
+	To    string
+	After int64
+}
+
+// FetchKind is a kind of reading call.
+type FetchKind int
+
+// The kinds.
+const (
+	FetchRead FetchKind = iota
+	FetchParts
+	FetchFeed
+)
+
+// Fetched is the answer to a reading call.
+type Fetched struct {
+	Range   table.Range
+	Parts   []string
+	Trimmed bool // the history that was asked for is gone
+	Error   string
+}
+
+// fetch makes a reading call.
+func fetch(ctx context.Context, s table.Store, f Fetch, wait time.Duration) (out Fetched, err error) {
+	switch f.Kind {
+	case FetchRead:
+		out.Range, err = s.Read(ctx, f.Table, f.Part, f.From, f.To)
+	case FetchParts:
+		out.Parts, err = s.Parts(ctx, f.Table)
+	case FetchFeed:
+		out.Range, err = s.Feed(ctx, f.Table, f.After, wait)
+	}
+	if errors.Is(err, table.ErrTrimmed) {
+		return Fetched{Trimmed: true}, nil
+	}
+	return out, err
+}
+
+// readTimeout bounds a read on top of the time that it may wait.
+const readTimeout = 900 * time.Millisecond
+
+// read makes a reading call, through another entry if this one gets no answer.
+func (s *relayed) read(ctx context.Context, f Fetch, wait time.Duration) (Fetched, error) {
+	c, cancel := context.WithTimeout(ctx, readTimeout+wait)
+	out, err := fetch(c, s.Store, f, wait)
+	cancel()
+	for n := 0; err != nil && n < relayTries && ctx.Err() == nil; n++ {
+		c, cancel = context.WithTimeout(ctx, readTimeout)
+		var other error
+		if out, other = s.readVia(c, n, f); other == nil {
+			err = nil
+		}
+		cancel()
+	}
+	if err != nil {
+		return out, err
+	}
+	if out.Trimmed {
+		return out, table.ErrTrimmed
+	}
+	return out, nil
+}
+
+// Read implements table.Store.
+func (s *relayed) Read(ctx context.Context, tab, part, from, to string) (table.Range, error) {
+	out, err := s.read(ctx, Fetch{Kind: FetchRead, Table: tab, Part: part, From: from, To: to}, 0)
+	return out.Range, err
+}
+
+// Parts implements table.Store.
+func (s *relayed) Parts(ctx context.Context, tab string) ([]string, error) {
+	out, err := s.read(ctx, Fetch{Kind: FetchParts, Table: tab}, 0)
+	return out.Parts, err
+}
+
+// Feed implements table.Store.
+func (s *relayed) Feed(ctx context.Context, tab string, after int64, wait time.Duration) (table.Range, error) {
+	out, err := s.read(ctx, Fetch{Kind: FetchFeed, Table: tab, After: after}, wait)
+	return out.Range, err
+}
+
 // follow keeps calling take with the changes of a table, beginning with all of
 // its rows, until ctx ends. whole says that rows are all there are.
 func follow(ctx context.Context, s table.Store, tab string, from int64, wait, gap time.Duration, lost func(error), take func(rows []table.Row, whole bool)) {
@@ -155,7 +243,7 @@
 	for ctx.Err() == nil {
 		var r table.Range
 		var err error
-		c, cancel := context.WithTimeout(ctx, storeTimeout+wait)
+		c, cancel := context.WithTimeout(ctx, followTimeout+wait)
 		if after < 0 {
 			r, err = table.ReadAll(c, s, tab)
 		} else {
@@ -180,6 +268,9 @@
 	}
 }
 
+// followTimeout bounds one look at a feed, with what other entries need.
+const followTimeout = 4 * time.Second
+
 // retryGap is the pause after a failed call that is made again for ever.
 const retryGap = 250 * time.Millisecond
 
