--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -90,7 +90,9 @@
 	for n := range 5 {
 		assert.Equal(t, s.submit(o, jobName(n+1), "20ms", 2), http.StatusOK, "through another entry")
 	}
-	s.until("completed", func() bool { return s.state(o, jobName(5)) == "completed" })
+	for n := range 5 {
+		s.until("completed", func() bool { return s.state(o, jobName(n+1)) == "completed" })
+	}
 	assert.Equal(t, s.fleet.starts, 10)
 }
 
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -63,14 +63,15 @@
 // ErrImpossible marks a setting that is well-formed but cannot work.
 var ErrImpossible = errors.New("impossible setting")
 
-// Load reads and checks a settings file. The error names file and place.
+// Load reads and checks a settings file. Unknown settings are ignored; the error
+// of an impossible one names file and place.
 func Load(file string) (*Settings, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Settings{}
-	if err = operator.Parse(file, b, s); err != nil {
+	if err = operator.ParseKnown(file, b, s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if name, err := s.Check(); err != nil {
--- a/pkg/operator/print.go
+++ b/pkg/operator/print.go
@@ -32,13 +32,21 @@
 
 // Parse decodes JSON with comments into doc, strictly: an unknown field, a
 // wrong type or trailing data is an error that names file, line and column.
-func Parse(file string, b []byte, doc any) error {
+func Parse(file string, b []byte, doc any) error { return parse(file, b, doc, true) }
+
+// ParseKnown decodes like Parse but ignores unknown fields, for files whose
+// writers may know more than their reader.
+func ParseKnown(file string, b []byte, doc any) error { return parse(file, b, doc, false) }
+
+func parse(file string, b []byte, doc any, strict bool) error {
 	std, err := hujson.Standardize(bytes.Clone(b))
 	if err != nil {
 		return invalid("%s: %v", file, err)
 	}
 	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
+	if strict {
+		dec.DisallowUnknownFields()
+	}
 	if err = dec.Decode(doc); err != nil {
 		line, col := position(std, offset(std, dec, err))
 		return invalid("%s:%d:%d: %v", file, line, col, err)
