--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -82,6 +82,7 @@
 func (s *Server) failed(w http.ResponseWriter, id string, err error) {
 	if errors.Is(err, table.ErrNotDone) {
 		s.Log.Info("rejected", "job", id, "why", err.Error())
+		w.Header().Set("Connection", "close") // the client may reach an entry that is better off
 		reject(w, http.StatusServiceUnavailable, "the store is not to be reached")
 		return
 	}
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -26,6 +26,7 @@
 	pingGap      = 200 * time.Millisecond
 	pingTimeout  = 300 * time.Millisecond
 	quietFor     = 700 * time.Millisecond // without an answer or a write, before a shard is taken over
+	seqTimeout   = 700 * time.Millisecond
 	staleWrite   = 3 * time.Second        // an owner that answers but makes nothing durable is replaced
 	enrolTime    = 700 * time.Millisecond // from the first list of entries, for others to be in it
 	claimStagger = 80 * time.Millisecond
@@ -186,6 +187,7 @@
 	}
 	seq, err := s.written(ctx, service)
 	if err != nil {
+		s.store.lost(steady())
 		s.Log.Debug("cannot tell whether the owner is gone", "service", service, "why", err.Error())
 		return false
 	}
@@ -206,7 +208,7 @@
 
 // written is the version of the owner's last write.
 func (s *Server) written(ctx context.Context, service string) (int64, error) {
-	c, cancel := context.WithTimeout(ctx, readTimeout)
+	c, cancel := context.WithTimeout(ctx, seqTimeout)
 	defer cancel()
 	r, err := s.Store.Read(c, seqTable, service, "", "")
 	if err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -328,9 +328,10 @@
 	return out, err
 }
 
-// readiness answers the balancer.
+// readiness answers the balancer. An entry that no way leads to the store from
+// can accept nothing; clients do better in another availability zone.
 func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
-	if s.cfg.Load() == nil || s.stopping.Load() {
+	if s.cfg.Load() == nil || s.stopping.Load() || !s.store.reached() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/server/store.go
+++ b/internal/server/store.go
@@ -138,6 +138,20 @@
 	s.down = time.Time{}
 }
 
+// lost notes that the store was found not to be reached.
+func (s *relayed) lost(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = now
+}
+
+// reached says that some way leads to the store, as far as is known.
+func (s *relayed) reached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down.IsZero()
+}
+
 // unreached notes that no way led to the store.
 func (s *relayed) unreached(err error, open bool) error {
 	s.mu.Lock()
@@ -212,6 +226,7 @@
 	if err != nil {
 		return out, err
 	}
+	s.up()
 	if out.Trimmed {
 		return out, table.ErrTrimmed
 	}
