--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -53,7 +53,7 @@
 				i := pick("order", len(w.flying))
 				f := w.flying[i]
 				w.flying = append(w.flying[:i], w.flying[i+1:]...)
-				f()
+				f.f()
 			},
 			"end": func(*rapid.T) {
 				b := anyBox()
@@ -79,13 +79,20 @@
 }
 
 // reborn starts a minion anew and tells the newest owner as its entry would.
-// Orders for the former life that are still under way are dropped: their
-// connections ended with it.
+// Orders that the former life's token has voided are dropped: one that is
+// carried out in the next life all the same, seconds late, is beyond what the
+// wire lets an owner prevent.
 func (w *world) reborn(b *box) {
 	if !b.up {
 		return
 	}
-	w.flying = nil
+	var kept []flight
+	for _, f := range w.flying {
+		if f.to != b || f.token >= b.token {
+			kept = append(kept, f)
+		}
+	}
+	w.flying = kept
 	w.now = w.now.Add(time.Millisecond)
 	b.reborn()
 	w.owners[len(w.owners)-1].st.See(w.now, b.Minion)
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -10,7 +10,7 @@
 const margin = 150 * time.Millisecond
 
 func (s *State) newMinion(w work.Minion) *minion {
-	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}}
+	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, since: s.taken}
 	s.minions[w.ID] = m
 	s.order = nil
 	return m
@@ -86,7 +86,7 @@
 	m.listed = false
 	s.note(Note{What: "unlisted", Minion: id})
 	if len(m.runs) == 0 && m.silent.IsZero() {
-		m.silent = s.taken // nothing is lost if it never answers again
+		m.silent = m.since // nothing is lost if it never answers again
 	}
 }
 
@@ -99,16 +99,40 @@
 	}
 }
 
-// reborn replaces a minion's former life: nothing of it runs any more.
+// reborn replaces a minion's former life. What was listed there runs no more;
+// but a start that was on its way may have reached the new life, which has the
+// same id and has seen no token: it is settled by the first report of that life.
 func (s *State) reborn(now time.Time, m *minion, w work.Minion) {
 	s.note(Note{What: "reborn", Minion: m.ID})
-	s.drop(now, m, "its minion started anew")
+	var carried []*run
+	for _, r := range m.runs {
+		m.remove(r)
+		if r.listed || r.state == unsent || r.state == cancelled {
+			s.lost(now, r, "its minion started anew")
+			continue
+		}
+		carried = append(carried, r)
+	}
 	m.Minion = w
 	m.known, m.listed = false, false
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.until, m.seen = 0, 0, 0
 	m.at, m.silent, m.paused = time.Time{}, time.Time{}, now
-	m.strikes = 0
+	m.since, m.strikes, m.slow, m.booked = now, 0, 0, nil
+	for _, r := range carried {
+		s.carry(m, r)
+	}
+}
+
+// carry makes a run that may be in a minion's new life one that is to be settled.
+func (s *State) carry(m *minion, r *run) {
+	r.state, r.mark, r.token = unsure, max(s.seq, 1), m.token-1
+	m.carried = true
+	m.add(r)
+	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
+		t.life = m.Life
+		r.step.job.dirty = true
+	}
 }
 
 // drop gives up all runs of a minion, which certainly exist no more.
@@ -188,7 +212,11 @@
 	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - s.Limits.Drift)) }
 	if m.at.IsZero() {
 		// A predecessor that cannot know of this term may have renewed for RenewFor.
-		return s.taken.Add(s.Limits.RenewFor + slow(s.Limits.Lease) + margin)
+		end := m.since.Add(s.Limits.RenewFor + slow(s.Limits.Lease) + margin)
+		if m.carried {
+			end = end.Add(s.Limits.LateOrder)
+		}
+		return end
 	}
 	return m.at.Add(slow(time.Duration(m.until-m.clock)*time.Millisecond) + margin)
 }
@@ -254,9 +282,10 @@
 		if r == nil {
 			r = s.stray(m, k)
 		}
-		if r.state == unsure {
+		if r.state == unsure || r.state == sent {
 			r.state = live
 		}
+		r.listed = true
 		s.watch(now, m, r, w)
 		if r.task != nil && r.task.attempt == w.Attempt && r.task.phase == Placed {
 			if w.Saved != "" {
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -142,11 +142,12 @@
 		if m == nil {
 			m = s.newMinion(work.Minion{Life: t.life})
 		}
+		r := &run{key: runKey{t.id, t.attempt}, size: p.Reserved(), step: p, task: t, state: unsure}
 		if m.Born == in.Born {
-			m.add(&run{key: runKey{t.id, t.attempt}, size: p.Reserved(), step: p, task: t, state: unsure})
+			m.add(r)
 			return
 		}
-		s.requeue(p, t) // that life of the minion is over
+		s.carry(m, r) // its start may have reached the minion's next life
 	}
 }
 
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -77,7 +77,7 @@
 		w.pass(2 * time.Second)
 		w.turn()
 		assert.Equal(t, w.running(), 1)
-		late() // carried out late: the token, or the run that is there, refuses it
+		late.f() // carried out late: the token, or the run that is there, refuses it
 		w.turn()
 		assert.Equal(t, w.running(), 1)
 	}
@@ -387,3 +387,23 @@
 	o.renew(w.minions[0])
 	assert.Equal(t, m.strikes, 2)
 }
+
+func TestStartThatReachesTheNextLifeIsFound(t *testing.T) {
+	w, o := begun(t, 2)
+	w.submit(newJob("a", tasks(1, 1000)))
+	o.step()
+	o.commit(true)
+	assert.Equal(t, len(w.flying), 1)
+	f := w.flying[0]
+	w.pass(time.Second)
+	f.to.reborn()
+	f.f() // before the owner has heard of the new life
+	assert.Equal(t, w.running(), 1)
+	w.flying = nil
+	o.st.See(w.now, f.to.Minion)
+	for range 3 {
+		w.turn()
+		assert.Equal(t, w.running(), 1)
+	}
+	assert.Equal(t, len(f.to.runs), 1, "the run is kept where it is")
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -22,16 +22,17 @@
 
 // Limits are the times that the shard works with.
 type Limits struct {
-	Lease    time.Duration // of runs, from each renewal on
-	RenewFor time.Duration // how long after its last durable write an owner still renews
-	Drift    float64       // how much slower a minion's clock may be, as a share
-	Keep     time.Duration // how long the outcome of an ended job is told
-	MaxEnds  int           // ends in one report of a minion; there may be more
+	Lease     time.Duration // of runs, from each renewal on
+	RenewFor  time.Duration // how long after its last durable write an owner still renews
+	LateOrder time.Duration // how late an order may be carried out that was held up
+	Drift     float64       // how much slower a minion's clock may be, as a share
+	Keep      time.Duration // how long the outcome of an ended job is told
+	MaxEnds   int           // ends in one report of a minion; there may be more
 }
 
 // Defaults suit minions that allow leases of 10 s.
 var Defaults = Limits{
-	Lease: 5 * time.Second, RenewFor: 7 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
+	Lease: 5 * time.Second, RenewFor: 7 * time.Second, LateOrder: 15 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
 	MaxEnds: 500,
 }
 
@@ -131,6 +132,7 @@
 	state   runState
 	mark    int64     // renewals asked for after this one show what became of it; 0: inherited
 	token   int64     // token of its start, if that was sent in this term
+	listed  bool      // a report of this life of its minion had it
 	stop    bool      // it is to end
 	asked   time.Time // when it was last told to
 	placed  time.Time
@@ -150,6 +152,8 @@
 	seen    int64 // number of the last end that was taken in
 	runs    map[runKey]*run
 	used    work.Size
+	since   time.Time // when this life became known
+	carried bool      // runs of it may have been meant for the former life
 	silent  time.Time // first renewal without an answer since the last answer
 	paused  time.Time // gets no new work until then
 	strikes int       // failures since the last success
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -24,7 +24,7 @@
 	gone    map[string]bool // cancelled jobs
 	term    int64
 	owners  []*boss // the last one has the shard; the others do not know yet
-	flying  []func()
+	flying  []flight
 	done    map[work.TaskID]bool // ended done, and taken note of
 	ever    map[work.TaskID]bool // ended done, or a member of a gang that did
 	story   []string             // what happened, for a failure's message
@@ -34,6 +34,13 @@
 	Fatalf(format string, args ...any)
 }
 
+// flight is an order under way.
+type flight struct {
+	to    *box
+	token int64
+	f     func()
+}
+
 // box is a minion as it really is.
 type box struct {
 	w *world
@@ -320,7 +327,7 @@
 	o.st.Decide(o.w.now, o.w.now, Askers{})
 	for _, x := range o.st.Orders().Stops {
 		b := o.w.box(x.Minion.ID)
-		o.w.flying = append(o.w.flying, func() { b.stop(x.Token, runKey{x.Task, x.Attempt}) })
+		o.w.flying = append(o.w.flying, flight{b, x.Token, func() { b.stop(x.Token, runKey{x.Task, x.Attempt}) }})
 	}
 	if o.batch != nil {
 		return
@@ -382,14 +389,14 @@
 func (o *boss) send(x Order) {
 	size := o.st.minions[x.Minion.ID].runs[runKey{x.Start.Task, x.Start.Attempt}].size
 	b := o.w.box(x.Minion.ID)
-	o.w.flying = append(o.w.flying, func() {
+	o.w.flying = append(o.w.flying, flight{b, x.Start.Token, func() {
 		why, ok := b.start(x.Minion.Life, x.Start, size)
 		if ok && b.Born == x.Minion.Born {
 			o.st.Started(o.w.now, x, why, nil)
 			return
 		}
 		o.st.Started(o.w.now, x, work.Other, fmt.Errorf("no answer"))
-	})
+	}})
 }
 
 // lose has a start carried out now, its answer lost.
@@ -446,7 +453,7 @@
 	for range n {
 		f := w.flying[0]
 		w.flying = w.flying[1:]
-		f()
+		f.f()
 	}
 }
 
