--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -33,7 +33,7 @@
 
 	mu    sync.Mutex
 	mode  mode
-	conns map[net.Conn]bool
+	conns map[net.Conn]net.Conn // caller to peer
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{l: l, to: to, conns: map[net.Conn]bool{}}
+	p := &proxy{l: l, to: to, conns: map[net.Conn]net.Conn{}}
 	go p.serve()
 	return p, nil
 }
@@ -53,9 +53,21 @@
 	defer p.mu.Unlock()
 	p.mode = m
 	if m == refuse {
-		for c := range p.conns {
-			reset(c)
-		}
+		p.resetAll()
+	}
+}
+
+// crash resets all connections, with what is still under way in them.
+func (p *proxy) crash() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAll()
+}
+
+func (p *proxy) resetAll() {
+	for c, d := range p.conns {
+		reset(c)
+		reset(d)
 	}
 }
 
@@ -96,7 +108,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[c] = true
+	p.conns[c] = d
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Add(2)
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -199,6 +199,7 @@
 		after(func() { s.paths[i].set(open) })
 		return fmt.Sprintf("minion %d %s", i, modeNames[m]), length
 	case 7:
+		s.paths[i].crash() // its connections end with it
 		s.minions[i].Crash()
 		return fmt.Sprintf("minion %d crashes", i), length
 	case 8:
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -188,7 +188,7 @@
 	s := newSite(t, 1, 1)
 	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
 	var later atomic.Bool
-	s.rows.Judge(func(tx table.Tx) tabletest.Fate {
+	s.rows.Judge(func(table.Tx) tabletest.Fate {
 		if later.Swap(false) {
 			return tabletest.Later
 		}
