--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -208,14 +208,17 @@
 		Put:    append([]table.Row{{Key: seqKey(o.service), Value: []byte(mark)}}, rows...),
 		Delete: gone,
 	}
-	for {
+	for told := false; ; {
 		began := steady()
 		res, err := o.s.store.Do(o.ctx, tx)
 		switch {
 		case o.ctx.Err() != nil:
 			return began, fmt.Errorf("write: %w", o.ctx.Err())
 		case err != nil:
-			o.s.Log.Warn("write", "service", o.service, "term", o.term, "why", err.Error())
+			if !told {
+				o.s.Log.Warn("write", "service", o.service, "term", o.term, "why", err.Error())
+			}
+			told = true
 			pause(o.ctx, retryWrite)
 			continue
 		case res.Done:
