--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -98,13 +98,15 @@
 
 // cancel cancels an accepted job.
 func (c *client) cancel(id string, e *entry) {
-	if code, _ := c.call(e, http.MethodDelete, id, ""); code != http.StatusOK {
-		return
-	}
+	code, _ := c.call(e, http.MethodDelete, id, "")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.jobs[id] == accepted {
+	switch {
+	case c.jobs[id] != accepted:
+	case code == http.StatusOK:
 		c.jobs[id] = cancelled
+	default:
+		c.jobs[id] = unknown // it may be cancelled, or not
 	}
 }
 
