--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -166,3 +166,41 @@
 		p.advice.good[id] = ticket{text, given.Add(valid - ticketMargin), m.Born}
 	}
 }
+
+// aheadShare is the share of a ticket's life within which a step's turn has to
+// come for advice to be asked ahead of it.
+const aheadShare = 0.6
+
+// askAhead asks about steps whose turn comes soon, if nothing that waits needs
+// the askers: short steps then begin when the last one ends, not a question later.
+func (v *view) askAhead() {
+	for _, j := range v.s.active {
+		if j.Advice == nil || j.state.Over() {
+			continue
+		}
+		for _, r := range j.rounds {
+			for _, p := range r.steps {
+				if v.s.askers.All == 0 {
+					return
+				}
+				if p.soon() && !p.advice.asking && len(p.advice.good) == 0 && !v.now.Before(p.advice.wait) {
+					v.s.ask(v.now, p, v.s.unasked(v.now, p, v.ms, false))
+				}
+			}
+		}
+	}
+}
+
+// soon says that the step's turn has not come but will while a ticket is valid.
+func (p *step) soon() bool {
+	if len(p.After) == 0 || p.waiting == 0 || p.open() {
+		return false
+	}
+	limit := time.Duration(aheadShare * float64(p.job.Advice.Valid))
+	for _, a := range p.After {
+		if q := p.round.steps[a]; q.waiting > 0 || q.Estimate > limit {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -111,6 +111,7 @@
 	for _, c := range cs {
 		v.place(c)
 	}
+	v.askAhead()
 }
 
 // view is what one decision sees of the minions.
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -407,3 +407,21 @@
 	}
 	assert.Equal(t, len(f.to.runs), 1, "the run is kept where it is")
 }
+
+func TestAdviceIsAskedAheadOfAShortStepsTurn(t *testing.T) {
+	w, o := begun(t, 2)
+	second := tasks(1, 1000)
+	second.After = []int{0}
+	j := newJob("a", tasks(1, 1000), second)
+	j.Advice = &work.Advice{Decide: 10 * time.Millisecond, Valid: 2 * time.Second}
+	w.submit(j)
+	free := Askers{All: 2, Long: 2, From: time.Second}
+	o.st.Decide(w.now, w.now, free)
+	asks := o.st.Orders().Asks
+	assert.Equal(t, len(asks), 1)
+	o.st.Advised(w.now, w.now, asks[0], map[string]string{"m0": "t", "m1": "t"}, 2*time.Second, nil)
+	o.st.Decide(w.now, w.now, free)
+	asks = o.st.Orders().Asks
+	assert.Equal(t, len(asks), 1)
+	assert.Equal(t, asks[0].Step.Step, 1)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -371,16 +371,6 @@
 	return true
 }
 
-// near says that a step's turn comes soon: all that it waits for is placed.
-func (p *step) near() bool {
-	for _, a := range p.After {
-		if p.round.steps[a].waiting > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // runnable says that the step can have tasks placed now.
 func (p *step) runnable() bool {
 	if p.waiting == 0 || !p.open() {
