An end is acknowledged only within 60 ms of the report that listed it

Ruled out: a repeated acknowledgement (mended before), the lease (2 s). Tests: TestAcknowledgementsAreFresh failed first.

--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -29,18 +29,22 @@
 }
 
 type fakeMinion struct {
-	born   int64
-	began  time.Time
-	token  int64
-	until  int64
-	n      int64
-	listed int64 // last end of the last report
-	runs   map[string]*fakeRun
-	ends   []work.End
-	room   int64
-	wake   chan struct{}
+	born     int64
+	began    time.Time
+	token    int64
+	until    int64
+	n        int64
+	listed   int64 // last end of the last report
+	reported time.Time
+	runs     map[string]*fakeRun
+	ends     []work.End
+	room     int64
+	wake     chan struct{}
 }
 
+// staleAck is how old a report may be when its ends are acknowledged.
+const staleAck = 250 * time.Millisecond
+
 type fakeRun struct {
 	id      work.TaskID
 	attempt int
@@ -145,6 +149,9 @@
 	if seen > m.listed {
 		f.twice = append(f.twice, fmt.Sprintf("%s is to forget end %d, which its last report did not list: another life may have it", id, seen))
 	}
+	if age := time.Since(m.reported); seen > 0 && age > staleAck {
+		f.twice = append(f.twice, fmt.Sprintf("%s is to forget end %d %v after the report: another life may have it by now", id, seen, age))
+	}
 	m.until = max(m.until, until)
 	m.tick()
 	kept := m.ends[:0:0]
@@ -154,7 +161,7 @@
 		}
 	}
 	m.ends = kept
-	m.listed = 0
+	m.listed, m.reported = 0, time.Now()
 	for _, e := range kept {
 		m.listed = e.N
 	}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -23,13 +23,23 @@
 	life  work.Life
 	acked atomic.Int64 // ends up to this one may be forgotten
 	told  int64        // last end of the last report; 0 after one without ends, or without an answer
+	at    time.Time    // of the last report
 	wake  chan struct{}
 }
 
+// freshReport is how old a report may be when its ends are acknowledged.
+const freshReport = 60 * time.Millisecond
+
 // seen is up to which end the minion is told to forget: only those that its last
-// report listed. Once it has started anew its ends have the same numbers again,
-// and an old acknowledgement would make it forget ends that nobody has seen.
-func (r *runner) seen() int64 { return min(r.told, r.acked.Load()) }
+// report listed, and only if that was just now. Once a minion has started anew
+// its ends have the same numbers again, and an acknowledgement meant for the
+// former life would make it forget ends that nobody has seen.
+func (r *runner) seen(now time.Time) int64 {
+	if now.Sub(r.at) > freshReport {
+		return 0
+	}
+	return min(r.told, r.acked.Load())
+}
 
 // startRunners has a runner for every minion that is of interest.
 func (o *owner) startRunners() {
@@ -83,7 +93,7 @@
 		wait = renewWait
 	}
 	ctx, cancel := context.WithTimeout(r.o.ctx, wait+orderTimeout)
-	rep, fenced, err := r.o.s.Minions.Renew(ctx, &n.Minion, n.Token, n.Until, r.seen(), wait)
+	rep, fenced, err := r.o.s.Minions.Renew(ctx, &n.Minion, n.Token, n.Until, r.seen(steady()), wait)
 	cancel()
 	r.told = 0
 	if err != nil {
@@ -94,7 +104,7 @@
 	}
 	r.o.post(func(now time.Time) { r.o.st.Reported(now, n, rep) })
 	if len(rep.Ended) > 0 {
-		r.told = rep.Ended[len(rep.Ended)-1].N
+		r.told, r.at = rep.Ended[len(rep.Ended)-1].N, steady()
 		r.await(r.told)
 	}
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -251,3 +251,23 @@
 	s.until("completed", func() bool { return s.state(s.entries[0], jobName(1)) == "completed" })
 	time.Sleep(2*renewWait + 300*time.Millisecond)
 }
+
+// The fleet objects to an acknowledgement long after the report.
+func TestAcknowledgementsAreFresh(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	var down atomic.Int64 // Unix nanoseconds until which the store refuses
+	s.rows.Judge(func(table.Tx) tabletest.Fate {
+		if time.Now().UnixNano() < down.Load() {
+			return tabletest.Refused
+		}
+		return tabletest.Fine
+	})
+	for i, ms := range []time.Duration{450, 550, 650, 750, 850} {
+		assert.Equal(t, s.submit(s.entries[0], jobName(i+1), "100ms", 4), http.StatusOK)
+		s.until("runs", func() bool { return s.fleet.running() == 4 })
+		down.Store(time.Now().Add(ms * time.Millisecond).UnixNano())
+		s.until("completed", func() bool { return s.state(s.entries[0], jobName(i+1)) == "completed" })
+	}
+	time.Sleep(300 * time.Millisecond)
+}
