Renewals of tickets name further minions; gangs hold minions only while asking

Ruled out: too few allowed minions (17 known), deadlock of bookings (mended before). Change: a renewal names two more minions for each task left over; minions are booked only while the question is under way.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -61,18 +61,19 @@
 	mostNamed    = 60
 	namedForEach = 4 // minions named for each that is needed, since many are not allowed
 	renewSpare   = 2 // minions named beyond those of a gang whose tickets are renewed
+	renewOthers  = 2 // minions named for each task that a plan leaves over
 	askAgain     = 500 * time.Millisecond
 )
 
-// ask adds a question about a step, if one may be asked now.
-func (s *State) ask(now time.Time, p *step, ids []string) {
+// ask adds a question about a step, if one may be asked now, and says whether it did.
+func (s *State) ask(now time.Time, p *step, ids []string) bool {
 	if len(ids) == 0 || p.advice.asking {
-		return
+		return false
 	}
 	a := p.job.Advice
 	cost := a.Decide + a.Each*time.Duration(len(ids))
 	if !s.askers.take(cost) {
-		return
+		return false
 	}
 	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.good))})
 	p.advice.asking = true
@@ -82,6 +83,7 @@
 		IDs:  ids,
 		Cost: cost,
 	})
+	return true
 }
 
 // Askers says how many questions can be asked at present.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -294,7 +294,9 @@
 	return spots
 }
 
-// renew asks anew for the tickets that the plan lacks.
+// renew asks anew for the tickets that the plan lacks. Naming one more minion
+// costs far less than one more question, so if the plan leaves tasks over, other
+// minions that the step may use are named too: room there may be free next.
 func (v *view) renew(p *step, plan []*spot) {
 	var ids []string
 	for _, sp := range plan {
@@ -302,6 +304,18 @@
 			ids = append(ids, sp.ID)
 		}
 	}
+	if len(ids) == 0 {
+		return
+	}
+	most := min(len(ids)+renewOthers*(p.waiting-len(plan)), leastNamed)
+	for _, m := range v.possible(p) {
+		if len(ids) >= most {
+			break
+		}
+		if pass, _ := p.pass(v.now, m); pass == stale && m.usable(v.now) && !slices.Contains(ids, m.ID) {
+			ids = append(ids, m.ID)
+		}
+	}
 	v.s.ask(v.now, p, ids)
 }
 
@@ -310,10 +324,6 @@
 // changed with every answer would never have all of its tickets at once.
 func (v *view) renewGang(p *step, plan, spots []*spot) {
 	v.keep(p, plan)
-	v.release(p)
-	for _, sp := range plan {
-		v.take(p, []*minion{sp.minion})
-	}
 	var ids []string
 	spare := renewSpare
 	for _, sp := range spots {
@@ -326,7 +336,13 @@
 			spare--
 		}
 	}
-	v.s.ask(v.now, p, ids)
+	v.release(p)
+	if !v.s.ask(v.now, p, ids) && !p.advice.asking {
+		return // kept in this decision only: nobody is to wait for a question that is not asked
+	}
+	for _, sp := range plan {
+		v.take(p, []*minion{sp.minion})
+	}
 }
 
 // keep holds room for a plan that waits for its tickets.
