--- a/internal/server/events_test.go
+++ b/internal/server/events_test.go
@@ -14,7 +14,7 @@
 // TestEventsAreDocumented holds the table to the code.
 func TestEventsAreDocumented(t *testing.T) {
 	var files []string
-	for _, p := range []string{"[a-df-z]*.go", "enrol*.go", "../shard/[a-z]*.go", "../../cmd/jasminestep/entry.go"} {
+	for _, p := range []string{"*.go", "../shard/*.go", "../../cmd/jasminestep/entry.go"} {
 		fs, err := filepath.Glob(p)
 		assert.NilError(t, err)
 		files = append(files, fs...)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,16 +9,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
@@ -95,15 +92,6 @@
 	news       chan struct{} // closed at the next change of owners
 }
 
-// Entry is the row of an entry.
-type Entry struct {
-	Name string `json:"name"`
-	Addr string `json:"addr"`
-	Zone string `json:"zone"`
-
-	Strength float64 `json:"strength"` // as an owner
-}
-
 // Tables of the product's own rows.
 const (
 	entryTable = "entry"
@@ -195,40 +183,6 @@
 	}
 }
 
-// enrol writes this entry's row.
-func (s *Server) enrol(ctx context.Context) {
-	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone, s.Set.Strength()})
-	if err != nil {
-		s.Log.Error("enrol", "why", err.Error())
-		return
-	}
-	tx := table.Tx{Put: []table.Row{{Key: table.Key{Table: entryTable, Name: s.Set.ID}, Value: b}}}
-	for ctx.Err() == nil {
-		if _, err = s.store.Do(ctx, tx); err == nil {
-			return
-		}
-		s.Log.Warn("enrol", "why", err.Error())
-		pause(ctx, retryGap)
-	}
-}
-
-// enrolled takes in rows of entries.
-func (s *Server) enrolled(rows []table.Row, _ bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.enrolledAt.IsZero() {
-		s.enrolledAt = steady()
-	}
-	for _, r := range rows {
-		var e Entry
-		if r.Deleted || json.Unmarshal(r.Value, &e) != nil {
-			delete(s.names, r.Name)
-			continue
-		}
-		s.names[r.Name] = e
-	}
-}
-
 // configured takes in configurations.
 func (s *Server) configured(rows []table.Row, _ bool) {
 	for _, r := range rows {
@@ -249,99 +203,6 @@
 	}
 }
 
-// others returns the addresses of other entries, those that answer first, in an
-// order that differs from entry to entry.
-func (s *Server) others(now time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []Entry
-	for _, e := range s.names {
-		if e.Name != s.Set.ID {
-			out = append(out, e)
-		}
-	}
-	sort.Slice(out, func(a, b int) bool {
-		x, y := s.blamed(now, out[a].Addr), s.blamed(now, out[b].Addr)
-		if x != y {
-			return y
-		}
-		return rank(s.Set.ID, out[a].Name) < rank(s.Set.ID, out[b].Name)
-	})
-	addrs := make([]string, len(out))
-	for i, e := range out {
-		addrs[i] = e.Addr
-	}
-	return addrs
-}
-
-// blame is what is held against an entry that did not answer.
-type blame struct {
-	times int
-	until time.Time // it is passed over
-}
-
-// Bounds on how long an entry that did not answer is passed over; longer each time.
-const (
-	blameLeast = time.Second
-	blameMost  = 16 * time.Second
-)
-
-func (s *Server) blamed(now time.Time, addr string) bool {
-	b, ok := s.blame[addr]
-	return ok && now.Before(b.until)
-}
-
-// call calls another entry and remembers whether it answered.
-func (s *Server) call(ctx context.Context, addr, method string, args, reply any) error {
-	err := s.peers.Call(ctx, addr, peer.Traffic, method, args, reply)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err == nil || answered(err) {
-		delete(s.blame, addr)
-		return err
-	}
-	b := s.blame[addr]
-	if now := steady(); !now.Before(b.until) {
-		b.until = now.Add(min(blameLeast<<min(b.times, 8), blameMost))
-		b.times++
-		s.blame[addr] = b
-	}
-	return err
-}
-
-// relay has another entry carry out a transaction.
-func (s *Server) relay(ctx context.Context, n int, tx table.Tx) (table.Result, error) {
-	addrs := s.others(steady())
-	if n >= len(addrs) {
-		return table.Result{}, errors.Mark(errors.New("no other entry"), table.ErrNotDone)
-	}
-	var out RelayReply
-	err := s.call(ctx, addrs[n], "Relay", tx, &out)
-	switch {
-	case errors.Is(err, peer.ErrNotSent):
-		return table.Result{}, errors.Mark(err, table.ErrNotDone)
-	case err != nil:
-		return table.Result{}, err
-	case out.Refused:
-		return table.Result{}, errors.Mark(errors.New(out.Error), table.ErrNotDone)
-	case out.Error != "":
-		return table.Result{}, errors.New(out.Error)
-	}
-	return out.Result, nil
-}
-
-// relayRead has another entry make a reading call.
-func (s *Server) relayRead(ctx context.Context, n int, f Fetch) (out Fetched, err error) {
-	addrs := s.others(steady())
-	if n >= len(addrs) {
-		return out, errors.New("no other entry")
-	}
-	if err = s.call(ctx, addrs[n], "Read", f, &out); err == nil && out.Error != "" {
-		err = errors.New(out.Error)
-	}
-	return out, err
-}
-
 // readiness answers the balancer. An entry that no way leads to the store from
 // can accept nothing; clients do better in another availability zone.
 func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -6,8 +6,7 @@
 	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"jasminestep/internal/settings"
 	"jasminestep/pkg/operator"
 )
 
@@ -31,38 +30,30 @@
 	Level  string  `json:"level"`
 }
 
-// Setting documents one setting.
-type Setting struct {
-	Name    string
-	Unit    string
-	Default string
-	Bounds  string
-	Doc     string
+func setting(name, unit, usual, bounds, doc string) settings.Setting {
+	return settings.Setting{Name: name, Unit: unit, Default: usual, Bounds: bounds, Doc: doc}
 }
 
 // Table lists every setting.
-var Table = []Setting{
-	{"id", "name", "none", "not empty", "name of the VM"},
-	{"zone", "name", "none", "not empty", "availability zone of the VM"},
-	{"caller", "IP:port", "none", "an IP number", "where clients' requests come in"},
-	{"ready", "IP:port", "none", "an IP number", "where the balancer asks whether to send clients here"},
-	{"peer", "IP:port", "none", "an IP number", "where other entries call"},
-	{"admin", "IP:port", "none", "an IP number", "where metrics are read"},
-	{"store", "IP:port", "none", "an IP number", "the platform's store"},
-	{"advice", "IP:port", "empty", "an IP number or empty", "the placement service; empty if there is none"},
-	{"orders", "name", "call", "call", "how minions take orders: by calls to them"},
-	{"cores", "cores", "1", "above 0", "processor that the VM gives this process"},
-	{"link", "Mbit/s", "1000", "above 0", "bandwidth of the VM's link"},
-	{"first", "true, false", "false", "", "the whole system starts for the first time: owners are chosen once all entries are known"},
-	{"grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"},
-	{"lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"},
-	{"keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"},
-	{"level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"},
+var Table = []settings.Setting{
+	setting("id", "name", "none", "not empty", "name of the VM"),
+	setting("zone", "name", "none", "not empty", "availability zone of the VM"),
+	setting("caller", "IP:port", "none", "an IP number", "where clients' requests come in"),
+	setting("ready", "IP:port", "none", "an IP number", "where the balancer asks whether to send clients here"),
+	setting("peer", "IP:port", "none", "an IP number", "where other entries call"),
+	setting("admin", "IP:port", "none", "an IP number", "where metrics are read"),
+	setting("store", "IP:port", "none", "an IP number", "the platform's store"),
+	setting("advice", "IP:port", "empty", "an IP number or empty", "the placement service; empty if there is none"),
+	setting("orders", "name", "call", "call", "how minions take orders: by calls to them"),
+	setting("cores", "cores", "1", "above 0", "processor that the VM gives this process"),
+	setting("link", "Mbit/s", "1000", "above 0", "bandwidth of the VM's link"),
+	setting("first", "true, false", "false", "", "the whole system starts for the first time: owners are chosen once all entries are known"),
+	setting("grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"),
+	setting("lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"),
+	setting("keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"),
+	setting("level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"),
 }
 
-// ErrImpossible marks a setting that is well-formed but cannot work.
-var ErrImpossible = errors.New("impossible setting")
-
 // Load reads and checks a settings file. Unknown settings are ignored; the error
 // of an impossible one names file and place.
 func Load(file string) (*Settings, error) {
@@ -81,19 +72,15 @@
 	return s, nil
 }
 
-func impossible(name, format string, args ...any) (string, error) {
-	return name, fmt.Errorf("%s: %s: %w", name, fmt.Sprintf(format, args...), ErrImpossible)
-}
-
 // Check fills in defaults and returns the name of the first impossible setting
 // and what is wrong with it.
 func (s *Settings) Check() (string, error) {
 	s.fill()
 	if s.ID == "" {
-		return impossible("id", "want the name of this VM")
+		return settings.Impossible("id", "want the name of this VM")
 	}
 	if s.Zone == "" {
-		return impossible("zone", "want the availability zone of this VM")
+		return settings.Impossible("zone", "want the availability zone of this VM")
 	}
 	for _, a := range []struct{ name, addr string }{
 		{"caller", s.Caller}, {"ready", s.Ready}, {"peer", s.Peer}, {"admin", s.Admin}, {"store", s.Store}, {"advice", s.Advice},
@@ -103,7 +90,7 @@
 		}
 		host, port, err := net.SplitHostPort(a.addr)
 		if err != nil || net.ParseIP(host) == nil || port == "" {
-			return impossible(a.name, "%q: want an IP number and a port, as in 10.0.0.1:7000", a.addr)
+			return settings.Impossible(a.name, "%q: want an IP number and a port, as in 10.0.0.1:7000", a.addr)
 		}
 	}
 	for _, r := range []struct {
@@ -115,16 +102,16 @@
 		{"keep", s.Keep, 1000, 86_400_000},
 	} {
 		if r.v < r.lo || r.v > r.hi {
-			return impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
+			return settings.Impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
 		}
 	}
 	if s.Orders != "call" {
-		return impossible("orders", "%q: want call; minions that fetch their orders are not supported", s.Orders)
+		return settings.Impossible("orders", "%q: want call; minions that fetch their orders are not supported", s.Orders)
 	}
 	switch s.Level {
 	case "debug", "info", "warn", "error":
 	default:
-		return impossible("level", "%q: want debug, info, warn or error", s.Level)
+		return settings.Impossible("level", "%q: want debug, info, warn or error", s.Level)
 	}
 	return "", nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,17 +117,18 @@
 // ErrImpossible marks a setting that is well-formed but cannot work.
 var ErrImpossible = errors.New("impossible setting")
 
-func impossible(name, format string, args ...any) (string, error) {
+// Impossible returns a setting's name, and the error that tells what it should be.
+func Impossible(name, format string, args ...any) (string, error) {
 	return name, fmt.Errorf("%s: %s: %w", name, fmt.Sprintf(format, args...), ErrImpossible)
 }
 
 // check returns the name of the first impossible setting and what is wrong with it.
 func (s *Settings) check() (string, error) {
 	if s.ID == "" {
-		return impossible("id", "want the name of this VM")
+		return Impossible("id", "want the name of this VM")
 	}
 	if s.Zone == "" {
-		return impossible("zone", "want the availability zone of this VM")
+		return Impossible("zone", "want the availability zone of this VM")
 	}
 	addrs := []struct{ name, addr string }{
 		{"caller", s.Caller}, {"operator", s.Operator}, {"peer", s.Peer}, {"admin", s.Admin}, {"platform", s.Platform},
@@ -138,7 +139,7 @@
 	for _, a := range addrs {
 		host, port, err := net.SplitHostPort(a.addr)
 		if err != nil || net.ParseIP(host) == nil || port == "" {
-			return impossible(a.name, "%q: want an IP number and a port, as in 10.0.0.1:7000", a.addr)
+			return Impossible(a.name, "%q: want an IP number and a port, as in 10.0.0.1:7000", a.addr)
 		}
 	}
 	ranges := []struct {
@@ -156,13 +157,13 @@
 	}
 	for _, r := range ranges {
 		if r.v < r.lo || r.v > r.hi {
-			return impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
+			return Impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
 		}
 	}
 	switch s.Level {
 	case "debug", "info", "warn", "error":
 	default:
-		return impossible("level", "%q: want debug, info, warn or error", s.Level)
+		return Impossible("level", "%q: want debug, info, warn or error", s.Level)
 	}
 	return "", nil
 }
