Jobs count as pending at once, not with the owner's next write

Ruled out: the owner not knowing of them (its log has them at once). Change: states that are durable already are shown at once. Tests: TestPendingCountsWhatTheOwnerCannotWriteAbout failed first.

--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -135,6 +135,7 @@
 		o.st.Decide(now, time.Now(), shard.Askers{All: all, Long: long, From: longAnswer})
 	}
 	orders := o.st.Orders()
+	o.show(orders.Shown)
 	for _, x := range orders.Stops {
 		if r := o.runners[x.Minion.Life]; r != nil {
 			r.stop(x)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -271,3 +271,21 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 }
+
+func TestPendingCountsWhatTheOwnerCannotWriteAbout(t *testing.T) {
+	s := newSite(t, 1, 0)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	e := s.entries[0]
+	s.rows.Judge(func(tx table.Tx) tabletest.Fate {
+		if len(tx.Put) > 0 && tx.Put[0].Table == seqTable {
+			return tabletest.Dropped // every write of the owner
+		}
+		return tabletest.Fine
+	})
+	time.Sleep(2 * renewWrite) // one of them is under way now
+	for i := range 4 {
+		s.until("accepted", func() bool { return s.submit(e, jobName(i+1), "10ms", 1) == http.StatusOK })
+	}
+	s.until("counted", func() bool { _, b := s.call(e, http.MethodGet, "/q/", nil); return b == "4\n" })
+	s.rows.Judge(nil)
+}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -86,7 +86,7 @@
 	n.state = p.State
 	if n.state.Over() {
 		n.begun, n.ended = true, now
-		s.show(n)
+		s.showNow(n)
 		return nil
 	}
 	for _, r := range p.Rounds {
@@ -98,7 +98,7 @@
 		}
 		n.rounds[r.K] = s.loadRound(n, r)
 	}
-	s.show(n)
+	s.showNow(n)
 	return nil
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -243,6 +243,7 @@
 type Orders struct {
 	Stops []StopOrder
 	Asks  []Ask
+	Shown []Shown
 }
 
 // tokensPerTerm leaves an owner room to raise its token at one minion.
@@ -266,7 +267,7 @@
 	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrived: now}
 	s.jobs[j.ID] = n
 	s.active = append(s.active, n)
-	s.show(n)
+	s.showNow(n)
 	s.note(Note{What: "job", Job: j.ID})
 }
 
@@ -283,6 +284,12 @@
 // Has says whether the job is known.
 func (s *State) Has(id string) bool { return s.jobs[id] != nil }
 
+// showNow shows a state that is durable already.
+func (s *State) showNow(j *job) {
+	s.now.Shown = append(s.now.Shown, Shown{j.ID, j.Queue, j.state, j.begun})
+}
+
+// show shows a state once the batch is durable.
 func (s *State) show(j *job) {
 	s.batch.Shown = append(s.batch.Shown, Shown{j.ID, j.Queue, j.state, j.begun})
 }
