A job has begun once a run has, not once one is placed

Ruled out: jobs that the owner did not know of (it had read all 412). Change: begun is set by an accepted start, a report or an end, and kept in the row. Tests: TestJobHasNotBegunBeforeARunHas failed first.

--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -256,6 +256,9 @@
 		if r.state == sent {
 			r.state = live
 		}
+		if r.step != nil {
+			s.began(r.step.job)
+		}
 		s.halt(now, m, r)
 	default:
 		s.refused(now, m, r, why)
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -36,12 +36,13 @@
 
 type progress struct {
 	State  JobState     `json:"st"`
+	Begun  bool         `json:"b,omitempty"`
 	Rounds []savedRound `json:"r,omitempty"`
 }
 
 // row encodes a job's progress.
 func (j *job) row(service string) (table.Row, error) {
-	p := progress{State: j.state}
+	p := progress{State: j.state, Begun: j.begun}
 	if !j.state.Over() {
 		for _, r := range j.rounds {
 			p.Rounds = append(p.Rounds, r.save())
@@ -83,7 +84,7 @@
 		return fmt.Errorf("progress of %s: %w", j.ID, err)
 	}
 	n := s.jobs[j.ID]
-	n.state = p.State
+	n.state, n.begun = p.State, p.Begun
 	if n.state.Over() {
 		n.begun, n.ended = true, now
 		s.showNow(n)
@@ -126,9 +127,6 @@
 
 func (s *State) loadTask(p *step, t *task, in savedTask) {
 	t.attempt, t.failures, t.saved = in.Attempt, in.Failures, in.Saved
-	if t.attempt > 0 {
-		p.job.begun = true
-	}
 	switch in.Phase {
 	case Finished:
 		t.phase = Finished
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -400,7 +400,7 @@
 	t.phase, t.attempt, t.life = Placed, attempt, m.Life
 	p.waiting--
 	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, mark: s.seq + 1, placed: v.now})
-	j.begun, j.dirty = true, true
+	j.dirty = true
 	if j.state == Queued {
 		j.state = Active
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -59,6 +59,9 @@
 			r.state = live
 		}
 		r.listed = true
+		if r.step != nil {
+			s.began(r.step.job)
+		}
 		s.watch(now, m, r, w)
 		if r.task != nil && r.task.attempt == w.Attempt && r.task.phase == Placed {
 			if w.Saved != "" {
@@ -133,6 +136,7 @@
 		return
 	}
 	t, p := r.task, r.step
+	s.began(p.job)
 	if t.phase != Placed || t.attempt != e.Attempt || t.life != m.Life {
 		return
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -425,3 +425,19 @@
 	assert.Equal(t, len(asks), 1)
 	assert.Equal(t, asks[0].Step.Step, 1)
 }
+
+func TestJobHasNotBegunBeforeARunHas(t *testing.T) {
+	w, o := begun(t, 1)
+	w.submit(newJob("a", tasks(1, 1000)))
+	o.step()
+	o.commit(true)
+	w.flying = nil // the start is never carried out
+	assert.Assert(t, !o.st.jobs["a"].begun)
+	w.takeOver()
+	o = w.owners[1]
+	assert.Assert(t, !o.st.jobs["a"].begun)
+	w.turn()
+	w.turn()
+	assert.Equal(t, w.running(), 1)
+	assert.Assert(t, o.st.jobs["a"].begun)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -284,6 +284,15 @@
 // Has says whether the job is known.
 func (s *State) Has(id string) bool { return s.jobs[id] != nil }
 
+// began notes that a run of the job has begun.
+func (s *State) began(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	s.showNow(j)
+}
+
 // showNow shows a state that is durable already.
 func (s *State) showNow(j *job) {
 	s.now.Shown = append(s.now.Shown, Shown{j.ID, j.Queue, j.state, j.begun})
