Relays pass over entries that the store does not answer either

Ruled out: the store's own time (6 ms), the peers' connections. Tests: TestRelayPassesOverEntriesThatAreCutToo.

--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -211,8 +211,25 @@
 // view is one entry's way to the store, which can be cut.
 type view struct {
 	table.Store
-	mu  sync.Mutex
-	cut bool
+	mu    sync.Mutex
+	cut   bool
+	hangs bool // calls get no answer
+}
+
+func (v *view) hang(on bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hangs = on
+}
+
+// wait keeps a call waiting for an answer that does not come.
+func (v *view) wait(ctx context.Context) {
+	v.mu.Lock()
+	on := v.hangs
+	v.mu.Unlock()
+	if on {
+		<-ctx.Done()
+	}
 }
 
 var errCut = errors.New("no way to the store")
@@ -233,6 +250,7 @@
 }
 
 func (v *view) Do(ctx context.Context, tx table.Tx) (table.Result, error) {
+	v.wait(ctx)
 	if err := v.gone(); err != nil {
 		return table.Result{}, err
 	}
@@ -240,6 +258,7 @@
 }
 
 func (v *view) Read(ctx context.Context, tab, part, from, to string) (table.Range, error) {
+	v.wait(ctx)
 	if err := v.gone(); err != nil {
 		return table.Range{}, err
 	}
@@ -247,6 +266,7 @@
 }
 
 func (v *view) Feed(ctx context.Context, tab string, after int64, wait time.Duration) (table.Range, error) {
+	v.wait(ctx)
 	if err := v.gone(); err != nil {
 		return table.Range{}, err
 	}
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -142,9 +142,13 @@
 
 // Relay carries out a transaction for an entry that does not reach the store.
 func (c *calls) Relay(tx table.Tx, out *RelayReply) error {
+	if c.s.store.failing(steady()) {
+		*out = RelayReply{Error: "its own way to the store fails", Refused: true}
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	res, err := c.s.Store.Do(ctx, tx)
+	res, err := c.s.store.direct(ctx, tx)
 	out.Result = res
 	if err != nil {
 		out.Error, out.Refused = err.Error(), errors.Is(err, table.ErrNotDone)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -289,3 +289,23 @@
 	s.until("counted", func() bool { _, b := s.call(e, http.MethodGet, "/q/", nil); return b == "4\n" })
 	s.rows.Judge(nil)
 }
+
+func TestRelayPassesOverEntriesThatAreCutToo(t *testing.T) {
+	s := newSite(t, 4, 2)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	i, o := s.owner()
+	s.until("it knows the others", func() bool { return len(o.others(steady())) == 3 })
+	first := o.others(steady())[0]
+	for k, e := range s.entries {
+		if k == i || e.Set.Peer == first {
+			s.views[k].hang(true)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	began := time.Now()
+	for n := range 4 {
+		assert.Equal(t, s.submit(o, jobName(n+1), "10ms", 1), http.StatusOK)
+	}
+	s.until("completed", func() bool { return s.state(o, jobName(4)) == "completed" })
+	assert.Assert(t, time.Since(began) < 4*time.Second, "%v", time.Since(began))
+}
--- a/internal/server/store.go
+++ b/internal/server/store.go
@@ -74,6 +74,13 @@
 	return res, err
 }
 
+// failing says that this entry's own way has just failed.
+func (s *relayed) failing(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.failed.IsZero() && now.Sub(s.failed) < distrust
+}
+
 // attempt is what came of one way.
 type attempt struct {
 	res table.Result
@@ -124,6 +131,7 @@
 			relays++
 			under++
 			send(func() (table.Result, error) { return s.via(ctx, n, tx) })
+			t.Reset(hedgeLeast)
 		}
 	}
 	return table.Result{}, s.unreached(first, open)
