--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -334,7 +334,12 @@
 func (s *Server) pending(ctx context.Context, w http.ResponseWriter, q *work.Queue) {
 	key := q.Key()
 	if o := s.owner(q.Service); o != nil {
-		web.Reply(w, http.StatusOK, s.Wire.Pending(o.pending(key)))
+		n, ok := o.pending(key)
+		if !ok {
+			reject(w, http.StatusServiceUnavailable, "the queue's shard is being read")
+			return
+		}
+		web.Reply(w, http.StatusOK, s.Wire.Pending(n))
 		return
 	}
 	var out PendingReply
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -50,7 +50,8 @@
 
 	minionFrom, jobFrom int64 // versions from which the feeds are followed
 
-	last atomic.Int64 // steady nanoseconds at which the last durable write had begun
+	loaded atomic.Bool  // the whole shard is in view
+	last   atomic.Int64 // steady nanoseconds at which the last durable write had begun
 
 	mu     sync.RWMutex
 	shown  map[string]shard.Shown
@@ -96,6 +97,8 @@
 		o.depose(err.Error())
 		return
 	}
+	o.step() // shows what was read
+	o.loaded.Store(true)
 	o.s.spawn(func() { o.followJobs() })
 	o.s.spawn(func() { o.followMinions() })
 	t := time.NewTicker(idleGap)
@@ -307,10 +310,12 @@
 	return sh, ok
 }
 
-func (o *owner) pending(queue string) int {
+// pending counts the jobs of a queue that have not begun; ok is false until the
+// whole shard is in view.
+func (o *owner) pending(queue string) (n int, ok bool) {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	return o.queues[queue]
+	return o.queues[queue], o.loaded.Load()
 }
 
 // load reads the whole shard.
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -120,7 +120,7 @@
 // Pending counts the jobs of a queue that have not begun.
 func (c *calls) Pending(a PendingArgs, out *PendingReply) error {
 	if o := c.s.owner(a.Service); o != nil {
-		*out = PendingReply{true, o.pending(a.Queue)}
+		out.N, out.Owns = o.pending(a.Queue)
 	}
 	return nil
 }
