A step's tasks share a zone; copies of speculative tasks; cut zones find out together

Starts went on to the cut zone for 1.8 s. Clients of the zone were told 503 for 4 s, since the balancer sends them elsewhere only once no entry of the zone is ready, and idle entries found out late.

Tasks of speculative steps start again at once when nothing is heard from their minion. An owner without durable writes renews for 3 s instead of 7, which shortens the wait of its successor.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,9 +33,11 @@
 	Own   table.Store
 	Peers Peers
 	Now   func() time.Time // a clock that counts suspension and never jumps
+	Lost  func()           // called when no way leads to the store any more; may be nil
 
-	mu sync.Mutex
-	h  health
+	mu      sync.Mutex
+	h       health
+	checked time.Time // last Check
 }
 
 var (
@@ -146,7 +148,29 @@
 func (s *Store) lost(began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.h.lost(s.Now(), began)
+	was := s.h.down.IsZero()
+	lost := s.h.lost(s.Now(), began)
+	if was && lost && s.Lost != nil {
+		go s.Lost()
+	}
+	return lost
+}
+
+// checkGap is the shortest time between two checks.
+const checkGap = 500 * time.Millisecond
+
+// Check finds out whether some way leads to the store, for an entry that was
+// told by another that none does.
+func (s *Store) Check(ctx context.Context) {
+	s.mu.Lock()
+	now := s.Now()
+	if !s.h.down.IsZero() || now.Sub(s.checked) < checkGap {
+		s.mu.Unlock()
+		return
+	}
+	s.checked = now
+	s.mu.Unlock()
+	_, _ = run(ctx, s, fetchCall(s, probe)) // what it finds is noted by the way
 }
 
 // run makes a call, if need be on several ways. It must be safe to be made more
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -281,3 +281,18 @@
 		assert.Assert(t, time.Since(began) <= 1700*time.Millisecond, "%v", time.Since(began))
 	})
 }
+
+func TestIdleEntryFindsOutWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, own, ps := newStore(t, "a")
+		told := 0
+		s.Lost = func() { told++ }
+		own.set(-1, nil)
+		ps.ways["a"].set(0, ErrDistrusted)
+		s.Check(t.Context())
+		assert.Assert(t, !s.Reached())
+		s.Check(t.Context())
+		synctest.Wait()
+		assert.Equal(t, told, 1, "it tells others once")
+	})
+}
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -130,6 +130,30 @@
 	return err
 }
 
+// warn tells the other entries of the zone that the store is not to be reached.
+// In a zone that is cut off the balancer sends clients elsewhere only once none
+// of its entries is ready.
+func (s *Server) warn() {
+	s.mu.Lock()
+	var addrs []string
+	for _, e := range s.names {
+		if e.Zone == s.Set.Zone && e.Name != s.Set.ID {
+			addrs = append(addrs, e.Addr)
+		}
+	}
+	s.mu.Unlock()
+	s.Log.Warn("lost", "what", "store")
+	for _, a := range addrs {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+			defer cancel()
+			if err := s.peers.Call(ctx, a, peer.Control, "NoStore", struct{}{}, &struct{}{}); err != nil {
+				s.Log.Debug("warning", "to", a, "why", err.Error())
+			}
+		}()
+	}
+}
+
 // relays are the other entries, as ways to the store.
 type relays struct{ s *Server }
 
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -141,6 +141,12 @@
 	return nil
 }
 
+// NoStore tells that another entry of the zone reaches the store no more.
+func (c *calls) NoStore(struct{}, *struct{}) error {
+	go c.s.store.Check(context.Background())
+	return nil
+}
+
 // Relay carries out a transaction for an entry that does not reach the store.
 func (c *calls) Relay(tx table.Tx, out *RelayReply) error {
 	res, err := c.s.store.DoFor(context.Background(), tx)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -13,6 +13,8 @@
 const (
 	renewWait    = 1000 * time.Millisecond // a renewal waits this long for an end
 	orderTimeout = 800 * time.Millisecond  // for an answer, on top of a wait
+	renewTimeout = 500 * time.Millisecond  // the same, of a renewal
+	lateAfter    = 150 * time.Millisecond  // without an answer, before a call counts as late
 	silentGap    = 200 * time.Millisecond  // between renewals that get no answer
 	ackWait      = 400 * time.Millisecond  // for ends to become durable before the next renewal
 )
@@ -92,8 +94,10 @@
 	if n.Wait {
 		wait = renewWait
 	}
-	ctx, cancel := context.WithTimeout(r.o.ctx, wait+orderTimeout)
+	ctx, cancel := context.WithTimeout(r.o.ctx, wait+renewTimeout)
+	ended := r.late(wait)
 	rep, fenced, err := r.o.s.Minions.Renew(ctx, &n.Minion, n.Token, n.Until, r.seen(steady()), wait)
+	ended()
 	cancel()
 	r.told = 0
 	if err != nil {
@@ -138,11 +142,21 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
 		defer cancel()
+		defer r.late(0)()
 		why, err := r.o.s.Minions.Start(ctx, &x.Minion, x.Start)
 		r.o.post(func(now time.Time) { r.o.st.Started(now, x, why, err) })
 	}()
 }
 
+// late tells the shard if a call that may wait takes longer than usual. The call
+// has ended when what it returns is called.
+func (r *runner) late(wait time.Duration) (ended func()) {
+	t := time.AfterFunc(wait+lateAfter, func() {
+		r.o.post(func(now time.Time) { r.o.st.Late(now, r.life) })
+	})
+	return func() { t.Stop() }
+}
+
 // stop sends a stop; its effect is seen in the reports.
 func (r *runner) stop(x shard.StopOrder) {
 	go func() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -107,7 +107,7 @@
 		names: map[string]Entry{}, blame: map[string]blame{},
 		leads: map[string]Lead{}, owners: map[string]*owner{},
 	}
-	s.store = &relay.Store{Own: p.Store, Peers: relays{s}, Now: steady}
+	s.store = &relay.Store{Own: p.Store, Peers: relays{s}, Now: steady, Lost: s.warn}
 	s.peers = peer.New(transport.From(""), &transport.Counter{})
 	var err error
 	if s.l, err = net.Listen("tcp", set.Peer); err != nil {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -116,27 +116,33 @@
 }
 
 // unasked lists minions that the service was not asked about and that could run
-// a task of the step, those with room for one first. Others come first each
-// time, so that steps do not crowd on the same minions.
-func (s *State) unasked(now time.Time, p *step, ms []*minion, roomy bool) []string {
+// a task of the step, those with room for one first, and one zone's before the
+// next one's. Others come first each time, so that steps do not crowd on the
+// same minions.
+func (v *view) unasked(p *step, roomy bool) []string {
 	n := p.named()
 	need := p.Reserved()
 	var ids, full []string
-	for i := range ms {
-		m := ms[(int(s.turn)+i)%len(ms)]
-		if p.advice.asked[m.ID] || !m.usable(now) || !p.suits(m) || p.apart(m) {
-			continue
-		}
-		if m.free().Fits(need) {
-			ids = append(ids, m.ID)
-		} else if !roomy {
-			full = append(full, m.ID)
+	for _, r := range v.zonesFor(p) {
+		for i := range r.ms {
+			m := r.ms[(int(v.s.turn)+i)%len(r.ms)]
+			if p.advice.asked[m.ID] || !m.usable(v.now) || !p.suits(m) || p.apart(m) {
+				continue
+			}
+			if m.free().Fits(need) {
+				ids = append(ids, m.ID)
+			} else if !roomy {
+				full = append(full, m.ID)
+			}
+			if len(ids) == n {
+				break
+			}
 		}
 		if len(ids) == n {
 			break
 		}
 	}
-	s.turn += uint(n)
+	v.s.turn += uint(n)
 	ids = append(ids, full...)
 	return ids[:min(n, len(ids))]
 }
@@ -186,7 +192,7 @@
 					return
 				}
 				if p.soon() && !p.advice.asking && len(p.advice.good) == 0 && !v.now.Before(p.advice.wait) {
-					v.s.ask(v.now, p, v.s.unasked(v.now, p, v.ms, false))
+					v.s.ask(v.now, p, v.unasked(p, false))
 				}
 			}
 		}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -31,6 +31,8 @@
 				p := tasks(1+pick("tasks", 3), int64(1000+1000*pick("cpu", 2)))
 				p.Gang = pick("gang", 4) == 0
 				p.Lasting = !p.Gang && pick("lasting", 4) == 0
+				p.Speculative = !p.Lasting && pick("copies", 3) == 0
+				p.PerMinion = pick("limit", 3)
 				q := tasks(1, 1000)
 				q.After = []int{0}
 				w.submit(newJob(fmt.Sprintf("j%d", names), p, q))
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -13,6 +13,7 @@
 	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, since: s.taken}
 	s.minions[w.ID] = m
 	s.order = nil
+	s.zoneOf(m)
 	return m
 }
 
@@ -48,7 +49,7 @@
 
 // usable says that new work may be sent.
 func (m *minion) usable(now time.Time) bool {
-	return m.listed && m.known && !m.Draining && m.silent.IsZero() && !now.Before(m.paused)
+	return m.listed && m.known && !m.Draining && m.silent.IsZero() && !now.Before(m.paused) && !m.zone.doubted()
 }
 
 // See takes in a minion's entry in the store.
@@ -64,7 +65,7 @@
 	switch {
 	case m == nil:
 		m = s.newMinion(w)
-		s.note(Note{What: "minion", Minion: w.ID})
+		s.note(Note{What: "minion", Minion: w.ID, Why: w.Zone})
 	case w.Born > m.Born:
 		s.reborn(now, m, w)
 	case w.Born < m.Born:
@@ -75,6 +76,7 @@
 	}
 	m.Minion = w
 	m.listed = true
+	s.zoneOf(m)
 }
 
 // Unlist takes in that a minion's entry is gone. It may still run and answer.
@@ -114,6 +116,7 @@
 		carried = append(carried, r)
 	}
 	m.Minion = w
+	s.zoneOf(m)
 	m.known, m.listed = false, false
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.until, m.seen = 0, 0, 0
@@ -244,6 +247,9 @@
 		return
 	}
 	r.mark, r.token = s.seq, o.Start.Token
+	if err == nil {
+		m.zone.heard()
+	}
 	switch {
 	case err != nil:
 		if r.state == sent {
@@ -295,6 +301,7 @@
 		m.known = false
 		if !m.listed {
 			delete(s.minions, id)
+			m.leaveZone()
 			s.order = nil
 			s.note(Note{What: "forgotten", Minion: id})
 		}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -93,6 +93,7 @@
 func (s *State) Decide(now, wall time.Time, free Askers) {
 	s.askers = free
 	s.expire(now)
+	s.copies(now)
 	s.sweep(now)
 	var cs []candidate
 	for _, j := range s.active {
@@ -121,6 +122,7 @@
 	ms     []*minion
 	shadow map[string]work.Size // room kept for steps whose tickets are being renewed
 	booked int                  // minions that are kept for gangs
+	zones  []*room              // made when first needed
 }
 
 // suits says whether a task of the step could run on m if m were empty.
@@ -144,7 +146,7 @@
 	ticket ticket
 	left   work.Size // room after what this decision has placed
 	here   int       // tasks of the step there
-	order  [4]float64
+	order  [5]float64
 }
 
 // possible lists the minions that may run tasks of the step, by id.
@@ -162,16 +164,21 @@
 	return ms
 }
 
-func (v *view) spots(p *step) []*spot {
-	var here map[string]int
-	if p.PerMinion > 0 {
-		here = map[string]int{}
-		for _, t := range p.tasks {
-			if t.phase == Placed {
-				here[t.life.ID]++
-			}
+// count is how many runs of the step there may be on m, if the step has a limit.
+func (p *step) count(m *minion) int {
+	if p.PerMinion == 0 {
+		return 0
+	}
+	n := 0
+	for _, r := range m.runs {
+		if r.step == p {
+			n++
 		}
 	}
+	return n
+}
+
+func (v *view) spots(p *step) []*spot {
 	need := p.Reserved()
 	var out []*spot
 	for _, m := range v.possible(p) {
@@ -182,12 +189,15 @@
 		if pass == barred {
 			continue
 		}
-		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(v.shadow[m.ID]), here: here[m.ID]}
+		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(v.shadow[m.ID]), here: p.count(m)}
 		if sp.left.Fits(need) {
-			sp.rank(p)
 			out = append(out, sp)
 		}
 	}
+	v.settle(p, out)
+	for _, sp := range out {
+		sp.rank(p)
+	}
 	sort.SliceStable(out, func(a, b int) bool {
 		for i := range out[a].order {
 			if x, y := out[a].order[i], out[b].order[i]; x != y {
@@ -200,7 +210,7 @@
 }
 
 // rank sets the order in which spots are used: the data's rack first; then the
-// fullest minion, so that large tasks find room. Tasks that fill go where most
+// zone of the other tasks; then the fullest minion, so that large tasks find room. Tasks that fill go where most
 // is left.
 func (sp *spot) rank(p *step) {
 	if p.Gang && sp.booked != p {
@@ -210,14 +220,17 @@
 		sp.order[0]++
 	}
 	sp.order[1] = sp.pace() + p.distrust(sp.minion)
+	if p.home != "" && sp.Zone != p.home {
+		sp.order[2] = 1
+	}
 	if p.Fill {
-		sp.order[2] = -float64(sp.left.CPU) / float64(1+sp.fills)
+		sp.order[3] = -float64(sp.left.CPU) / float64(1+sp.fills)
 		return
 	}
 	if sp.Room.GPU > 0 {
-		sp.order[2] = float64(sp.left.GPU - p.Size.GPU)
+		sp.order[3] = float64(sp.left.GPU - p.Size.GPU)
 	}
-	sp.order[3] = float64(sp.left.CPU - p.Size.CPU)
+	sp.order[4] = float64(sp.left.CPU - p.Size.CPU)
 }
 
 // take says whether one more task fits, and takes its room.
@@ -260,7 +273,7 @@
 	if p.job.Advice == nil || p.advice.asking || v.s.askers.All == 0 || v.now.Before(p.advice.wait) {
 		return
 	}
-	v.s.ask(v.now, p, v.s.unasked(v.now, p, v.ms, len(p.advice.good) > 0))
+	v.s.ask(v.now, p, v.unasked(p, len(p.advice.good) > 0))
 }
 
 // fill returns a spot for each task that finds one.
@@ -354,13 +367,7 @@
 
 // most is how many tasks of the step an empty minion takes.
 func (p *step) most(m *minion) int {
-	n := p.waiting
-	r := p.Reserved()
-	for _, d := range [][2]int64{{m.Room.CPU, r.CPU}, {m.Room.Mem, r.Mem}, {m.Room.GPU, r.GPU}} {
-		if d[1] > 0 {
-			n = min(n, int(d[0]/d[1]))
-		}
-	}
+	n := fitting(m.Room, p.Reserved(), p.waiting)
 	if p.PerMinion > 0 {
 		n = min(n, p.PerMinion)
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -24,6 +24,7 @@
 		return
 	}
 	m.clock, m.at = rep.Clock, now
+	m.zone.heard()
 	if !m.silent.IsZero() {
 		m.silent = time.Time{}
 		m.token++ // orders that were on their way meanwhile must not be carried out any more
@@ -132,12 +133,14 @@
 	if r != nil {
 		m.remove(r)
 	}
-	if r == nil || r.task == nil {
+	p := s.stepOf(e.Task)
+	if p == nil || e.Task.Index < 0 || e.Task.Index >= len(p.tasks) {
 		return
 	}
-	t, p := r.task, r.step
+	t := p.tasks[e.Task.Index]
 	s.began(p.job)
 	if t.phase != Placed || t.attempt != e.Attempt || t.life != m.Life {
+		s.otherEnd(now, m, p, t, e)
 		return
 	}
 	s.note(Note{What: "ended", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: string(e.How)})
@@ -147,7 +150,9 @@
 	p.job.dirty = true
 	switch {
 	case e.How == work.Done && !p.Lasting:
-		s.learn(now, m, r)
+		if r != nil {
+			s.learn(now, m, r)
+		}
 		s.done(now, p, t)
 	case e.How == work.Failed:
 		s.failed(now, m, p, t)
@@ -157,6 +162,31 @@
 	}
 }
 
+// otherEnd takes in the end of a run that is not the one its task waits for: one
+// that was given up, or a copy. If it ended well, nothing is left to do for the
+// task, and any other run of it is stopped.
+func (s *State) otherEnd(now time.Time, m *minion, p *step, t *task, e work.End) {
+	if p.Lasting || t.phase == Finished || e.Attempt > t.attempt || p.job.state.Over() {
+		return
+	}
+	switch {
+	case e.How == work.Done:
+		s.note(Note{What: "ended", Job: t.id.Job, Task: t.id.String(), Attempt: e.Attempt, Minion: m.ID, Why: "done, after it was given up"})
+		if p.Gang {
+			s.breakGang(now, p)
+		} else {
+			s.giveUp(now, t)
+		}
+		p.job.dirty = true
+		s.done(now, p, t)
+	case e.How == work.Failed && p.Speculative:
+		p.job.dirty = true
+		t.failures++
+		p.failures++
+		s.judge(now, p, t)
+	}
+}
+
 // done marks a task finished, with its whole gang.
 func (s *State) done(now time.Time, p *step, t *task) {
 	ts := []*task{t}
@@ -173,6 +203,7 @@
 		t.phase, t.saved = Finished, ""
 		p.left--
 	}
+	s.stopCopies(now, p.job)
 	if p.left > 0 {
 		return
 	}
@@ -196,6 +227,11 @@
 	}
 	s.requeue(p, t)
 	s.breakGang(now, p)
+	s.judge(now, p, t)
+}
+
+// judge ends a job if a task, or a gang, has failed too often.
+func (s *State) judge(now time.Time, p *step, t *task) {
 	if p.Lasting || p.job.state.Over() {
 		return
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -441,3 +441,177 @@
 	assert.Equal(t, w.running(), 1)
 	assert.Assert(t, o.st.jobs["a"].begun)
 }
+
+// A run that ends well while its minion is cut off, and is listed only after its
+// lease: nothing is left to do for the task.
+func TestDoneDuringACutCountsAfterTheLease(t *testing.T) {
+	w, _ := begun(t, 1)
+	second := tasks(1, 1000)
+	second.After = []int{0}
+	w.submit(newJob("a", tasks(2, 1000), second))
+	w.turn()
+	out := w.minions[0]
+	assert.Equal(t, len(out.runs), 2)
+	out.up = false
+	w.turn()
+	w.finishOn(out)
+	w.pass(w.limits.Lease + time.Second)
+	w.turn()
+	out.up = true
+	w.turn()
+	assert.Equal(t, len(out.runs), 1)
+	for k := range out.runs {
+		assert.Equal(t, k.task.Step, 1, "the first step is done")
+	}
+}
+
+// The same, but the task has been started again meanwhile.
+func TestDoneDuringACutEndsTheRunAfterIt(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", tasks(1, 1000)))
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	out.up = false
+	w.turn()
+	w.finishOn(out)
+	w.pass(w.limits.Lease + time.Second)
+	w.turn()
+	assert.Equal(t, len(other.runs), 1)
+	out.up = true
+	w.turn()
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+	assert.Equal(t, w.running(), 0)
+}
+
+func copied(n int, cpu int64) work.Step {
+	p := tasks(n, cpu)
+	p.Speculative = true
+	return p
+}
+
+func TestCopyStartsWhenAMinionFallsSilent(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", copied(1, 1000)), newJob("b", tasks(1, 1000)))
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	assert.Equal(t, len(out.runs), 2, "both go where one fits: %v", out.runs)
+	out.up = false
+	w.turn()
+	w.turn()
+	assert.Equal(t, len(other.runs), 1, "only the task that may be copied starts again")
+	w.finishOn(other)
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+	out.up = true
+	w.pass(stopAgain) // the first stop did not reach it
+	w.turn()
+	w.turn()
+	assert.Equal(t, len(out.runs), 1, "the first run is of no use any more")
+}
+
+func TestFirstRunThatEndsCounts(t *testing.T) {
+	w, _ := begun(t, 2)
+	w.submit(newJob("a", copied(1, 1000)))
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	out.up = false
+	w.turn()
+	w.turn()
+	assert.Equal(t, len(other.runs), 1)
+	w.finishOn(out)
+	out.up = true
+	w.turn()
+	assert.Equal(t, w.state("a"), Completed)
+	w.turn()
+	assert.Equal(t, w.running(), 0)
+}
+
+func TestCancelStopsCopies(t *testing.T) {
+	w, o := begun(t, 2)
+	w.submit(newJob("a", copied(1, 1000)))
+	w.turn()
+	out := w.minions[0]
+	if len(out.runs) == 0 {
+		out = w.minions[1]
+	}
+	out.up = false
+	w.turn()
+	w.turn()
+	out.up = true
+	w.turn()
+	assert.Equal(t, w.running(), 2)
+	w.gone["a"] = true
+	o.st.Cancel(w.now, "a")
+	w.turn()
+	assert.Equal(t, w.running(), 0)
+}
+
+func TestFailedCopiesCount(t *testing.T) {
+	w, _ := begun(t, 2)
+	j := newJob("a", copied(1, 1000))
+	j.Attempts = 2
+	w.submit(j)
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	out.up = false
+	w.turn()
+	w.turn()
+	for _, b := range []*box{out, other} {
+		for k := range b.runs {
+			b.end(k, work.Failed)
+		}
+	}
+	out.up = true
+	w.turn()
+	assert.Equal(t, w.state("a"), JobFailed)
+}
+
+// Two starts without an answer are enough: the rest of the zone is spared.
+func TestZoneWithoutAnswersGetsNothingNew(t *testing.T) {
+	w := newWorld(t, 6)
+	for i, b := range w.minions {
+		b.Zone = []string{"x", "y"}[i%2]
+	}
+	o := w.takeOver()
+	w.turn()
+	w.submit(newJob("a", tasks(2, 3000)))
+	w.turn()
+	home := ""
+	for _, b := range w.minions {
+		for range b.runs {
+			assert.Assert(t, home == "" || home == b.Zone, "the tasks of a step share a zone")
+			home = b.Zone
+		}
+	}
+	n := 0
+	for _, b := range w.minions {
+		if b.Zone == home && n < lateMinions {
+			o.st.Late(w.now, o.st.minions[b.ID].Life)
+			n++
+		}
+	}
+	w.pass(unansweredPause)
+	w.submit(newJob("b", tasks(3, 3000)))
+	o.step()
+	for _, x := range o.batch.Starts {
+		assert.Assert(t, x.Minion.Zone != home)
+	}
+	assert.Equal(t, len(o.batch.Starts), 3)
+	o.commit(true)
+	w.deliver(len(w.flying))
+	w.turn()
+	assert.Assert(t, !o.st.zones[home].doubted(), "an answer clears the doubt")
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -32,7 +32,7 @@
 
 // Defaults suit minions that allow leases of 10 s.
 var Defaults = Limits{
-	Lease: 5 * time.Second, RenewFor: 7 * time.Second, LateOrder: 15 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
+	Lease: 5 * time.Second, RenewFor: 3 * time.Second, LateOrder: 15 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
 	MaxEnds: 500,
 }
 
@@ -85,6 +85,7 @@
 	booked   bool          // minions are kept for it
 	failedAt int           // attempt of a gang whose failure was counted
 	chain    time.Duration // longest chain of estimated work from this step on
+	home     string        // availability zone that its tasks should share; empty is not chosen
 }
 
 // round is one occurrence of a job's steps.
@@ -106,6 +107,7 @@
 	arrived  time.Time     // on the owner's clock
 	aim      time.Duration // objective: from submission, or its due time, to the end
 	wanted   bool          // cancel was asked before the job was known
+	copied   bool          // tasks of it may have more than one run
 }
 
 // runState is what is known of a run at a minion.
@@ -161,6 +163,7 @@
 	fills   int       // runs that fill what others leave
 	serves  int       // runs that have a bound on their response times
 	booked  *step     // gang that it is kept for
+	zone    *zone     // State.zoneOf keeps it up to date
 }
 
 // State is the state of a shard. Use New.
@@ -173,6 +176,7 @@
 	jobs    map[string]*job
 	active  []*job // not over, in order of arrival
 	minions map[string]*minion
+	zones   map[string]*zone
 	order   []*minion          // by id; nil when minions has changed
 	taken   time.Time          // when the term began
 	seq     int64              // of renewals
@@ -252,7 +256,7 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{}, usual: map[string]float64{},
+		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{}, zones: map[string]*zone{}, usual: map[string]float64{},
 		taken: now, durable: now, batch: Batch{Seen: map[work.Life]int64{}},
 	}
 }
@@ -314,6 +318,7 @@
 			}
 		}
 	}
+	s.stopCopies(now, j)
 }
 
 // giveUp stops the run of a task, if there may be one.
