Large tasks and gangs book room by when it is expected to be free

Cause: gangs of two to nine half or whole minions waited 4 to 20 s at 90 % load: they were told of five allowed minions of 98, booked those nearest to empty without regard to when their runs end, and asked for tickets (0.8 s) only once all room was free, which stood idle meanwhile.

Change: a question about a gang names all minions (0.8 s longer at most, and it may choose among six times as many); room is booked on those minions where it is expected to be free soonest, by the progress that runs report; tickets are asked for in time for that. Tasks of half a minion or more book likewise. Booked room is at most 0.4 of all, and small steps with less than a second left may use it. Choices are a Policy, so that they can be compared.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -106,8 +106,12 @@
 	return true
 }
 
-// named is how many minions a question about the step names.
-func (p *step) named() int {
+// named is how many minions a question about the step names. A gang is named
+// all that there are: it fits far sooner where it may choose.
+func (s *State) named(p *step) int {
+	if p.Gang && s.Policy.Named > 0 {
+		return s.Policy.Named
+	}
 	need := p.waiting
 	if p.PerMinion != 1 {
 		need = (need + 1) / 2
@@ -120,7 +124,7 @@
 // next one's. Others come first each time, so that steps do not crowd on the
 // same minions.
 func (v *view) unasked(p *step, roomy bool) []string {
-	n := p.named()
+	n := v.s.named(p)
 	need := p.Reserved()
 	var ids, full []string
 	for _, r := range v.zonesFor(p) {
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -1,93 +1,222 @@
 package shard
 
-import "sort"
+import (
+	"slices"
+	"sort"
+	"time"
 
-// A gang that does not fit books minions: nothing else that wants accelerators
-// is placed there until the gang is, or is over. Without this a gang of whole
-// minions waits for as long as smaller work comes; with it part of the room
-// stands idle while the minions empty. So the minions that are nearest to empty
-// are booked, and no more than a share of all.
+	"jasminestep/internal/work"
+)
 
-// bookedShare is the share of the minions that may be booked at once. A gang
-// that needs more books alone.
-const bookedShare = 0.1
+// A gang that does not fit, and a task of half a minion or more, book room:
+// minions on which enough will be free soonest, by what their runs report of
+// their progress. Nothing else is placed in that room. Without this a large
+// task waits for as long as smaller ones come; with it part of the room stands
+// idle while the minions empty, so no more than a share of all room is booked; what is more
+// than that is booked only if nothing else is.
 
-// unbook frees the minions of gangs that no longer wait, and counts the rest.
+// bookGain is how much sooner another choice of minions has to be free before a
+// step changes its mind.
+const bookGain = 300 * time.Millisecond
+
+// pressedFor is the time that a small step has left when it may use room that
+// others have booked.
+const pressedFor = time.Second
+
+// booking is room on a minion that is kept for tasks of a step.
+type booking struct {
+	step *step
+	n    int // tasks
+}
+
+// kept is the room of a minion that is booked by other steps than p.
+func (m *minion) kept(p *step) work.Size {
+	var s work.Size
+	for _, b := range m.booked {
+		if b.step != p && (p == nil || !p.pressed) {
+			s = s.Plus(b.step.Reserved().Times(int64(b.n)))
+		}
+	}
+	return s
+}
+
+// books says whether the step books room when it does not fit.
+func (v *view) books(p *step) bool {
+	if v.s.Policy.Booked == 0 {
+		return false
+	}
+	return p.Gang || 2*p.Size.GPU >= v.largest.GPU && p.Size.GPU > 0 || 2*p.Size.CPU >= v.largest.CPU
+}
+
+// unbook drops the bookings of steps that no longer wait and on minions that
+// take nothing, and counts the rest.
 func (v *view) unbook() {
 	for _, m := range v.ms {
-		if p := m.booked; p != nil && (!p.runnable() || p.job.state.Over() || !m.usable(v.now)) {
-			m.booked = nil
-		}
-		if m.booked != nil {
-			v.booked++
+		v.room += weigh(m.Room)
+		v.largest = work.Size{CPU: max(v.largest.CPU, m.Room.CPU), GPU: max(v.largest.GPU, m.Room.GPU)}
+		if len(m.booked) == 0 {
+			continue
 		}
+		m.booked = slices.DeleteFunc(m.booked, func(b booking) bool {
+			return !b.step.runnable() || b.step.job.state.Over() || !m.usable(v.now)
+		})
+		v.booked += weigh(m.kept(nil))
 	}
 }
 
-// book keeps minions for a gang that does not fit: as many as it needs, or
-// none, so that two gangs never wait for each other's.
-func (v *view) book(p *step) {
-	v.release(p)
-	var ms []*minion
+// slot is room for one task of a step on a minion, from a time on.
+type slot struct {
+	*minion
+	in time.Duration // until it is free
+}
+
+// slots lists where tasks of the step could run, soonest first.
+func (v *view) slots(p *step) []slot {
+	var out []slot
+	need := p.Reserved()
 	for _, m := range v.possible(p) {
-		if m.booked == nil && m.usable(v.now) && p.suits(m) {
-			ms = append(ms, m)
+		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() {
+			continue
+		}
+		room := m.free().Minus(m.kept(p)).Minus(v.shadow[m.ID])
+		es := v.endings(m)
+		in := time.Duration(0)
+		for k := range p.most(m) {
+			want := need.Times(int64(k + 1))
+			for len(es) > 0 && !room.Fits(want) {
+				room, in, es = room.Plus(es[0].size), es[0].in, es[1:]
+			}
+			if !room.Fits(want) {
+				break
+			}
+			out = append(out, slot{m, in})
 		}
 	}
-	sort.SliceStable(ms, func(a, b int) bool { return v.busy(ms[a]) < v.busy(ms[b]) })
-	have := 0
-	var pick []*minion
-	for _, m := range ms {
-		if have >= p.waiting {
-			break
+	sort.SliceStable(out, func(a, b int) bool {
+		if out[a].in != out[b].in {
+			return out[a].in < out[b].in
 		}
-		pick = append(pick, m)
-		have += p.most(m)
+		return out[a].pace() < out[b].pace()
+	})
+	return out
+}
+
+// book keeps room for the tasks of a step that wait: for all of a gang or none,
+// so that no two gangs wait for each other's. It returns when the last of the
+// room is expected to be free; ok is false if nothing is kept.
+func (v *view) book(p *step) (ready time.Duration, ok bool) {
+	all := v.slots(p)
+	if p.Gang && len(all) < p.waiting {
+		v.release(p)
+		return 0, false
 	}
-	if have < p.waiting || v.booked > 0 && float64(v.booked+len(pick)) > bookedShare*float64(len(v.ms)) {
-		return
+	best := all[:min(len(all), p.waiting)]
+	if old := v.standing(p, all); len(old) == len(best) && len(old) > 0 && old[len(old)-1].in < best[len(best)-1].in+bookGain {
+		return old[len(old)-1].in, true
+	}
+	v.release(p)
+	if len(best) == 0 {
+		return 0, false
+	}
+	more := weigh(p.Reserved()) * float64(len(best))
+	if v.booked > 0 && v.booked+more > v.s.Policy.Booked*v.room {
+		return 0, false
+	}
+	for _, sl := range best {
+		v.take(p, sl.minion)
 	}
-	v.take(p, pick)
+	return best[len(best)-1].in, true
 }
 
-// take books minions.
-func (v *view) take(p *step, ms []*minion) {
-	for _, m := range ms {
-		if m.booked == nil {
-			v.booked++
+// standing picks those of all slots that the step has booked.
+func (v *view) standing(p *step, all []slot) []slot {
+	if !p.booked {
+		return nil
+	}
+	left := map[*minion]int{}
+	for _, m := range v.ms {
+		for _, b := range m.booked {
+			if b.step == p {
+				left[m] = b.n
+			}
 		}
-		m.booked = p
 	}
+	var out []slot
+	for _, sl := range all {
+		if left[sl.minion] > 0 {
+			left[sl.minion]--
+			out = append(out, sl)
+		}
+	}
+	return out
+}
+
+// take books room for one task on a minion.
+func (v *view) take(p *step, m *minion) {
 	p.booked = true
+	v.booked += weigh(p.Reserved())
+	for i := range m.booked {
+		if m.booked[i].step == p {
+			m.booked[i].n++
+			return
+		}
+	}
+	m.booked = append(m.booked, booking{p, 1})
 }
 
-// release gives up what a gang has booked.
+// release gives up what a step has booked.
 func (v *view) release(p *step) {
 	if !p.booked {
 		return
 	}
 	p.booked = false
 	for _, m := range v.ms {
-		if m.booked == p {
-			m.booked = nil
-			v.booked--
-		}
+		m.booked = slices.DeleteFunc(m.booked, func(b booking) bool {
+			if b.step == p {
+				v.booked -= weigh(p.Reserved()) * float64(b.n)
+			}
+			return b.step == p
+		})
 	}
 }
 
-// busy estimates the work that still runs on a minion, in device seconds.
-func (v *view) busy(m *minion) float64 {
-	var sum float64
+// bookedBy says whether the step has booked room on the minion.
+func (m *minion) bookedBy(p *step) bool {
+	return slices.ContainsFunc(m.booked, func(b booking) bool { return b.step == p })
+}
+
+// ending is the expected end of a run.
+type ending struct {
+	in   time.Duration
+	size work.Size
+}
+
+// endings lists when the runs of a minion are expected to end, soonest first;
+// those that last are left out.
+func (v *view) endings(m *minion) []ending {
+	if es, ok := v.ends[m]; ok {
+		return es
+	}
+	es := make([]ending, 0, len(m.runs))
 	for _, r := range m.runs {
-		if r.step == nil || r.step.Lasting {
-			sum += lastsLong
-			continue
+		if r.step != nil && !r.step.Lasting {
+			es = append(es, ending{r.remaining(v.now), r.size})
 		}
-		left := max(r.step.Estimate-v.now.Sub(r.placed), 0)
-		sum += left.Seconds() * float64(1+r.size.GPU)
 	}
-	return sum
+	sort.Slice(es, func(a, b int) bool { return es[a].in < es[b].in })
+	v.ends[m] = es
+	return es
 }
 
-// lastsLong stands for the time of a run that does not end by itself, in seconds.
-const lastsLong = 1000
+// remaining estimates how long a run goes on: by its reported progress, or by
+// the client's estimate as long as there is none.
+func (r *run) remaining(now time.Time) time.Duration {
+	if r.placed.IsZero() {
+		return max(r.step.Estimate, 0) // from a former owner; nothing is known of its beginning
+	}
+	if done := r.moved.Sub(r.placed); r.percent > 0 && done > 0 {
+		left := time.Duration(float64(done) * float64(100-r.percent) / float64(r.percent))
+		return max(left-now.Sub(r.moved), 0)
+	}
+	return max(r.step.Estimate-now.Sub(r.placed), 0)
+}
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -7,19 +7,22 @@
 // the first to end well counts; a run of any other task has to be outwaited.
 
 // copies has tasks wait for a copy whose run is where nothing is heard from.
-func (s *State) copies(now time.Time) {
+func (s *State) copies() {
+	if !s.Policy.Copies {
+		return
+	}
 	for _, m := range s.sorted() {
 		if m.silent.IsZero() && !m.zone.doubted() {
 			continue
 		}
 		for _, r := range m.runs {
-			s.copy(now, m, r, "nothing is heard from its minion")
+			s.copy(m, r, "nothing is heard from its minion")
 		}
 	}
 }
 
 // copy has the task of a run wait again while the run may go on.
-func (s *State) copy(now time.Time, m *minion, r *run, why string) {
+func (s *State) copy(m *minion, r *run, why string) {
 	t := r.task
 	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stop || !r.current(m) || r.state == unsent || r.state == cancelled {
 		return
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -93,7 +93,7 @@
 func (s *State) Decide(now, wall time.Time, free Askers) {
 	s.askers = free
 	s.expire(now)
-	s.copies(now)
+	s.copies()
 	s.sweep(now)
 	var cs []candidate
 	for _, j := range s.active {
@@ -106,8 +106,10 @@
 			}
 		}
 	}
-	sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
-	v := &view{s: s, now: now, ms: s.sorted(), shadow: map[string]work.Size{}}
+	if s.Policy.Urgent {
+		sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
+	}
+	v := &view{s: s, now: now, ms: s.sorted(), shadow: map[string]work.Size{}, ends: map[*minion][]ending{}}
 	v.unbook()
 	for _, c := range cs {
 		v.place(c)
@@ -117,12 +119,15 @@
 
 // view is what one decision sees of the minions.
 type view struct {
-	s      *State
-	now    time.Time
-	ms     []*minion
-	shadow map[string]work.Size // room kept for steps whose tickets are being renewed
-	booked int                  // minions that are kept for gangs
-	zones  []*room              // made when first needed
+	s       *State
+	now     time.Time
+	ms      []*minion
+	shadow  map[string]work.Size // room kept for steps whose tickets are being renewed
+	booked  float64              // room that is kept for steps that wait, as weighed
+	room    float64              // all room, as weighed
+	largest work.Size            // greatest room of a minion, by dimension
+	ends    map[*minion][]ending // made when first needed
+	zones   []*room              // made when first needed
 }
 
 // suits says whether a task of the step could run on m if m were empty.
@@ -182,14 +187,14 @@
 	need := p.Reserved()
 	var out []*spot
 	for _, m := range v.possible(p) {
-		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() || m.booked != nil && m.booked != p && need.GPU > 0 {
+		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() {
 			continue
 		}
 		pass, text := p.pass(v.now, m)
 		if pass == barred {
 			continue
 		}
-		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(v.shadow[m.ID]), here: p.count(m)}
+		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(m.kept(p)).Minus(v.shadow[m.ID]), here: p.count(m)}
 		if sp.left.Fits(need) {
 			out = append(out, sp)
 		}
@@ -213,7 +218,7 @@
 // zone of the other tasks; then the fullest minion, so that large tasks find room. Tasks that fill go where most
 // is left.
 func (sp *spot) rank(p *step) {
-	if p.Gang && sp.booked != p {
+	if p.booked && !sp.bookedBy(p) {
 		sp.order[0] = 2
 	}
 	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
@@ -246,6 +251,7 @@
 // place places what it can of one step, or asks for the advice that it lacks.
 func (v *view) place(c candidate) {
 	p := c.step
+	p.pressed = c.tier == timely && c.slack < pressedFor && !v.books(p)
 	spots := v.spots(p)
 	if p.Gang && p.OneRack {
 		spots = oneRack(p, spots)
@@ -254,16 +260,79 @@
 	if len(plan) < p.waiting {
 		v.askMore(c)
 	}
-	if p.Gang && len(plan) < p.waiting {
-		v.book(p)
-		return
-	}
-	if p.Gang && slices.ContainsFunc(plan, func(sp *spot) bool { return sp.pass != allowed }) {
-		v.renewGang(p, plan, spots)
+	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, stalePass)) {
+		v.hold(p, plan)
 		return
 	}
 	v.renew(p, plan)
 	v.start(p, plan)
+	if p.waiting > 0 && v.books(p) {
+		v.hold(p, nil)
+	}
+}
+
+func stalePass(sp *spot) bool { return sp.pass != allowed }
+
+// hold keeps room for what waits of a step, that of a complete plan if there is
+// one, and asks for the tickets in time for when the room is expected to be free.
+func (v *view) hold(p *step, plan []*spot) {
+	ready, ok := time.Duration(0), true
+	if len(plan) > 0 && len(plan) == p.waiting {
+		if len(v.standing(p, planned(plan))) < len(plan) {
+			v.release(p)
+			for _, sp := range plan {
+				v.take(p, sp.minion)
+			}
+		}
+	} else {
+		ready, ok = v.book(p)
+	}
+	if ok {
+		v.renewBooked(p, ready)
+	}
+}
+
+// planned is the plan as slots that are free at present.
+func planned(plan []*spot) []slot {
+	out := make([]slot, len(plan))
+	for i, sp := range plan {
+		out[i] = slot{sp.minion, 0}
+	}
+	return out
+}
+
+// renewBooked asks anew for the tickets of the minions that the step has booked,
+// and of a few to spare, unless they are valid for long enough: when an answer
+// that is asked for now comes, or when the room is free.
+func (v *view) renewBooked(p *step, ready time.Duration) {
+	a := p.job.Advice
+	if a == nil || p.advice.asking {
+		return
+	}
+	var ids []string
+	for _, m := range v.ms {
+		if m.bookedBy(p) {
+			ids = append(ids, m.ID)
+		}
+	}
+	cost := a.Decide + a.Each*time.Duration(len(ids)+renewSpare)
+	if ready > cost {
+		return
+	}
+	if !slices.ContainsFunc(ids, func(id string) bool {
+		pass, t := p.pass(v.now, v.s.minions[id])
+		return pass != allowed || t.until.Before(v.now.Add(max(cost, ready)))
+	}) {
+		return
+	}
+	spare := renewSpare
+	for _, sl := range v.slots(p) {
+		if spare > 0 && !slices.Contains(ids, sl.ID) {
+			ids = append(ids, sl.ID)
+			spare--
+		}
+	}
+	v.s.ask(v.now, p, ids)
 }
 
 // askMore asks about further minions for a step that the known ones do not
@@ -332,32 +401,6 @@
 	v.s.ask(v.now, p, ids)
 }
 
-// renewGang asks anew for the tickets of a whole gang, and of a few minions to
-// spare, and keeps the minions of the plan for it meanwhile: a gang whose plan
-// changed with every answer would never have all of its tickets at once.
-func (v *view) renewGang(p *step, plan, spots []*spot) {
-	v.keep(p, plan)
-	var ids []string
-	spare := renewSpare
-	for _, sp := range spots {
-		switch {
-		case slices.Contains(ids, sp.ID):
-		case slices.ContainsFunc(plan, func(o *spot) bool { return o.minion == sp.minion }):
-			ids = append(ids, sp.ID)
-		case spare > 0:
-			ids = append(ids, sp.ID)
-			spare--
-		}
-	}
-	v.release(p)
-	if !v.s.ask(v.now, p, ids) && !p.advice.asking {
-		return // kept in this decision only: nobody is to wait for a question that is not asked
-	}
-	for _, sp := range plan {
-		v.take(p, []*minion{sp.minion})
-	}
-}
-
 // keep holds room for a plan that waits for its tickets.
 func (v *view) keep(p *step, plan []*spot) {
 	for _, sp := range plan {
--- /dev/null
+++ b/internal/shard/policy.go
@@ -0,0 +1,24 @@
+package shard
+
+import "jasminestep/internal/work"
+
+// Policy says how a shard places work. The zero value is first come, best fit.
+type Policy struct {
+	Urgent   bool    // what has least time left goes first, what is late last
+	Together bool    // the tasks of a step share an availability zone
+	Copies   bool    // tasks of speculative steps start again when nothing is heard from their minion
+	Booked   float64 // share of all room that large tasks and gangs may book
+	Named    int     // minions named in a question about a gang; 0: as for any other step
+}
+
+// Usual is the policy that a new State has.
+var Usual = Policy{Urgent: true, Together: true, Copies: true, Booked: 0.4, Named: 100}
+
+// weigh is how much of the minions' room a size is: accelerators where there
+// are any, else processors.
+func weigh(s work.Size) float64 {
+	if s.GPU > 0 {
+		return float64(s.GPU)
+	}
+	return float64(s.CPU) / 1000 / gpuCores
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -82,9 +82,10 @@
 	waiting  int // tasks that wait
 	advice   advice
 	failures int           // runs of its tasks that ended failed or stood still
-	booked   bool          // minions are kept for it
+	booked   bool          // room is kept for it
 	failedAt int           // attempt of a gang whose failure was counted
 	chain    time.Duration // longest chain of estimated work from this step on
+	pressed  bool          // it is about to miss its objective and does not book room itself
 	home     string        // availability zone that its tasks should share; empty is not chosen
 }
 
@@ -162,7 +163,7 @@
 	slow    float64   // of the time that runs take there, to that which they take elsewhere; 0 is not known
 	fills   int       // runs that fill what others leave
 	serves  int       // runs that have a bound on their response times
-	booked  *step     // gang that it is kept for
+	booked  []booking // room that is kept for steps that wait
 	zone    *zone     // State.zoneOf keeps it up to date
 }
 
@@ -171,6 +172,7 @@
 	Service string
 	Term    int64
 	Limits  Limits
+	Policy  Policy
 	Notes   []Note // decisions since they were last taken away
 
 	jobs    map[string]*job
@@ -256,7 +258,7 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, jobs: map[string]*job{}, minions: map[string]*minion{}, zones: map[string]*zone{}, usual: map[string]float64{},
+		Service: service, Term: term, Limits: l, Policy: Usual, jobs: map[string]*job{}, minions: map[string]*minion{}, zones: map[string]*zone{}, usual: map[string]float64{},
 		taken: now, durable: now, batch: Batch{Seen: map[work.Life]int64{}},
 	}
 }
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -121,12 +121,12 @@
 }
 
 // together says whether the step's tasks should share a zone.
-func (p *step) together() bool { return !p.Lasting }
+func (v *view) together(p *step) bool { return v.s.Policy.Together && !p.Lasting }
 
 // settle chooses the zone of a step from those that have spots for it: the one
 // that takes most of its tasks, of these the one where most is free.
 func (v *view) settle(p *step, spots []*spot) {
-	if !p.together() || len(spots) == 0 {
+	if !v.together(p) || len(spots) == 0 {
 		p.home = ""
 		return
 	}
