Gangs are mended, draining minions evacuated, entries that do not answer ask no more

Cause: a gang of which one member was refused was taken apart and waited for 15 s again; tasks on minions that left at short notice waited 8.7 s for the end of the lease; an owner put its questions to entries that had just been stopped, a hundred times a second; gangs that could choose among 27 minions asked about single further ones, 0.7 s each.

Change: a refused member is started elsewhere with the same attempt while the others wait for it, for 1.8 s; runs that will not end before their minion leaves are stopped in time; whoever has a minion's address now proves that the minion has ended (421); an entry that fails a question gets none until the list of askers is made anew; few further minions are named only along with a renewal.

--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -73,6 +74,13 @@
 	at    time.Time // when addrs was made
 }
 
+// drop takes an entry that did not answer off the list.
+func (a *asking) drop(addr string) {
+	if len(a.addrs) > 1 {
+		a.addrs = slices.DeleteFunc(slices.Clone(a.addrs), func(x string) bool { return x == addr })
+	}
+}
+
 // askersFor is how long a list of askers is used.
 const askersFor = 500 * time.Millisecond
 
@@ -111,13 +119,16 @@
 		given := steady()
 		o.post(func(now time.Time) {
 			delete(o.asking.busy, addr)
+			if err != nil {
+				o.asking.drop(addr) // the next list has it again once it answers
+			}
 			o.st.Advised(now, given, a, out.Tickets, out.Valid, err)
 		})
 	}()
 }
 
 // askMargin is added to the time that the service takes.
-const askMargin = 1500 * time.Millisecond
+const askMargin = 700 * time.Millisecond
 
 // question asks through the entry at addr.
 func (o *owner) question(addr string, a shard.Ask) (out AskReply, err error) {
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -47,6 +47,8 @@
 	{"stray", "job task attempt minion", "a minion runs what the owner did not ask for; it is stopped"},
 	{"minion", "minion why", "a minion's entry appeared; why is its availability zone"},
 	{"draining", "minion", "a minion is leaving"},
+	{"evacuated", "job task attempt minion why", "a run will not end before its minion leaves, and is stopped; why is the time that is left"},
+	{"gone", "minion", "another minion has its address: nothing runs there any more"},
 	{"unlisted", "minion", "a minion's entry is gone"},
 	{"forgotten", "minion", "a minion without an entry does not answer, and its leases are over"},
 	{"reborn", "minion", "a minion started anew under its id"},
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"jasminestep/internal/shard"
 	"jasminestep/internal/work"
 )
@@ -102,7 +104,13 @@
 	r.told = 0
 	if err != nil {
 		r.o.s.Log.Debug("renewal", "minion", r.life.ID, "fenced", fenced, "why", err.Error())
-		r.o.post(func(now time.Time) { r.o.st.Silent(now, r.life) })
+		r.o.post(func(now time.Time) {
+			if errors.Is(err, work.ErrElsewhere) {
+				r.o.st.Gone(now, r.life)
+				return
+			}
+			r.o.st.Silent(now, r.life)
+		})
 		pause(r.o.ctx, silentGap)
 		return
 	}
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -10,7 +10,8 @@
 	asking bool
 	asked  map[string]bool   // minions that were named in a question
 	good   map[string]ticket // minions that may run the step
-	wait   time.Time         // no further question before
+	wait   time.Time         // no further question about other minions before
+	retry  time.Time         // no question at all before, since the last one failed
 }
 
 // ticket allows starts on one life of a minion, for a time. Whether a minion
@@ -63,11 +64,12 @@
 	renewSpare   = 2 // minions named beyond those of a gang whose tickets are renewed
 	renewOthers  = 2 // minions named for each task that a plan leaves over
 	askAgain     = 500 * time.Millisecond
+	askRetry     = 50 * time.Millisecond // after a question that failed
 )
 
 // ask adds a question about a step, if one may be asked now, and says whether it did.
 func (s *State) ask(now time.Time, p *step, ids []string) bool {
-	if len(ids) == 0 || p.advice.asking {
+	if len(ids) == 0 || p.advice.asking || now.Before(p.advice.retry) {
 		return false
 	}
 	a := p.job.Advice
@@ -159,7 +161,7 @@
 	}
 	p.advice.asking = false
 	if err != nil {
-		p.advice.wait = now.Add(askAgain)
+		p.advice.retry = now.Add(askRetry)
 		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
 		return
 	}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -71,6 +71,7 @@
 					w.pass(13 * time.Second)
 				}
 			},
+			"shed":   func(*rapid.T) { anyBox().sheds = pick("starts", 3) },
 			"cut":    func(*rapid.T) { b := anyBox(); b.up = !b.up },
 			"reborn": func(*rapid.T) { w.reborn(anyBox(), pick("told", 2) == 0) },
 			"take":   func(*rapid.T) { w.takeOver() },
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -75,6 +75,7 @@
 		s.note(Note{What: "draining", Minion: w.ID})
 	}
 	m.Minion = w
+	m.leaves = now.Add(w.Leaves)
 	m.listed = true
 	s.zoneOf(m)
 }
@@ -154,6 +155,9 @@
 	}
 	s.note(Note{What: "lost", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: t.life.ID, Why: why})
 	s.requeue(r.step, t)
+	if r.step.Gang && (r.state == unsent || r.state == sent) && s.mend(now, r.step) {
+		return // it has certainly not begun
+	}
 	s.breakGang(now, r.step)
 }
 
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -93,6 +93,7 @@
 func (s *State) Decide(now, wall time.Time, free Askers) {
 	s.askers = free
 	s.expire(now)
+	s.evacuate(now)
 	s.copies()
 	s.sweep(now)
 	var cs []candidate
@@ -251,8 +252,12 @@
 // place places what it can of one step, or asks for the advice that it lacks.
 func (v *view) place(c candidate) {
 	p := c.step
-	p.pressed = c.tier == timely && c.slack < pressedFor && !v.books(p)
+	p.pressed = c.tier == timely && c.slack < pressedFor && !v.books(p) || p.short
 	spots := v.spots(p)
+	if p.short {
+		v.complete(p, spots)
+		return
+	}
 	if p.Gang && p.OneRack {
 		spots = oneRack(p, spots)
 	}
@@ -332,6 +337,11 @@
 			spare--
 		}
 	}
+	for _, id := range v.unasked(p, false) {
+		if len(ids) < mostNamed && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
 	v.s.ask(v.now, p, ids)
 }
 
@@ -342,9 +352,20 @@
 	if p.job.Advice == nil || p.advice.asking || v.s.askers.All == 0 || v.now.Before(p.advice.wait) {
 		return
 	}
-	v.s.ask(v.now, p, v.unasked(p, len(p.advice.good) > 0))
+	ids := v.unasked(p, len(p.advice.good) > 0)
+	if len(p.advice.good) >= enoughKnown*p.waiting && len(ids) < worthAsking {
+		return
+	}
+	v.s.ask(v.now, p, ids)
 }
 
+// A step that has this many minions to choose from, for each task that waits, is
+// asked about again only if that may bring a few more.
+const (
+	enoughKnown = 3
+	worthAsking = 8
+)
+
 // fill returns a spot for each task that finds one.
 func fill(p *step, spots []*spot) []*spot {
 	var plan []*spot
@@ -417,13 +438,27 @@
 	return max(n, 1)
 }
 
+// gangAttempt is the attempt with which members of a gang are to be started: a
+// new one, unless some of them wait for the others.
+func (p *step) gangAttempt() int {
+	attempt, next := 0, 1
+	for _, t := range p.tasks {
+		attempt = max(attempt, t.attempt)
+		if t.phase == Placed {
+			next = 0
+		}
+	}
+	return attempt + next
+}
+
 // start places tasks of the step according to the plan.
 func (v *view) start(p *step, plan []*spot) {
 	next := 0
 	attempt := 0
 	if p.Gang {
-		for _, t := range p.tasks {
-			attempt = max(attempt, t.attempt+1)
+		attempt = p.gangAttempt()
+		if p.waiting == p.left {
+			p.startAt = v.now
 		}
 	}
 	for _, sp := range plan {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -615,3 +615,103 @@
 	w.turn()
 	assert.Assert(t, !o.st.zones[home].doubted(), "an answer clears the doubt")
 }
+
+// A member that is refused is started again, at the same minion or elsewhere,
+// while the others wait for it.
+func TestRefusedMemberOfAGangIsStartedAgain(t *testing.T) {
+	w, _ := begun(t, 3)
+	p := tasks(3, 3000)
+	p.Gang = true
+	w.submit(newJob("a", p))
+	w.minions[1].sheds = 1
+	w.turn()
+	w.turn()
+	assert.Equal(t, w.running(), 3)
+	for _, b := range w.minions {
+		for k := range b.runs {
+			assert.Equal(t, k.attempt, 1, "no member was stopped for it")
+		}
+	}
+}
+
+// If it cannot be started in time the gang is given up as a whole.
+func TestGangThatStaysShortIsGivenUp(t *testing.T) {
+	w, _ := begun(t, 3)
+	p := tasks(3, 3000)
+	p.Gang = true
+	w.submit(newJob("a", p))
+	w.minions[1].sheds = 1000
+	for range 30 {
+		w.turn()
+		w.pass(100 * time.Millisecond)
+	}
+	w.minions[1].sheds = 0
+	w.pass(pauseMost)
+	for range 4 {
+		w.turn()
+		w.pass(stopAgain)
+	}
+	assert.Equal(t, w.running(), 3)
+	for _, b := range w.minions {
+		for k := range b.runs {
+			assert.Assert(t, k.attempt > 1)
+		}
+	}
+}
+
+// drain has a minion tell that it leaves.
+func (w *world) drain(b *box, left time.Duration) {
+	b.Draining, b.Leaves = true, left
+	w.owners[len(w.owners)-1].st.See(w.now, b.Minion)
+}
+
+func TestRunsLeaveAMinionThatDrains(t *testing.T) {
+	w, _ := begun(t, 2)
+	long := tasks(1, 3000)
+	long.Estimate, long.Checkpoints = 10*time.Second, true
+	w.submit(newJob("a", long))
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	w.drain(out, 2*time.Second)
+	for range 3 {
+		w.turn()
+	}
+	assert.Equal(t, len(out.runs), 0)
+	assert.Equal(t, len(other.runs), 1)
+}
+
+func TestRunsThatEndInTimeStayWhereAMinionDrains(t *testing.T) {
+	w, _ := begun(t, 2)
+	short := tasks(1, 3000)
+	short.Estimate = 500 * time.Millisecond
+	w.submit(newJob("a", short))
+	w.turn()
+	out := w.minions[0]
+	if len(out.runs) == 0 {
+		out = w.minions[1]
+	}
+	w.drain(out, 2*time.Second)
+	w.turn()
+	assert.Equal(t, len(out.runs), 1)
+}
+
+// Whoever has a minion's address now is proof that the minion has ended.
+func TestTasksOfAMinionThatIsGoneStartAtOnce(t *testing.T) {
+	w, o := begun(t, 2)
+	w.submit(newJob("a", tasks(1, 3000)))
+	w.turn()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	out.up = false
+	out.runs = map[runKey]work.Size{}
+	w.turn()
+	assert.Equal(t, len(other.runs), 0)
+	o.st.Gone(w.now, out.Life)
+	w.turn()
+	assert.Equal(t, len(other.runs), 1)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -83,7 +83,9 @@
 	advice   advice
 	failures int           // runs of its tasks that ended failed or stood still
 	booked   bool          // room is kept for it
+	short    bool          // some members of a gang were refused, the others wait for them at their minions
 	failedAt int           // attempt of a gang whose failure was counted
+	startAt  time.Time     // when the present attempt of a gang was placed
 	chain    time.Duration // longest chain of estimated work from this step on
 	pressed  bool          // it is about to miss its objective and does not book room itself
 	home     string        // availability zone that its tasks should share; empty is not chosen
@@ -163,6 +165,7 @@
 	slow    float64   // of the time that runs take there, to that which they take elsewhere; 0 is not known
 	fills   int       // runs that fill what others leave
 	serves  int       // runs that have a bound on their response times
+	leaves  time.Time // while it drains: when it may leave
 	booked  []booking // room that is kept for steps that wait
 	zone    *zone     // State.zoneOf keeps it up to date
 }
@@ -399,7 +402,7 @@
 	if p.waiting == 0 || !p.open() {
 		return false
 	}
-	return !p.Gang || p.waiting == p.left
+	return !p.Gang || p.waiting == p.left || p.short
 }
 
 // sweep forgets jobs that were over for long enough, and rounds that are done.
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -55,6 +55,7 @@
 	barred map[runKey]bool // stopped or ended here
 	up     bool
 	stuck  bool    // its runs make no progress
+	sheds  int     // starts that it refuses from now on
 	slow   float64 // of its clock
 }
 
@@ -142,6 +143,10 @@
 		return work.Other, false
 	}
 	b.tick()
+	if b.sheds > 0 {
+		b.sheds--
+		return work.Unhealthy, true
+	}
 	if s.Token < b.token {
 		return work.Fenced, true
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Size is room on a minion, or what a task asks of it.
@@ -252,6 +254,10 @@
 	Ticket  string
 }
 
+// ErrElsewhere means that another minion has the address of the one that was
+// called: that one has ended.
+var ErrElsewhere = errors.New("another minion has this address")
+
 // Refusal is why a minion did not start a task.
 type Refusal string
 
