Nothing is placed while writes are held up; allowed minions are kept for a successor

Cause: while the store was down an owner went on placing: room and tickets were spent on starts that could not be sent and were given up 4 s later; after everyone was killed, steps waited 4 to 6 s for questions of 1.7 s that the former owner had had answered, while two shards asked through the same entries; when entries lapsed with the store, no minion was used for a second or two.

Change: an owner whose write takes over 0.5 s keeps room and tickets but places nothing; tickets have to last until a write of the usual time is done; which minions may run a step is part of its row if questions about it are long; an entry asks one question at a time and says so; minions that answer may do without an entry for 2.5 s.

--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -84,20 +84,22 @@
 // askersFor is how long a list of askers is used.
 const askersFor = 500 * time.Millisecond
 
-// free says how many more questions can be asked now, and how many of them may be long.
-func (o *owner) free(now time.Time) (all, long int) {
+// free says how many more questions can be asked now.
+func (o *owner) free(now time.Time) shard.Askers {
 	if now.Sub(o.asking.at) > askersFor {
 		o.asking.addrs, o.asking.at = o.s.askers(now, o.service), now
 	}
+	all := 0
 	for _, a := range o.asking.addrs {
 		if !o.asking.busy[a] {
 			all++
 		}
 	}
-	if len(o.asking.addrs) == 1 {
-		return all, all
+	long := all
+	if len(o.asking.addrs) > 1 {
+		long--
 	}
-	return all, all - 1
+	return shard.Askers{All: all, Long: long, From: longAnswer}
 }
 
 // ask sends a question through an entry that asks nothing at present.
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -23,7 +23,8 @@
 	renewWrite = 400 * time.Millisecond // an owner writes at least this often
 	feedGap    = 300 * time.Millisecond // between two looks at the store's feeds
 	retryWrite = 40 * time.Millisecond
-	mostRows   = 90 // in one transaction
+	heldAfter  = 500 * time.Millisecond // of a write that is under way, before nothing more is placed
+	mostRows   = 90                     // in one transaction
 )
 
 // errDeposed means that another entry owns the shard.
@@ -45,6 +46,7 @@
 	own, seq int64 // versions of the two rows that every write depends on
 	writes   int
 	busy     bool // a write is under way
+	busyFrom time.Time
 	leaving  bool
 	left     chan struct{}
 
@@ -134,8 +136,8 @@
 func (o *owner) step() {
 	now := steady()
 	if !o.leaving {
-		all, long := o.free(now)
-		o.st.Decide(now, time.Now(), shard.Askers{All: all, Long: long, From: longAnswer})
+		o.st.Held = o.busy && now.Sub(o.busyFrom) > heldAfter
+		o.st.Decide(now, time.Now(), o.free(now))
 	}
 	orders := o.st.Orders()
 	o.show(orders.Shown)
@@ -166,7 +168,7 @@
 		o.effect(b)
 		return
 	}
-	o.busy = true
+	o.busy, o.busyFrom = true, now
 	go o.commit(b)
 }
 
@@ -181,13 +183,13 @@
 // commit makes a batch durable, and then has its effects.
 func (o *owner) commit(b shard.Batch) {
 	began, err := o.writeAll(b)
-	o.post(func(time.Time) {
+	o.post(func(now time.Time) {
 		o.busy = false
 		if err != nil {
 			o.depose(err.Error())
 			return
 		}
-		o.st.Durable(began)
+		o.st.Durable(now, began)
 		o.effect(b)
 	})
 }
@@ -391,7 +393,7 @@
 	listed := map[string]bool{}
 	for _, r := range rows {
 		if r.Deleted {
-			o.st.Unlist(r.Name)
+			o.st.Unlist(now, r.Name)
 			continue
 		}
 		m, ok := o.s.Wire.Minion(r.Name, r.Value)
@@ -403,7 +405,7 @@
 		o.st.See(now, m)
 	}
 	if whole {
-		o.st.Unlisted(listed)
+		o.st.Unlisted(now, listed)
 	}
 }
 
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -132,6 +132,11 @@
 // Advise asks the placement service on an owner's behalf: it answers one
 // question at a time for each VM.
 func (c *calls) Advise(a AskArgs, out *AskReply) error {
+	if !c.s.asks.TryLock() {
+		out.Error = "this entry asks already, for another shard"
+		return nil
+	}
+	defer c.s.asks.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), adviceLimit)
 	defer cancel()
 	var err error
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -81,6 +81,7 @@
 	wg       sync.WaitGroup
 
 	claiming sync.Mutex
+	asks     sync.Mutex // held while this entry asks the placement service
 
 	mu     sync.Mutex
 	names  map[string]Entry  // entries, by name
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// know notes minions that a predecessor was told are allowed; tickets for them
+// have to be asked for.
+func (a *advice) know(ids []string) {
+	a.good, a.asked = map[string]ticket{}, map[string]bool{}
+	for _, id := range ids {
+		a.good[id], a.asked[id] = ticket{}, true
+	}
+}
+
 // ticketMargin is how much earlier than told a ticket is taken to end.
 const ticketMargin = 150 * time.Millisecond
 
@@ -169,6 +178,7 @@
 		p.advice.good, p.advice.asked = map[string]ticket{}, map[string]bool{}
 	}
 	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
+	known := len(p.advice.good)
 	for _, id := range a.IDs {
 		p.advice.asked[id] = true
 	}
@@ -179,6 +189,9 @@
 		}
 		p.advice.good[id] = ticket{text, given.Add(valid - ticketMargin), m.Born}
 	}
+	if len(p.advice.good) > known && p.dear() {
+		p.job.dirty = true
+	}
 }
 
 // aheadShare is the share of a ticket's life within which a step's turn has to
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -29,6 +29,7 @@
 	}
 	s.note(Note{What: "copy", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
 	r.step.job.copied = true
+	t.open = append(t.open, t.attempt)
 	s.requeue(r.step, t)
 }
 
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -49,7 +49,16 @@
 
 // usable says that new work may be sent.
 func (m *minion) usable(now time.Time) bool {
-	return m.listed && m.known && !m.Draining && m.silent.IsZero() && !now.Before(m.paused) && !m.zone.doubted()
+	return m.present(now) && m.known && !m.Draining && m.silent.IsZero() && !now.Before(m.paused) && !m.zone.doubted()
+}
+
+// missedFor is how long a minion that answers may do without an entry: entries
+// that lapsed while the store was away come back.
+const missedFor = 2500 * time.Millisecond
+
+// present says that the minion has an entry, or had one a moment ago.
+func (m *minion) present(now time.Time) bool {
+	return m.listed || now.Sub(m.missed) < missedFor
 }
 
 // See takes in a minion's entry in the store.
@@ -81,23 +90,20 @@
 }
 
 // Unlist takes in that a minion's entry is gone. It may still run and answer.
-func (s *State) Unlist(id string) {
+func (s *State) Unlist(now time.Time, id string) {
 	m := s.minions[id]
 	if m == nil || !m.listed {
 		return
 	}
-	m.listed = false
+	m.listed, m.missed = false, now
 	s.note(Note{What: "unlisted", Minion: id})
-	if len(m.runs) == 0 && m.silent.IsZero() {
-		m.silent = m.since // nothing is lost if it never answers again
-	}
 }
 
 // Unlisted tells which minions have an entry, for a reader that has the whole list.
-func (s *State) Unlisted(listed map[string]bool) {
+func (s *State) Unlisted(now time.Time, listed map[string]bool) {
 	for _, m := range s.sorted() {
 		if !listed[m.ID] {
-			s.Unlist(m.ID)
+			s.Unlist(now, m.ID)
 		}
 	}
 }
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -26,12 +28,14 @@
 	Minion   string `json:"m,omitempty"`
 	Born     int64  `json:"b,omitempty"`
 	Saved    string `json:"c,omitempty"`
+	Open     []int  `json:"o,omitempty"`
 }
 
 type savedRound struct {
 	K     int           `json:"k,omitempty"`
 	Done  bool          `json:"d,omitempty"`
 	Steps [][]savedTask `json:"s,omitempty"`
+	May   [][]string    `json:"y,omitempty"` // by step: minions that may run it, if advice about it is dear
 }
 
 type progress struct {
@@ -65,14 +69,35 @@
 		var ts []savedTask
 		if p.left > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.life.ID, t.life.Born, t.saved})
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.life.ID, t.life.Born, t.saved, t.open})
 			}
 		}
 		out.Steps = append(out.Steps, ts)
+		if may := p.may(); len(may) > 0 {
+			for len(out.May) < p.index {
+				out.May = append(out.May, nil)
+			}
+			out.May = append(out.May, may)
+		}
 	}
 	return out
 }
 
+// may lists the minions that are known to be allowed, for a successor that would
+// have to ask again: of steps that wait and about which questions are long.
+func (p *step) may() []string {
+	if p.waiting == 0 || !p.dear() {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(p.advice.good))
+}
+
+// dear says that a question about the step takes long.
+func (p *step) dear() bool { return p.job.Advice != nil && p.job.Advice.Decide >= dearFrom }
+
+// dearFrom is the time for a question from which on its answer is kept.
+const dearFrom = 300 * time.Millisecond
+
 // Load takes in a job as a predecessor left it; row is nil if it had not begun.
 func (s *State) Load(now time.Time, j *work.Job, row []byte) error {
 	s.Submit(now, j)
@@ -121,12 +146,15 @@
 		for x, t := range ts {
 			s.loadTask(p, p.tasks[x], t)
 		}
+		if i < len(in.May) && len(in.May[i]) > 0 {
+			p.advice.know(in.May[i])
+		}
 	}
 	return r
 }
 
 func (s *State) loadTask(p *step, t *task, in savedTask) {
-	t.attempt, t.failures, t.saved = in.Attempt, in.Failures, in.Saved
+	t.attempt, t.failures, t.saved, t.open = in.Attempt, in.Failures, in.Saved, in.Open
 	switch in.Phase {
 	case Finished:
 		t.phase = Finished
@@ -176,8 +204,12 @@
 	return o
 }
 
-// Durable tells that a write that had begun at began is durable.
-func (s *State) Durable(began time.Time) {
+// writeWeight is the weight of the newest write in the usual time of one.
+const writeWeight = 0.3
+
+// Durable tells that a write that had begun at began is durable now.
+func (s *State) Durable(now, began time.Time) {
+	s.writing += time.Duration(writeWeight * float64(now.Sub(began)-s.writing))
 	if began.After(s.durable) {
 		s.durable = began
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -110,7 +110,7 @@
 	if s.Policy.Urgent {
 		sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
 	}
-	v := &view{s: s, now: now, ms: s.sorted(), shadow: map[string]work.Size{}, ends: map[*minion][]ending{}}
+	v := &view{s: s, now: now, send: now.Add(s.writing), ms: s.sorted(), shadow: map[string]work.Size{}, ends: map[*minion][]ending{}}
 	v.unbook()
 	for _, c := range cs {
 		v.place(c)
@@ -121,6 +121,7 @@
 // view is what one decision sees of the minions.
 type view struct {
 	s       *State
+	send    time.Time // when a start that is decided now is expected to be sent
 	now     time.Time
 	ms      []*minion
 	shadow  map[string]work.Size // room kept for steps whose tickets are being renewed
@@ -191,7 +192,7 @@
 		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() {
 			continue
 		}
-		pass, text := p.pass(v.now, m)
+		pass, text := p.pass(v.send, m)
 		if pass == barred {
 			continue
 		}
@@ -265,11 +266,15 @@
 	if len(plan) < p.waiting {
 		v.askMore(c)
 	}
-	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, stalePass)) {
+	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, stalePass) || v.s.Held) {
 		v.hold(p, plan)
 		return
 	}
 	v.renew(p, plan)
+	if v.s.Held {
+		v.keep(p, plan)
+		return
+	}
 	v.start(p, plan)
 	if p.waiting > 0 && v.books(p) {
 		v.hold(p, nil)
@@ -325,8 +330,8 @@
 		return
 	}
 	if !slices.ContainsFunc(ids, func(id string) bool {
-		pass, t := p.pass(v.now, v.s.minions[id])
-		return pass != allowed || t.until.Before(v.now.Add(max(cost, ready)))
+		pass, t := p.pass(v.send, v.s.minions[id])
+		return pass != allowed || t.until.Before(v.send.Add(max(cost, ready)))
 	}) {
 		return
 	}
@@ -415,7 +420,7 @@
 		if len(ids) >= most {
 			break
 		}
-		if pass, _ := p.pass(v.now, m); pass == stale && m.usable(v.now) && !slices.Contains(ids, m.ID) {
+		if pass, _ := p.pass(v.send, m); pass == stale && m.usable(v.now) && !slices.Contains(ids, m.ID) {
 			ids = append(ids, m.ID)
 		}
 	}
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -333,7 +333,7 @@
 	began := p.now
 	p.later(writeTime, func() {
 		p.writing = false
-		p.st.Durable(began)
+		p.st.Durable(p.now, began)
 		for _, x := range b.Starts {
 			if p.st.Send(p.now, &x) {
 				p.later(answerTime, func() { p.start(x) })
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"jasminestep/internal/work"
@@ -179,7 +180,7 @@
 		}
 		p.job.dirty = true
 		s.done(now, p, t)
-	case e.How == work.Failed && p.Speculative:
+	case e.How == work.Failed && t.closes(e.Attempt):
 		p.job.dirty = true
 		t.failures++
 		p.failures++
@@ -187,6 +188,17 @@
 	}
 }
 
+// closes takes in that a run that was left for a copy has ended, and says
+// whether it was one: the ends of others were counted before.
+func (t *task) closes(attempt int) bool {
+	i := slices.Index(t.open, attempt)
+	if i < 0 {
+		return false
+	}
+	t.open = slices.Delete(t.open, i, i+1)
+	return true
+}
+
 // done marks a task finished, with its whole gang.
 func (s *State) done(now time.Time, p *step, t *task) {
 	ts := []*task{t}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -715,3 +715,26 @@
 	w.turn()
 	assert.Equal(t, len(other.runs), 1)
 }
+
+// A successor hears again of a failure that its predecessor has counted and had
+// no time to acknowledge.
+func TestFailureOfACopyCountsOnce(t *testing.T) {
+	w, o := begun(t, 2)
+	j := newJob("a", copied(1, 1000))
+	j.Attempts = 2
+	w.submit(j)
+	w.turn()
+	for _, b := range w.minions {
+		for k := range b.runs {
+			b.end(k, work.Failed)
+		}
+		o.renew(b)
+	}
+	o.step()
+	o.commit(true)
+	w.deliver(len(w.flying))
+	w.takeOver()
+	w.turn()
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, w.running(), 1)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -69,6 +69,7 @@
 	failures int       // runs that ended failed
 	life     work.Life // where it is placed; only while Placed
 	saved    string    // newest checkpoint
+	open     []int     // attempts of runs that were left for a copy, and of whose end nothing is known
 }
 
 // step is one step of one round.
@@ -148,10 +149,11 @@
 // minion is what the shard believes of one minion's life.
 type minion struct {
 	work.Minion
-	listed  bool  // has an entry in the store
-	known   bool  // it has answered under this term's token, so its lists are the truth
-	token   int64 // that the next order carries
-	clock   int64 // its clock in ms when it answered at at
+	listed  bool      // has an entry in the store
+	missed  time.Time // since when it has none
+	known   bool      // it has answered under this term's token, so its lists are the truth
+	token   int64     // that the next order carries
+	clock   int64     // its clock in ms when it answered at at
 	at      time.Time
 	until   int64 // longest lease it was sent, on its clock
 	seen    int64 // number of the last end that was taken in
@@ -176,6 +178,7 @@
 	Term    int64
 	Limits  Limits
 	Policy  Policy
+	Held    bool   // nothing is to be placed, since what was placed cannot be made durable
 	Notes   []Note // decisions since they were last taken away
 
 	jobs    map[string]*job
@@ -188,6 +191,7 @@
 	usual   map[string]float64 // of a run's time to its estimate, by queue
 	askers  Askers             // left in this decision
 	turn    uint               // where the next question begins to name minions
+	writing time.Duration      // usual time of a write
 	durable time.Time          // when the last write that was made durable had begun
 	batch   Batch
 	now     Orders
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -27,6 +27,7 @@
 	flying  []flight
 	done    map[work.TaskID]bool // ended done, and taken note of
 	ever    map[work.TaskID]bool // ended done, or a member of a gang that did
+	failed  map[work.TaskID]int  // runs that ended failed
 	story   []string             // what happened, for a failure's message
 }
 
@@ -76,8 +77,11 @@
 
 func (b *box) end(k runKey, how work.How) {
 	b.w.tell("%s ends %s on %s as end %d", k.task, how, b.ID, b.n+1)
-	if how == work.Done {
+	switch how {
+	case work.Done:
 		b.w.ever[k.task] = true
+	case work.Failed:
+		b.w.failed[k.task]++
 	}
 	delete(b.runs, k)
 	b.barred[k] = true
@@ -290,7 +294,7 @@
 func newWorld(t failer, n int) *world {
 	w := &world{
 		t: t, now: epoch, limits: Defaults, rows: map[string][]byte{}, gone: map[string]bool{},
-		done: map[work.TaskID]bool{}, ever: map[work.TaskID]bool{},
+		done: map[work.TaskID]bool{}, ever: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
 	}
 	for i := range n {
 		b := &box{w: w, Minion: work.Minion{
@@ -341,6 +345,7 @@
 		return
 	}
 	o.st.Decide(o.w.now, o.w.now, Askers{})
+	o.w.judge(o.st)
 	for _, x := range o.st.Orders().Stops {
 		b := o.w.box(x.Minion.ID)
 		o.w.flying = append(o.w.flying, flight{b, x.Token, func() { b.stop(x.Token, runKey{x.Task, x.Attempt}) }})
@@ -355,6 +360,29 @@
 	o.batch = &b
 }
 
+// judge checks that jobs fail only with cause: a task, or a gang, has failed often enough.
+func (w *world) judge(st *State) {
+	for _, j := range st.jobs {
+		if j.state != JobFailed {
+			continue
+		}
+		most, steps := 0, map[string]int{}
+		for t, n := range w.failed {
+			if t.Job != j.ID {
+				continue
+			}
+			most = max(most, n)
+			if w.stepOf(t).Gang {
+				steps[t.StepID()] += n
+				most = max(most, steps[t.StepID()])
+			}
+		}
+		if most < j.Attempts {
+			w.bad("%s is failed after %d failures of a task, %d are allowed", j.ID, most, j.Attempts)
+		}
+	}
+}
+
 // commit writes the batch and has its effects.
 func (o *boss) commit(store bool) {
 	if o.frozen || o.batch == nil || !store && o.batch.NeedsWrite() {
@@ -369,9 +397,9 @@
 			o.w.tell("owner %d writes %s: %s", o.st.Term, r.Name, r.Value)
 			o.w.keep(r)
 		}
-		o.st.Durable(o.w.now)
+		o.st.Durable(o.w.now, o.w.now)
 	} else if !o.deposed && store {
-		o.st.Durable(o.w.now)
+		o.st.Durable(o.w.now, o.w.now)
 	}
 	o.batch = nil
 	for _, x := range b.Starts {
