Gangs keep the room that their question is about, and none without a question

Tickets were renewed five to six times for each gang that started: the booking moved to other minions while the question was under way; urgent small tasks took booked room although other room was free; a question about two further minions kept a gang from renewing; and gangs that could not ask, since every entry was asking, held idle room all the same.

Change: a booking stays as it is while its question is under way, and is given up if no question can be asked; urgent small tasks use booked room last; a gang that has booked asks only about what it booked; a quarter of the room may be booked at most; a single shard asks through all entries; a minion that was not known when an answer came is asked about again; leases are no longer than minions grant.

Test: TestNothingWaitsBesideIdleMinions failed before ("chart has waited for 3.02s beside idle minions"); TestMinionsThatWereAwayAreAskedAboutAgain likewise.

--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -38,7 +38,7 @@
 	if i := sort.SearchStrings(services, service); i < len(services) {
 		first = i * len(names) / len(services)
 	}
-	most := max(1, int(askersShare*float64(len(names))))
+	most := max(1, int(min(1, askersEach/float64(max(1, len(services))))*float64(len(names))))
 	out := make([]string, 0, most)
 	for k := range most {
 		out = append(out, addrs[names[(first+k)%len(names)]])
@@ -46,9 +46,9 @@
 	return out
 }
 
-// askersShare is the share of the entries that ask for one shard. Two shards
-// share a few, which each of them uses last.
-const askersShare = 0.7
+// askersEach is how often an entry stands in the lists of askers of all shards
+// together: neighbours share a few, which each of them uses last.
+const askersEach = 1.4
 
 // services lists the services that have shards, sorted.
 func (s *Server) services() []string {
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -69,7 +69,7 @@
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.last.Store(steady().UnixNano())
 	limits := shard.Defaults
-	limits.Lease = time.Duration(s.Set.Lease) * time.Millisecond
+	limits.Lease = time.Duration(min(s.Set.Lease, s.Set.Most)) * time.Millisecond
 	limits.Keep = time.Duration(s.Set.Keep) * time.Millisecond
 	o.st = shard.New(service, l.Term, steady(), limits)
 	return o
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -23,6 +23,7 @@
 	Orders string  `json:"orders"`
 	Grace  int64   `json:"grace"`
 	Lease  int64   `json:"lease"`
+	Most   int64   `json:"most"`
 	Keep   int64   `json:"keep"`
 	Cores  float64 `json:"cores"`
 	Link   float64 `json:"link"`
@@ -50,6 +51,7 @@
 	setting("first", "true, false", "false", "", "the whole system starts for the first time: owners are chosen once all entries are known"),
 	setting("grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"),
 	setting("lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"),
+	setting("most", "ms", "10000", "1000 to 600000", "longest lease that minions grant; a longer lease is cut to it"),
 	setting("keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"),
 	setting("level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"),
 }
@@ -99,6 +101,7 @@
 	}{
 		{"grace", s.Grace, 1000, 600_000},
 		{"lease", s.Lease, 1000, 9000},
+		{"most", s.Most, 1000, 600_000},
 		{"keep", s.Keep, 1000, 86_400_000},
 	} {
 		if r.v < r.lo || r.v > r.hi {
@@ -120,7 +123,7 @@
 	for _, f := range []struct {
 		p     *int64
 		usual time.Duration
-	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.Keep, 150 * time.Second}} {
+	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.Most, 10 * time.Second}, {&s.Keep, 150 * time.Second}} {
 		if *f.p == 0 {
 			*f.p = f.usual.Milliseconds()
 		}
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -180,7 +180,8 @@
 	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
 	known := len(p.advice.good)
 	for _, id := range a.IDs {
-		p.advice.asked[id] = true
+		// A minion that is not known at present is asked about again.
+		p.advice.asked[id] = s.minions[id] != nil
 	}
 	for id, text := range tickets {
 		m := s.minions[id]
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -33,7 +33,7 @@
 func (m *minion) kept(p *step) work.Size {
 	var s work.Size
 	for _, b := range m.booked {
-		if b.step != p && (p == nil || !p.pressed) {
+		if b.step != p {
 			s = s.Plus(b.step.Reserved().Times(int64(b.n)))
 		}
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -153,6 +153,7 @@
 	ticket ticket
 	left   work.Size // room after what this decision has placed
 	here   int       // tasks of the step there
+	booked bool      // the room was kept for other steps
 	order  [5]float64
 }
 
@@ -197,6 +198,10 @@
 			continue
 		}
 		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(m.kept(p)).Minus(v.shadow[m.ID]), here: p.count(m)}
+		if !sp.left.Fits(need) && p.pressed {
+			sp.left = m.free().Minus(v.shadow[m.ID])
+			sp.booked = true
+		}
 		if sp.left.Fits(need) {
 			out = append(out, sp)
 		}
@@ -220,7 +225,7 @@
 // zone of the other tasks; then the fullest minion, so that large tasks find room. Tasks that fill go where most
 // is left.
 func (sp *spot) rank(p *step) {
-	if p.booked && !sp.bookedBy(p) {
+	if sp.booked || p.booked && !sp.bookedBy(p) {
 		sp.order[0] = 2
 	}
 	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
@@ -263,13 +268,15 @@
 		spots = oneRack(p, spots)
 	}
 	plan := fill(p, spots)
-	if len(plan) < p.waiting {
-		v.askMore(c)
-	}
 	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, stalePass) || v.s.Held) {
-		v.hold(p, plan)
+		if v.hold(p, plan); !p.booked {
+			v.askMore(c)
+		}
 		return
 	}
+	if len(plan) < p.waiting {
+		v.askMore(c)
+	}
 	v.renew(p, plan)
 	if v.s.Held {
 		v.keep(p, plan)
@@ -285,7 +292,12 @@
 
 // hold keeps room for what waits of a step, that of a complete plan if there is
 // one, and asks for the tickets in time for when the room is expected to be free.
+// While a question is under way the room stays the one that it is about; without
+// one none is kept, since it would stand idle for as long as the step cannot ask.
 func (v *view) hold(p *step, plan []*spot) {
+	if p.booked && p.advice.asking {
+		return
+	}
 	ready, ok := time.Duration(0), true
 	if len(plan) > 0 && len(plan) == p.waiting {
 		if len(v.standing(p, planned(plan))) < len(plan) {
@@ -297,8 +309,8 @@
 	} else {
 		ready, ok = v.book(p)
 	}
-	if ok {
-		v.renewBooked(p, ready)
+	if ok && !v.renewBooked(p, ready) {
+		v.release(p)
 	}
 }
 
@@ -313,11 +325,12 @@
 
 // renewBooked asks anew for the tickets of the minions that the step has booked,
 // and of a few to spare, unless they are valid for long enough: when an answer
-// that is asked for now comes, or when the room is free.
-func (v *view) renewBooked(p *step, ready time.Duration) {
+// that is asked for now comes, or when the room is free. It returns whether there
+// is a use in keeping the room.
+func (v *view) renewBooked(p *step, ready time.Duration) bool {
 	a := p.job.Advice
 	if a == nil || p.advice.asking {
-		return
+		return true
 	}
 	var ids []string
 	for _, m := range v.ms {
@@ -327,13 +340,13 @@
 	}
 	cost := a.Decide + a.Each*time.Duration(len(ids)+renewSpare)
 	if ready > cost {
-		return
+		return true
 	}
 	if !slices.ContainsFunc(ids, func(id string) bool {
 		pass, t := p.pass(v.send, v.s.minions[id])
 		return pass != allowed || t.until.Before(v.send.Add(max(cost, ready)))
 	}) {
-		return
+		return true
 	}
 	spare := renewSpare
 	for _, sl := range v.slots(p) {
@@ -342,12 +355,7 @@
 			spare--
 		}
 	}
-	for _, id := range v.unasked(p, false) {
-		if len(ids) < mostNamed && !slices.Contains(ids, id) {
-			ids = append(ids, id)
-		}
-	}
-	v.s.ask(v.now, p, ids)
+	return v.s.ask(v.now, p, ids)
 }
 
 // askMore asks about further minions for a step that the known ones do not
--- a/internal/shard/policy.go
+++ b/internal/shard/policy.go
@@ -12,7 +12,7 @@
 }
 
 // Usual is the policy that a new State has.
-var Usual = Policy{Urgent: true, Together: true, Copies: true, Booked: 0.4, Named: 100}
+var Usual = Policy{Urgent: true, Together: true, Copies: true, Booked: 0.25, Named: 100}
 
 // weigh is how much of the minions' room a size is: accelerators where there
 // are any, else processors.
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -94,8 +94,12 @@
 	need, here int
 	runs       []*liveRun
 	work       time.Duration
+	fails      bool // halfway: its first member fails, the others are broken
 }
 
+// patience is how long members of a gang wait for the others.
+const patience = 4 * time.Second
+
 type liveMinion struct {
 	work.Minion
 	runs []*liveRun
@@ -137,7 +141,10 @@
 	asking  int
 	writing bool
 	seen    map[work.Life]int64
-	used    float64 // core-seconds of done work
+	tickets map[string]time.Time // ends of tickets, by step and minion
+	used    float64              // core-seconds of done work
+	each    func()               // called at the end of each tick, if there
+	asked   func(Ask)            // called for each question, if there
 	stopped int
 }
 
@@ -146,7 +153,7 @@
 func newPlay(sh shape, seed uint64) *play {
 	p := &play{
 		r: rand.New(rand.NewPCG(seed, 1)), sh: sh, now: epoch, ms: map[string]*liveMinion{}, jobs: map[string]*arrival{},
-		gangs: map[string]*gangRun{}, seen: map[work.Life]int64{},
+		gangs: map[string]*gangRun{}, seen: map[work.Life]int64{}, tickets: map[string]time.Time{},
 	}
 	l := Defaults
 	l.Lease = 8500 * time.Millisecond
@@ -218,6 +225,10 @@
 	m := p.ms[o.Minion.ID]
 	s := p.jobs[o.Start.Task.Job]
 	st := &s.job.Steps[o.Start.Task.Step]
+	if s.job.Advice != nil && p.now.After(p.tickets[o.Start.Task.StepID()+"/"+m.ID]) {
+		p.st.Started(p.now, o, work.BadTicket, nil)
+		return
+	}
 	w := s.work[o.Start.Task.Step][o.Start.Task.Index]
 	run := &liveRun{start: o.Start, began: p.now, how: work.Done, ends: p.now.Add(w)}
 	name := o.Start.Task.String()
@@ -230,23 +241,33 @@
 		key := fmt.Sprint(o.Start.Task.StepID(), "/", o.Start.Attempt)
 		g := p.gangs[key]
 		if g == nil {
-			g = &gangRun{need: st.Tasks, work: w}
+			g = &gangRun{need: st.Tasks, work: w, fails: s.fails[o.Start.Task.Step][0] && o.Start.Attempt == 1}
 			p.gangs[key] = g
 		}
 		g.here++
 		g.runs = append(g.runs, run)
-		run.gang, run.how = g, work.Done
-		for _, x := range g.runs {
-			x.ends = p.now.Add(time.Hour)
-			if g.here == g.need {
-				x.ends = p.now.Add(g.work)
-			}
+		run.gang, run.how, run.ends = g, work.Alone, p.now.Add(patience)
+		if g.here == g.need {
+			g.begin(p.now)
 		}
 	}
 	p.st.Started(p.now, o, work.Accepted, nil)
 	m.wake = true
 }
 
+// begin begins the work of a gang that is complete.
+func (g *gangRun) begin(now time.Time) {
+	for i, x := range g.runs {
+		x.how, x.ends = work.Done, now.Add(g.work)
+		if g.fails {
+			x.how, x.ends = work.Broken, now.Add(g.work/2)
+			if i == 0 {
+				x.how = work.Failed
+			}
+		}
+	}
+}
+
 // finish ends what is over, and has the minion report.
 func (p *play) finish(m *liveMinion) {
 	kept := m.runs[:0]
@@ -268,6 +289,19 @@
 		if x.start.Task == o.Task && x.start.Attempt == o.Attempt {
 			x.how, x.ends = work.Stopped, p.now
 			p.stopped++
+			p.breakGang(x)
+		}
+	}
+}
+
+// breakGang ends the other members of a gang of which one was stopped.
+func (p *play) breakGang(x *liveRun) {
+	if x.gang == nil {
+		return
+	}
+	for _, o := range x.gang.runs {
+		if o != x && o.ends.After(p.now) {
+			o.how, o.ends = work.Broken, p.now
 		}
 	}
 }
@@ -298,6 +332,9 @@
 		p.later(answerTime, func() { p.stop(x) })
 	}
 	for _, a := range o.Asks {
+		if p.asked != nil {
+			p.asked(a)
+		}
 		p.asking++
 		s := p.jobs[a.Step.Job]
 		p.later(a.Cost+answerTime, func() {
@@ -306,6 +343,7 @@
 			for _, id := range a.IDs {
 				if s.allowed[a.Step.Step][id] {
 					got[id] = "t"
+					p.tickets[a.Step.StepID()+"/"+id] = p.now.Add(s.kind.advice.Valid)
 				}
 			}
 			p.st.Advised(p.now, p.now, a, got, s.kind.advice.Valid, nil)
@@ -388,6 +426,9 @@
 			}
 		}
 		p.decide()
+		if p.each != nil {
+			p.each()
+		}
 	}
 }
 
@@ -507,6 +548,14 @@
 			{name: "rebuild", perS: 2.2, steps: draw{2, 0.4, 5}, tasks: draw{18, 0.6, 88}, cpu: draw{18000, 0.4, 30000}, mem: draw{26000, 0.5, 51000}, ms: draw{5600, 0.5, 14000}, off: 0.2, apart: 0.12, fails: 0.02, slack: 4, target: 3 * time.Second, worth: 3.37, advice: answers(208, 2.99, 1500), allowed: 0.45},
 		},
 	},
+	{
+		name: "reports", minions: 350, room: work.Size{CPU: 64000, Mem: 131072}, zones: 4, askers: 35, burst: 1.9,
+		kinds: []kind{
+			{name: "thumb", perS: 137, steps: draw{1, 0, 1}, tasks: draw{3.2, 0.8, 19}, cpu: draw{9900, 0.45, 30000}, mem: draw{10000, 0.6, 30000}, ms: draw{640, 0.5, 1600}, off: 0.5, fails: 0.005, slack: 1.5, target: 300 * time.Millisecond, worth: 0.388, advice: answers(9.36, 0.13, 2000), allowed: 0.7},
+			{name: "report", perS: 3.81, steps: draw{1.2, 0.4, 3}, tasks: draw{20, 0.8, 120}, cpu: draw{18000, 0.4, 30000}, mem: draw{26000, 0.5, 51000}, ms: draw{6200, 0.5, 16000}, off: 0.9, gang: true, fails: 0.05, slack: 2.2, target: time.Second, worth: 16, advice: answers(702, 10.01, 2000), allowed: 0.3},
+			{name: "chart", perS: 9.84, steps: draw{1.5, 0.4, 3.8}, tasks: draw{25, 0.8, 150}, cpu: draw{6900, 0.45, 21000}, mem: draw{13000, 0.6, 38000}, ms: draw{2700, 0.5, 6800}, off: 0.2, apart: 0.12, fails: 0.02, slack: 4, target: 3 * time.Second, worth: 3.87, advice: answers(130, 1.82, 2000), allowed: 0.45},
+		},
+	},
 }
 
 // total is what kinds earned over several seeds, by name.
@@ -589,3 +638,114 @@
 	}
 	return b.String()
 }
+
+// idleFor is how long a job may have nothing running while there is room for
+// twice what waits of one of its steps and under half of all room is in use.
+const idleFor = 3 * time.Second
+
+// idlers returns the jobs that have waited beside idle minions for idleFor, with
+// how long. To be called at each tick.
+func (p *play) idlers(since map[string]time.Time) map[string]time.Duration {
+	var all, used int64
+	for _, id := range p.order {
+		all += p.ms[id].Room.CPU
+		used += p.st.minions[id].used.CPU
+	}
+	out := map[string]time.Duration{}
+	for _, a := range p.list {
+		j := p.st.jobs[a.job.ID]
+		if j == nil || j.state.Over() || 2*used >= all || !p.waitsIdle(a, j) {
+			delete(since, a.job.ID)
+			continue
+		}
+		if since[a.job.ID].IsZero() {
+			since[a.job.ID] = p.now
+		}
+		if d := p.now.Sub(since[a.job.ID]); d > idleFor {
+			out[a.job.ID] = d
+		}
+	}
+	return out
+}
+
+// waitsIdle says that nothing of a job runs while a step could.
+func (p *play) waitsIdle(a *arrival, j *job) bool {
+	could := false
+	for _, r := range j.rounds {
+		for i, st := range r.steps {
+			for _, t := range st.tasks {
+				if t.phase == Placed {
+					return false
+				}
+			}
+			if st.waiting == 0 || !st.open() {
+				continue
+			}
+			n := 0
+			for id := range a.allowed[i] {
+				n += min(fitting(p.st.minions[id].free(), st.Reserved(), 2*st.waiting), st.most(p.st.minions[id]))
+			}
+			could = could || n >= 2*st.waiting
+		}
+	}
+	return could
+}
+
+// Nothing that was accepted waits beside idle minions, and once no more comes
+// all of it ends.
+func TestNothingWaitsBesideIdleMinions(t *testing.T) {
+	for _, sh := range shapes {
+		t.Run(sh.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(testSeeds) {
+				p := newPlay(sh, seed+1)
+				since := map[string]time.Time{}
+				p.each = func() {
+					for id, d := range p.idlers(since) {
+						t.Fatalf("seed %d: at %v job %s of %s has waited for %v beside idle minions", seed+1, p.now.Sub(epoch), id, p.jobs[id].kind.name, d)
+					}
+				}
+				p.run()
+				for _, a := range p.list {
+					if a.over == 0 && !p.st.jobs[a.job.ID].state.Over() && p.possible(a) {
+						assert.Check(t, p.running(a.job.ID) > 0, "seed %d: job %s of %s waits at the end", seed+1, a.job.ID, a.kind.name)
+					}
+				}
+			}
+		})
+	}
+}
+
+// possible says that a job fits on the minions that it may use when these are empty.
+func (p *play) possible(a *arrival) bool {
+	for i := range a.job.Steps {
+		st := &a.job.Steps[i]
+		n := 0
+		for id := range a.allowed[i] {
+			k := fitting(p.ms[id].Room, st.Reserved(), st.Tasks)
+			if st.PerMinion > 0 {
+				k = min(k, st.PerMinion)
+			}
+			n += k
+		}
+		if n == 0 || st.Gang && n < st.Tasks {
+			return false
+		}
+	}
+	return true
+}
+
+// running counts the placed tasks of a job.
+func (p *play) running(id string) int {
+	n := 0
+	for _, r := range p.st.jobs[id].rounds {
+		for _, st := range r.steps {
+			for _, t := range st.tasks {
+				if t.phase == Placed {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -738,3 +738,30 @@
 	assert.Equal(t, w.state("a"), Active)
 	assert.Equal(t, w.running(), 1)
 }
+
+// A minion that was forgotten when the answer about it came is asked about again
+// once it is back.
+func TestMinionsThatWereAwayAreAskedAboutAgain(t *testing.T) {
+	w, o := begun(t, 1)
+	j := newJob("a", tasks(1, 1000))
+	j.Advice = &work.Advice{Decide: 10 * time.Millisecond, Valid: 2 * time.Second}
+	w.submit(j)
+	asks := func() []Ask {
+		o.st.Decide(w.now, w.now, Askers{All: 4, Long: 4, From: time.Second})
+		return o.st.Orders().Asks
+	}
+	first := asks()
+	assert.Equal(t, len(first), 1)
+	b := w.minions[0]
+	o.st.Unlist(w.now, b.ID)
+	o.st.Silent(w.now, b.Life)
+	w.pass(10 * time.Second)
+	assert.Equal(t, len(asks()), 0)
+	o.st.Advised(w.now, w.now, first[0], map[string]string{b.ID: "t"}, 2*time.Second, nil)
+	o.st.See(w.now, b.Minion)
+	w.turn()
+	w.pass(time.Second)
+	again := asks()
+	assert.Equal(t, len(again), 1)
+	assert.DeepEqual(t, again[0].IDs, []string{b.ID})
+}
