A decision looks at what has changed

Cause: each decision walked all active jobs and, for each step that waits, all minions that it may use, two hundred times a second; rows were looked for among all jobs of the last minutes.

Change: steps that wait stand in a queue; one is looked at when an answer about it comes, a minion that may run it takes more, an entry can ask for it, or 50 ms have passed. Room that waits for tickets and bookings are kept with their steps. Jobs whose rows have to be written, jobs that are over, and new lives of minions have lists of their own. Gangs are looked at 33 times a second at the most, and not before their room is expected to be free.

Test: the existing tests and TestRunOnce (60,000 runs); silent and draining minions are looked at without delay (TestCopyStartsWhenAMinionFallsSilent and four others failed while they were not).

--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -45,9 +45,9 @@
 	return min(r.told, r.acked.Load())
 }
 
-// startRunners has a runner for every minion that is of interest.
+// startRunners has a runner for every life of a minion.
 func (o *owner) startRunners() {
-	for _, l := range o.st.Lives() {
+	for _, l := range o.st.Fresh() {
 		if o.runners[l] != nil {
 			continue
 		}
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -7,11 +7,14 @@
 
 // advice is what the placement service has said about one step.
 type advice struct {
-	asking bool
-	asked  map[string]bool   // minions that were named in a question
-	good   map[string]ticket // minions that may run the step
-	wait   time.Time         // no further question about other minions before
-	retry  time.Time         // no question at all before, since the last one failed
+	asking  bool
+	asked   map[string]bool   // minions that were named in a question
+	good    map[string]ticket // minions that may run the step
+	list    []*minion         // the same, by id, as of epoch
+	epoch   int64
+	changed bool      // list lacks some
+	wait    time.Time // no further question about other minions before
+	retry   time.Time // no question at all before, since the last one failed
 }
 
 // ticket allows starts on one life of a minion, for a time. Whether a minion
@@ -33,7 +36,7 @@
 // know notes minions that a predecessor was told are allowed; tickets for them
 // have to be asked for.
 func (a *advice) know(ids []string) {
-	a.good, a.asked = map[string]ticket{}, map[string]bool{}
+	a.good, a.asked, a.changed = map[string]ticket{}, map[string]bool{}, true
 	for _, id := range ids {
 		a.good[id], a.asked[id] = ticket{}, true
 	}
@@ -84,6 +87,7 @@
 	a := p.job.Advice
 	cost := a.Decide + a.Each*time.Duration(len(ids))
 	if !s.askers.take(cost) {
+		p.wants = cost
 		return false
 	}
 	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.good))})
@@ -104,9 +108,14 @@
 	From time.Duration // the time from which on a question is long
 }
 
+// could says whether one more question can be asked that takes cost.
+func (a *Askers) could(cost time.Duration) bool {
+	return a.All > 0 && (cost < a.From || a.Long > 0)
+}
+
 // take says whether one more question can be asked that takes cost, and counts it.
 func (a *Askers) take(cost time.Duration) bool {
-	if a.All == 0 || cost >= a.From && a.Long == 0 {
+	if !a.could(cost) {
 		return false
 	}
 	a.All--
@@ -169,6 +178,7 @@
 		return
 	}
 	p.advice.asking = false
+	p.lookAt = time.Time{}
 	if err != nil {
 		p.advice.retry = now.Add(askRetry)
 		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
@@ -190,8 +200,9 @@
 		}
 		p.advice.good[id] = ticket{text, given.Add(valid - ticketMargin), m.Born}
 	}
+	p.advice.changed = p.advice.changed || len(p.advice.good) > known
 	if len(p.advice.good) > known && p.dear() {
-		p.job.dirty = true
+		s.touch(p.job)
 	}
 }
 
@@ -202,26 +213,22 @@
 // askAhead asks about steps whose turn comes soon, if nothing that waits needs
 // the askers: short steps then begin when the last one ends, not a question later.
 func (v *view) askAhead() {
-	for _, j := range v.s.active {
-		if j.Advice == nil || j.state.Over() {
+	for _, p := range v.s.queue {
+		if v.s.askers.All == 0 {
+			return
+		}
+		if len(p.After) == 0 || p.job.Advice == nil || p.advice.asking || len(p.advice.good) > 0 || v.now.Before(p.advice.wait) {
 			continue
 		}
-		for _, r := range j.rounds {
-			for _, p := range r.steps {
-				if v.s.askers.All == 0 {
-					return
-				}
-				if p.soon() && !p.advice.asking && len(p.advice.good) == 0 && !v.now.Before(p.advice.wait) {
-					v.s.ask(v.now, p, v.unasked(p, false))
-				}
-			}
+		if p.soon() {
+			v.s.ask(v.now, p, v.unasked(p, false))
 		}
 	}
 }
 
 // soon says that the step's turn has not come but will while a ticket is valid.
 func (p *step) soon() bool {
-	if len(p.After) == 0 || p.waiting == 0 || p.open() {
+	if p.waiting == 0 || p.open() {
 		return false
 	}
 	limit := time.Duration(aheadShare * float64(p.job.Advice.Valid))
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -1,8 +1,8 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"jasminestep/internal/work"
@@ -29,6 +29,12 @@
 	n    int // tasks
 }
 
+// place is a booking as its step knows it.
+type place struct {
+	minion *minion
+	n      int // tasks
+}
+
 // kept is the room of a minion that is booked by other steps than p.
 func (m *minion) kept(p *step) work.Size {
 	var s work.Size
@@ -57,9 +63,12 @@
 		if len(m.booked) == 0 {
 			continue
 		}
-		m.booked = slices.DeleteFunc(m.booked, func(b booking) bool {
-			return !b.step.runnable() || b.step.job.state.Over() || !m.usable(v.now)
-		})
+		for i := len(m.booked) - 1; i >= 0; i-- {
+			if p := m.booked[i].step; !p.runnable() || p.job.state.Over() || !m.usable(v.now) {
+				p.unbook(m)
+				v.s.wake(m)
+			}
+		}
 		v.booked += weigh(m.kept(nil))
 	}
 }
@@ -74,11 +83,11 @@
 func (v *view) slots(p *step) []slot {
 	var out []slot
 	need := p.Reserved()
-	for _, m := range v.possible(p) {
+	for _, m := range v.s.possible(p) {
 		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() {
 			continue
 		}
-		room := m.free().Minus(m.kept(p)).Minus(v.shadow[m.ID])
+		room := m.free().Minus(m.kept(p)).Minus(m.shade)
 		es := v.endings(m)
 		in := time.Duration(0)
 		for k := range p.most(m) {
@@ -92,11 +101,8 @@
 			out = append(out, slot{m, in})
 		}
 	}
-	sort.SliceStable(out, func(a, b int) bool {
-		if out[a].in != out[b].in {
-			return out[a].in < out[b].in
-		}
-		return out[a].pace() < out[b].pace()
+	slices.SortStableFunc(out, func(a, b slot) int {
+		return cmp.Or(cmp.Compare(a.in, b.in), cmp.Compare(a.pace(), b.pace()))
 	})
 	return out
 }
@@ -105,6 +111,9 @@
 // so that no two gangs wait for each other's. It returns when the last of the
 // room is expected to be free; ok is false if nothing is kept.
 func (v *view) book(p *step) (ready time.Duration, ok bool) {
+	if p.Gang && !p.booked && v.crowded(p, p.waiting) {
+		return 0, false
+	}
 	all := v.slots(p)
 	if p.Gang && len(all) < p.waiting {
 		v.release(p)
@@ -118,8 +127,7 @@
 	if len(best) == 0 {
 		return 0, false
 	}
-	more := weigh(p.Reserved()) * float64(len(best))
-	if v.booked > 0 && v.booked+more > v.s.Policy.Booked*v.room {
+	if v.crowded(p, len(best)) {
 		return 0, false
 	}
 	for _, sl := range best {
@@ -128,18 +136,20 @@
 	return best[len(best)-1].in, true
 }
 
+// crowded says that others have booked too much for n tasks of the step to book.
+func (v *view) crowded(p *step, n int) bool {
+	more := weigh(p.Reserved()) * float64(n)
+	return v.booked > 0 && v.booked+more > v.s.Policy.Booked*v.room
+}
+
 // standing picks those of all slots that the step has booked.
 func (v *view) standing(p *step, all []slot) []slot {
 	if !p.booked {
 		return nil
 	}
-	left := map[*minion]int{}
-	for _, m := range v.ms {
-		for _, b := range m.booked {
-			if b.step == p {
-				left[m] = b.n
-			}
-		}
+	left := make(map[*minion]int, len(p.places))
+	for _, pl := range p.places {
+		left[pl.minion] = pl.n
 	}
 	var out []slot
 	for _, sl := range all {
@@ -153,31 +163,53 @@
 
 // take books room for one task on a minion.
 func (v *view) take(p *step, m *minion) {
-	p.booked = true
+	if !p.booked {
+		p.booked, p.bookedAt = true, v.now
+	}
 	v.booked += weigh(p.Reserved())
-	for i := range m.booked {
-		if m.booked[i].step == p {
-			m.booked[i].n++
-			return
-		}
+	if i := slices.IndexFunc(p.places, func(pl place) bool { return pl.minion == m }); i >= 0 {
+		p.places[i].n++
+		m.booked[slices.IndexFunc(m.booked, func(b booking) bool { return b.step == p })].n++
+		return
 	}
+	p.places = append(p.places, place{m, 1})
 	m.booked = append(m.booked, booking{p, 1})
 }
 
+// unbook gives up what a step has booked on a minion.
+func (p *step) unbook(m *minion) {
+	p.places = slices.DeleteFunc(p.places, func(pl place) bool { return pl.minion == m })
+	m.booked = slices.DeleteFunc(m.booked, func(b booking) bool { return b.step == p })
+	p.booked = len(p.places) > 0
+}
+
+// unbookAll gives up all that is booked on a minion.
+func (s *State) unbookAll(m *minion) {
+	for len(m.booked) > 0 {
+		m.booked[0].step.unbook(m)
+	}
+	s.wake(m)
+}
+
 // release gives up what a step has booked.
 func (v *view) release(p *step) {
-	if !p.booked {
-		return
+	for len(p.places) > 0 {
+		pl := p.places[0]
+		v.booked -= weigh(p.Reserved()) * float64(pl.n)
+		p.unbook(pl.minion)
+		if p.bookedAt.Before(v.now) {
+			v.s.wake(pl.minion) // others have been refused that room
+		}
 	}
-	p.booked = false
-	for _, m := range v.ms {
-		m.booked = slices.DeleteFunc(m.booked, func(b booking) bool {
-			if b.step == p {
-				v.booked -= weigh(p.Reserved()) * float64(b.n)
-			}
-			return b.step == p
-		})
+}
+
+// bookedIDs lists the minions on which the step has booked room.
+func (p *step) bookedIDs() []string {
+	ids := make([]string, len(p.places))
+	for i, pl := range p.places {
+		ids[i] = pl.minion.ID
 	}
+	return ids
 }
 
 // bookedBy says whether the step has booked room on the minion.
@@ -197,13 +229,16 @@
 	if es, ok := v.ends[m]; ok {
 		return es
 	}
+	if v.ends == nil {
+		v.ends = map[*minion][]ending{}
+	}
 	es := make([]ending, 0, len(m.runs))
 	for _, r := range m.runs {
 		if r.step != nil && !r.step.Lasting {
 			es = append(es, ending{r.remaining(v.now), r.size})
 		}
 	}
-	sort.Slice(es, func(a, b int) bool { return es[a].in < es[b].in })
+	slices.SortFunc(es, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
 	v.ends[m] = es
 	return es
 }
--- a/internal/shard/mend.go
+++ b/internal/shard/mend.go
@@ -23,6 +23,7 @@
 		return false
 	}
 	p.short = true
+	s.enqueue(p)
 	return true
 }
 
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -13,6 +13,8 @@
 	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, since: s.taken}
 	s.minions[w.ID] = m
 	s.order = nil
+	s.epoch++
+	s.news(m)
 	s.zoneOf(m)
 	return m
 }
@@ -23,13 +25,14 @@
 	m.count(r, 1)
 }
 
-func (m *minion) remove(r *run) {
+func (s *State) remove(m *minion, r *run) {
 	if m.runs[r.key] != r {
 		return
 	}
 	delete(m.runs, r.key)
 	m.used = m.used.Minus(r.size)
 	m.count(r, -1)
+	s.wake(m)
 }
 
 func (m *minion) count(r *run, n int) {
@@ -80,13 +83,20 @@
 	case w.Born < m.Born:
 		return // an entry of a former life
 	}
+	if w.Draining {
+		s.checked = time.Time{}
+	}
 	if w.Draining && !m.Draining {
 		s.note(Note{What: "draining", Minion: w.ID})
 	}
+	if m.Address == "" {
+		defer s.news(m)
+	}
 	m.Minion = w
 	m.leaves = now.Add(w.Leaves)
 	m.listed = true
 	s.zoneOf(m)
+	s.wake(m)
 }
 
 // Unlist takes in that a minion's entry is gone. It may still run and answer.
@@ -115,7 +125,7 @@
 	s.note(Note{What: "reborn", Minion: m.ID})
 	var carried []*run
 	for _, r := range m.runs {
-		m.remove(r)
+		s.remove(m, r)
 		if r.listed || r.state == unsent || r.state == cancelled {
 			s.lost(now, r, "its minion started anew")
 			continue
@@ -123,12 +133,14 @@
 		carried = append(carried, r)
 	}
 	m.Minion = w
+	s.news(m)
 	s.zoneOf(m)
 	m.known, m.listed = false, false
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.until, m.seen = 0, 0, 0
 	m.at, m.silent, m.paused = time.Time{}, time.Time{}, now
-	m.since, m.strikes, m.slow, m.booked = now, 0, 0, nil
+	m.since, m.strikes, m.slow = now, 0, 0
+	s.unbookAll(m)
 	for _, r := range carried {
 		s.carry(m, r)
 	}
@@ -141,14 +153,14 @@
 	m.add(r)
 	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
 		t.life = m.Life
-		r.step.job.dirty = true
+		s.touch(r.step.job)
 	}
 }
 
 // drop gives up all runs of a minion, which certainly exist no more.
 func (s *State) drop(now time.Time, m *minion, why string) {
 	for _, r := range m.runs {
-		m.remove(r)
+		s.remove(m, r)
 		s.lost(now, r, why)
 	}
 }
@@ -172,7 +184,8 @@
 	t.phase = Waiting
 	t.life = work.Life{}
 	p.waiting++
-	p.job.dirty = true
+	s.enqueue(p)
+	s.touch(p.job)
 }
 
 // breakGang stops the other runs of a gang that has lost one.
@@ -241,7 +254,7 @@
 		return
 	}
 	if m.silent.IsZero() {
-		m.silent = now
+		m.silent, s.checked = now, time.Time{}
 		s.note(Note{What: "silent", Minion: l.ID})
 	}
 }
@@ -283,7 +296,7 @@
 
 func (s *State) refused(now time.Time, m *minion, r *run, why work.Refusal) {
 	s.note(Note{What: "refused", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: string(why)})
-	m.remove(r)
+	s.remove(m, r)
 	switch why {
 	case work.BadTicket:
 		if r.step != nil {
@@ -312,19 +325,25 @@
 		if !m.listed {
 			delete(s.minions, id)
 			m.leaveZone()
+			s.unbookAll(m)
 			s.order = nil
+			s.epoch++
 			s.note(Note{What: "forgotten", Minion: id})
 		}
 	}
 }
 
-// Lives returns the lives of minions that are to be asked for reports.
-func (s *State) Lives() []work.Life {
-	out := make([]work.Life, 0, len(s.minions))
-	for _, m := range s.minions {
-		if m.Address != "" {
-			out = append(out, m.Life)
-		}
+// news notes a life that Fresh has to tell of.
+func (s *State) news(m *minion) {
+	if m.Address != "" {
+		s.fresh = append(s.fresh, m.Life)
 	}
+}
+
+// Fresh returns the lives of minions that are to be asked for reports from now
+// on. Each is told of once.
+func (s *State) Fresh() []work.Life {
+	out := s.fresh
+	s.fresh = nil
 	return out
 }
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -112,6 +112,7 @@
 	n.state, n.begun = p.State, p.Begun
 	if n.state.Over() {
 		n.begun, n.ended = true, now
+		s.ended = append(s.ended, n)
 		s.showNow(n)
 		return nil
 	}
@@ -122,7 +123,7 @@
 			n.finished++
 			continue
 		}
-		n.rounds[r.K] = s.loadRound(n, r)
+		s.addRound(n, s.loadRound(n, r))
 	}
 	s.showNow(n)
 	return nil
@@ -180,10 +181,7 @@
 // Take returns what is to be made durable now, and starts a new batch. To be
 // called when no earlier batch is under way.
 func (s *State) Take() (Batch, error) {
-	for _, j := range s.jobs {
-		if !j.dirty {
-			continue
-		}
+	for _, j := range s.changed {
 		r, err := j.row(s.Service)
 		if err != nil {
 			return Batch{}, err
@@ -192,6 +190,7 @@
 		s.batch.Rows = append(s.batch.Rows, r)
 		s.show(j)
 	}
+	s.changed = s.changed[:0]
 	b := s.batch
 	s.batch = Batch{Seen: map[work.Life]int64{}}
 	return b, nil
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -2,118 +2,33 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"jasminestep/internal/work"
 )
 
-// tier orders steps before anything else does.
-type tier int8
-
-const (
-	lasting  tier = iota // services, which earn while they run
-	timely               // can still end within the objective
-	late                 // can still end within lateLimit objectives
-	hopeless             // earns nothing any more
-)
-
-// lateLimit is the number of objectives after which a job is worth nothing.
-const lateLimit = 3
-
-// candidate is a step that waits to be placed, with its rank.
-type candidate struct {
-	*step
-	tier  tier
-	slack time.Duration // until the step has to begin to meet the objective
-	size  float64       // core-seconds that the rest of the job takes
-}
-
-// objective is the time from submission within which the job should end.
-func (j *job) objective() time.Duration {
-	if j.aim == 0 {
-		var c time.Duration
-		for _, r := range j.rounds {
-			for _, p := range r.steps {
-				c = max(c, p.chain)
-			}
-			break
-		}
-		j.aim = time.Duration(j.Slack*float64(c)) + j.Target
-	}
-	return j.aim
-}
-
-// gpuCores is the number of cores that one accelerator counts as.
-const gpuCores = 8
-
-// effort is the work left in the step, in core-seconds.
-func (p *step) effort() float64 {
-	cores := float64(p.Size.CPU)/1000 + gpuCores*float64(p.Size.GPU)
-	return cores * p.Estimate.Seconds() * float64(p.left)
-}
-
-func (s *State) candidate(now time.Time, wall time.Time, p *step) candidate {
-	c := candidate{step: p, size: p.effort()}
-	begin := p.job.arrived
-	if due := p.job.Due(p.round.k); due > 0 {
-		begin = now.Add(time.UnixMilli(due).Sub(wall))
-	}
-	obj := p.job.objective()
-	c.slack = begin.Add(obj - p.chain).Sub(now)
-	switch {
-	case p.Lasting:
-		c.tier = lasting
-	case c.slack >= 0:
-		c.tier = timely
-	case c.slack >= -(lateLimit-1)*obj:
-		c.tier = late
-	default:
-		c.tier = hopeless
-	}
-	return c
-}
-
-// before orders candidates: services first; then what can be in time, the most
-// urgent first; then what is late, the shortest first.
-func (c candidate) before(d candidate) bool {
-	if c.tier != d.tier {
-		return c.tier < d.tier
-	}
-	if c.tier >= late && c.size != d.size {
-		return c.size < d.size
-	}
-	if c.slack != d.slack {
-		return c.slack < d.slack
-	}
-	return c.job.ID < d.job.ID
-}
+// checkGap is the usual time between two looks at all minions for leases that
+// have ended, minions that leave and runs that need a copy.
+const checkGap = 20 * time.Millisecond
 
 // Decide places what waits, and gives up what has lapsed. wall is the time of day.
 func (s *State) Decide(now, wall time.Time, free Askers) {
 	s.askers = free
-	s.expire(now)
-	s.evacuate(now)
-	s.copies()
-	s.sweep(now)
-	var cs []candidate
-	for _, j := range s.active {
-		j.begin(wall)
-		for _, r := range j.rounds {
-			for _, p := range r.steps {
-				if p.runnable() {
-					cs = append(cs, s.candidate(now, wall, p))
-				}
-			}
-		}
-	}
-	if s.Policy.Urgent {
-		sort.Slice(cs, func(a, b int) bool { return cs[a].before(cs[b]) })
+	if now.Sub(s.checked) >= checkGap || now.Before(s.checked) {
+		s.checked = now
+		s.expire(now)
+		s.evacuate(now)
+		s.copies()
 	}
-	v := &view{s: s, now: now, send: now.Add(s.writing), ms: s.sorted(), shadow: map[string]work.Size{}, ends: map[*minion][]ending{}}
+	s.sweep(now)
+	s.beginRounds(wall)
+	v := &view{s: s, now: now, send: now.Add(s.writing), ms: s.sorted()}
 	v.unbook()
-	for _, c := range cs {
-		v.place(c)
+	for _, c := range s.due(now, wall) {
+		if c.due || s.askers.could(c.wants) {
+			v.place(c)
+		}
 	}
 	v.askAhead()
 }
@@ -124,7 +39,6 @@
 	send    time.Time // when a start that is decided now is expected to be sent
 	now     time.Time
 	ms      []*minion
-	shadow  map[string]work.Size // room kept for steps whose tickets are being renewed
 	booked  float64              // room that is kept for steps that wait, as weighed
 	room    float64              // all room, as weighed
 	largest work.Size            // greatest room of a minion, by dimension
@@ -158,18 +72,23 @@
 }
 
 // possible lists the minions that may run tasks of the step, by id.
-func (v *view) possible(p *step) []*minion {
+func (s *State) possible(p *step) []*minion {
 	if p.job.Advice == nil {
-		return v.ms
-	}
-	ms := make([]*minion, 0, len(p.advice.good))
-	for id := range p.advice.good {
-		if m := v.s.minions[id]; m != nil {
-			ms = append(ms, m)
+		return s.sorted()
+	}
+	a := &p.advice
+	if a.changed || a.epoch != s.epoch {
+		a.list = a.list[:0]
+		for id := range a.good {
+			if m := s.minions[id]; m != nil {
+				a.list = append(a.list, m)
+				m.soughtBy(p)
+			}
 		}
+		slices.SortFunc(a.list, func(x, y *minion) int { return strings.Compare(x.ID, y.ID) })
+		a.changed, a.epoch = false, s.epoch
 	}
-	sort.Slice(ms, func(a, b int) bool { return ms[a].ID < ms[b].ID })
-	return ms
+	return a.list
 }
 
 // count is how many runs of the step there may be on m, if the step has a limit.
@@ -188,8 +107,9 @@
 
 func (v *view) spots(p *step) []*spot {
 	need := p.Reserved()
-	var out []*spot
-	for _, m := range v.possible(p) {
+	ms := v.s.possible(p)
+	all := make([]spot, 0, len(ms))
+	for _, m := range ms {
 		if !m.usable(v.now) || !p.suits(m) || p.apart(m) || m.probed() {
 			continue
 		}
@@ -197,27 +117,24 @@
 		if pass == barred {
 			continue
 		}
-		sp := &spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(m.kept(p)).Minus(v.shadow[m.ID]), here: p.count(m)}
+		sp := spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(m.kept(p)).Minus(m.shade), here: p.count(m)}
 		if !sp.left.Fits(need) && p.pressed {
-			sp.left = m.free().Minus(v.shadow[m.ID])
+			sp.left = m.free().Minus(m.shade)
 			sp.booked = true
 		}
 		if sp.left.Fits(need) {
-			out = append(out, sp)
+			all = append(all, sp)
 		}
 	}
+	out := make([]*spot, len(all))
+	for i := range all {
+		out[i] = &all[i]
+	}
 	v.settle(p, out)
 	for _, sp := range out {
 		sp.rank(p)
 	}
-	sort.SliceStable(out, func(a, b int) bool {
-		for i := range out[a].order {
-			if x, y := out[a].order[i], out[b].order[i]; x != y {
-				return x < y
-			}
-		}
-		return false
-	})
+	slices.SortStableFunc(out, func(a, b *spot) int { return slices.Compare(a.order[:], b.order[:]) })
 	return out
 }
 
@@ -258,6 +175,8 @@
 // place places what it can of one step, or asks for the advice that it lacks.
 func (v *view) place(c candidate) {
 	p := c.step
+	p.looked(v.now)
+	v.s.unshade(p)
 	p.pressed = c.tier == timely && c.slack < pressedFor && !v.books(p) || p.short
 	spots := v.spots(p)
 	if p.short {
@@ -332,14 +251,10 @@
 	if a == nil || p.advice.asking {
 		return true
 	}
-	var ids []string
-	for _, m := range v.ms {
-		if m.bookedBy(p) {
-			ids = append(ids, m.ID)
-		}
-	}
+	ids := p.bookedIDs()
 	cost := a.Decide + a.Each*time.Duration(len(ids)+renewSpare)
 	if ready > cost {
+		p.rest = v.now.Add(min(ready-cost, lookAgain))
 		return true
 	}
 	if !slices.ContainsFunc(ids, func(id string) bool {
@@ -424,7 +339,7 @@
 		return
 	}
 	most := min(len(ids)+renewOthers*(p.waiting-len(plan)), leastNamed)
-	for _, m := range v.possible(p) {
+	for _, m := range v.s.possible(p) {
 		if len(ids) >= most {
 			break
 		}
@@ -438,7 +353,8 @@
 // keep holds room for a plan that waits for its tickets.
 func (v *view) keep(p *step, plan []*spot) {
 	for _, sp := range plan {
-		v.shadow[sp.ID] = v.shadow[sp.ID].Plus(p.Reserved())
+		p.shades = append(p.shades, sp.minion)
+		sp.shade = sp.shade.Plus(p.Reserved())
 	}
 }
 
@@ -498,7 +414,7 @@
 	t.phase, t.attempt, t.life = Placed, attempt, m.Life
 	p.waiting--
 	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, mark: s.seq + 1, placed: v.now})
-	j.dirty = true
+	s.touch(j)
 	if j.state == Queued {
 		j.state = Active
 	}
@@ -545,7 +461,7 @@
 		return false
 	}
 	if why := s.pointless(now, m, r, o); why != "" {
-		m.remove(r)
+		s.remove(m, r)
 		s.lost(now, r, why)
 		return false
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -30,6 +30,7 @@
 		m.silent = time.Time{}
 		m.token++ // orders that were on their way meanwhile must not be carried out any more
 		s.note(Note{What: "answers", Minion: m.ID})
+		s.wake(m)
 	}
 	for _, e := range rep.Ended {
 		if e.N > m.seen {
@@ -44,7 +45,10 @@
 	if len(rep.Ended) < s.Limits.MaxEnds {
 		s.absent(now, m, n, listed)
 	}
-	m.known = true
+	if !m.known {
+		m.known = true
+		s.wake(m)
+	}
 }
 
 // running takes in the list of runs.
@@ -114,7 +118,7 @@
 			continue
 		}
 		if r.state == live || r.state == unsure && n.Token > r.fence(s) {
-			m.remove(r)
+			s.remove(m, r)
 			s.lost(now, r, "its minion does not list it")
 		}
 	}
@@ -132,7 +136,7 @@
 func (s *State) end(now time.Time, m *minion, e work.End) {
 	r := m.runs[runKey{e.Task, e.Attempt}]
 	if r != nil {
-		m.remove(r)
+		s.remove(m, r)
 	}
 	p := s.stepOf(e.Task)
 	if p == nil || e.Task.Index < 0 || e.Task.Index >= len(p.tasks) {
@@ -148,7 +152,7 @@
 	if e.Saved != "" {
 		t.saved = e.Saved
 	}
-	p.job.dirty = true
+	s.touch(p.job)
 	switch {
 	case e.How == work.Done && !p.Lasting:
 		if r != nil {
@@ -178,10 +182,10 @@
 		} else {
 			s.giveUp(now, t)
 		}
-		p.job.dirty = true
+		s.touch(p.job)
 		s.done(now, p, t)
 	case e.How == work.Failed && t.closes(e.Attempt):
-		p.job.dirty = true
+		s.touch(p.job)
 		t.failures++
 		p.failures++
 		s.judge(now, p, t)
@@ -219,6 +223,11 @@
 	if p.left > 0 {
 		return
 	}
+	for _, q := range p.round.steps {
+		if q.waiting > 0 {
+			s.enqueue(q) // its turn may have come
+		}
+	}
 	p.round.left--
 	if p.round.left > 0 {
 		return
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -90,6 +90,14 @@
 	chain    time.Duration // longest chain of estimated work from this step on
 	pressed  bool          // it is about to miss its objective and does not book room itself
 	home     string        // availability zone that its tasks should share; empty is not chosen
+
+	queued   bool          // it is in the queue
+	lookAt   time.Time     // a decision looks at it from then on
+	rest     time.Time     // not before this moment, though there is more room
+	wants    time.Duration // time of a question that could not be asked; 0 is none
+	shades   []*minion     // that keep room for a start until there are tickets, once for each task
+	places   []place       // room that is booked
+	bookedAt time.Time
 }
 
 // round is one occurrence of a job's steps.
@@ -169,6 +177,8 @@
 	serves  int       // runs that have a bound on their response times
 	leaves  time.Time // while it drains: when it may leave
 	booked  []booking // room that is kept for steps that wait
+	shade   work.Size // room that is kept for starts that wait for tickets
+	seekers []*step   // that may run here; some may be over
 	zone    *zone     // State.zoneOf keeps it up to date
 }
 
@@ -181,20 +191,28 @@
 	Held    bool   // nothing is to be placed, since what was placed cannot be made durable
 	Notes   []Note // decisions since they were last taken away
 
-	jobs    map[string]*job
-	active  []*job // not over, in order of arrival
-	minions map[string]*minion
-	zones   map[string]*zone
-	order   []*minion          // by id; nil when minions has changed
-	taken   time.Time          // when the term began
-	seq     int64              // of renewals
-	usual   map[string]float64 // of a run's time to its estimate, by queue
-	askers  Askers             // left in this decision
-	turn    uint               // where the next question begins to name minions
-	writing time.Duration      // usual time of a write
-	durable time.Time          // when the last write that was made durable had begun
-	batch   Batch
-	now     Orders
+	jobs       map[string]*job
+	changed    []*job      // whose rows are to be written
+	upcoming   []*job      // with rounds that are not due yet
+	ended      []*job      // over, in that order
+	queue      []*step     // with tasks that wait
+	candidates []candidate // of the last decision, for their room in memory
+	roomier    bool        // some minion takes more than at the last decision
+	checked    time.Time   // when all minions were last looked at
+	epoch      int64       // changes with the set of minions
+	fresh      []work.Life // that were not told of yet
+	minions    map[string]*minion
+	zones      map[string]*zone
+	order      []*minion          // by id; nil when minions has changed
+	taken      time.Time          // when the term began
+	seq        int64              // of renewals
+	usual      map[string]float64 // of a run's time to its estimate, by queue
+	askers     Askers             // left in this decision
+	turn       uint               // where the next question begins to name minions
+	writing    time.Duration      // usual time of a write
+	durable    time.Time          // when the last write that was made durable had begun
+	batch      Batch
+	now        Orders
 }
 
 // Note is one decision, for the log.
@@ -279,7 +297,7 @@
 	}
 	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrived: now}
 	s.jobs[j.ID] = n
-	s.active = append(s.active, n)
+	s.upcoming = append(s.upcoming, n)
 	s.showNow(n)
 	s.note(Note{What: "job", Job: j.ID})
 }
@@ -318,7 +336,9 @@
 
 // finish makes a state final; what still runs is stopped.
 func (s *State) finish(now time.Time, j *job, st JobState) {
-	j.state, j.ended, j.dirty = st, now, true
+	j.state, j.ended = st, now
+	s.touch(j)
+	s.ended = append(s.ended, j)
 	s.note(Note{What: "over", Job: j.ID, Why: string(st)})
 	for _, r := range j.rounds {
 		for _, p := range r.steps {
@@ -353,14 +373,6 @@
 	}
 }
 
-// begin creates the rounds that are due by the time of day.
-func (j *job) begin(wall time.Time) {
-	for j.next < j.Rounds() && j.Due(j.next) <= wall.UnixMilli() {
-		j.rounds[j.next] = newRound(j, j.next)
-		j.next++
-	}
-}
-
 func newRound(j *job, k int) *round {
 	r := &round{k: k, left: len(j.Steps)}
 	for i := range j.Steps {
@@ -409,25 +421,6 @@
 	return !p.Gang || p.waiting == p.left || p.short
 }
 
-// sweep forgets jobs that were over for long enough, and rounds that are done.
-func (s *State) sweep(now time.Time) {
-	kept := s.active[:0]
-	for _, j := range s.active {
-		if !j.state.Over() {
-			kept = append(kept, j)
-		}
-	}
-	s.active = kept
-	for id, j := range s.jobs {
-		if j.state.Over() && !j.dirty && !j.ended.IsZero() && now.Sub(j.ended) > s.Limits.Keep {
-			delete(s.jobs, id)
-			s.batch.Delete = append(s.batch.Delete, ProgressKey(s.Service, id))
-			s.batch.Drop = append(s.batch.Drop, id)
-			s.batch.Shown = append(s.batch.Shown, Shown{ID: id, Queue: j.Queue})
-		}
-	}
-}
-
 // sorted returns the minions by id, for decisions that do not depend on chance.
 func (s *State) sorted() []*minion {
 	if s.order != nil {
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -49,6 +49,7 @@
 	was := z.doubted()
 	z.late[l.ID] = true
 	if !was && z.doubted() {
+		s.checked = time.Time{}
 		s.note(Note{What: "doubted", Minion: l.ID, Why: "no answers from " + z.name})
 	}
 }
