Calls to many minions go through other entries, in batches

Its descriptors grew with the minions likewise.

Change: an owner of more than 64 minions (setting direct) has two entries of each availability zone make the calls. carry.Pool implements the same three calls, so owners and their state do not change: what is asked of one carrier within 3 ms is one batch, answers within 4 ms are one. A carrier that gives no sign of life for 450 ms is left and its renewals are made by the owner; starts that were with it have no answer, which the token settles as before. A carrier makes no call that was held up for 300 ms, measured over the fastest batch lately, and drops the work of an owner that is silent for a second. Ends are acknowledged by whoever received the report, within 150 ms (60 before, for the way there and back).

Weighed: carriers that renew by themselves save half of the messages, but need a rule for what they may do when cut off from the owner; as it is they decide nothing.

--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -90,8 +90,12 @@
 	if err = os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
+	direct := opt.Minions // every other seed has calls go through other entries
+	if seed%2 == 0 {
+		direct = 1
+	}
 	for i := range opt.Entries {
-		e, err := newEntry(fmt.Sprintf("e%d", i), dir, store)
+		e, err := newEntry(fmt.Sprintf("e%d", i), dir, store, direct)
 		if err != nil {
 			return nil, err
 		}
@@ -142,7 +146,7 @@
 	}
 }
 
-func newEntry(name, dir, store string) (*entry, error) {
+func newEntry(name, dir, store string, direct int) (*entry, error) {
 	p, err := newProxy(store)
 	if err != nil {
 		return nil, err
@@ -154,8 +158,8 @@
 		}
 	}
 	e := &entry{name: name, caller: addrs[0], config: filepath.Join(dir, name+".json"), path: p, dir: dir}
-	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000}`,
-		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr())
+	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000, "direct": %d}`,
+		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), direct)
 	return e, os.WriteFile(e.config, []byte(text), 0o644)
 }
 
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -56,6 +56,7 @@
 	{"doubted", "minion why", "several minions of an availability zone let calls wait; it gets no new work until one answers"},
 	{"silent", "minion", "a minion did not answer a renewal"},
 	{"answers", "minion", "it answers again"},
+	{"carrier left", "service term carrier why", "an entry that made calls to minions for this owner gives no sign of life; the owner makes them itself or through another"},
 	{"paused", "minion why", "a minion failed too often and gets nothing for a while"},
 	{"dropped", "lines", "lines were left out: the reader of the log is slow, or there were too many"},
 }
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,6 +207,24 @@
 	fleet   *fleet
 	entries []*Server
 	views   []*view
+	hands   []*counted
+	direct  int64 // setting of the entries
+}
+
+// counted counts the calls that one entry makes to minions.
+type counted struct {
+	*fleet
+	starts, renewals atomic.Int64
+}
+
+func (c *counted) Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error) {
+	c.starts.Add(1)
+	return c.fleet.Start(ctx, to, s)
+}
+
+func (c *counted) Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error) {
+	c.renewals.Add(1)
+	return c.fleet.Renew(ctx, to, token, until, seen, wait)
 }
 
 // view is one entry's way to the store, which can be cut.
@@ -281,11 +300,16 @@
 }
 
 func newSite(t *testing.T, entries, minions int) *site {
-	s := &site{t: t, rows: &tabletest.Store{}, fleet: newFleet(minions, 4000)}
+	return newSiteWith(t, entries, minions, 0)
+}
+
+// newSiteWith has owners call up to direct minions themselves.
+func newSiteWith(t *testing.T, entries, minions int, direct int64) *site {
+	s := &site{t: t, direct: direct, rows: &tabletest.Store{}, fleet: newFleet(minions, 4000)}
 	cfg := work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "svc", Attempts: 3, Slack: 2, Target: time.Second}}, Services: []work.Service{{Name: "svc"}}}
 	s.put("conf", "now", cfg)
 	for id, m := range s.fleet.minions {
-		s.put("minion", id, work.Minion{Life: work.Life{ID: id, Born: m.born}, Service: "svc", Address: id, Room: work.Size{CPU: m.room, Mem: 1000}})
+		s.put("minion", id, work.Minion{Life: work.Life{ID: id, Born: m.born}, Service: "svc", Address: id, Zone: "z", Room: work.Size{CPU: m.room, Mem: 1000}})
 	}
 	for i := range entries {
 		s.entry(fmt.Sprintf("e%d", i))
@@ -307,15 +331,16 @@
 }
 
 func (s *site) entry(id string) *Server {
-	set := Settings{ID: id, Zone: "z", Caller: freeAddr(s.t), Ready: freeAddr(s.t), Peer: freeAddr(s.t), Admin: freeAddr(s.t), Store: "127.0.0.1:1"}
+	set := Settings{ID: id, Zone: "z", Caller: freeAddr(s.t), Ready: freeAddr(s.t), Peer: freeAddr(s.t), Admin: freeAddr(s.t), Store: "127.0.0.1:1", Direct: s.direct}
 	_, err := set.Check()
 	assert.NilError(s.t, err)
-	v := &view{Store: s.rows}
-	e, err := New(set, Parts{Log: hclog.NewNullLogger(), Store: v, Minions: s.fleet, Wire: testWire()})
+	v, c := &view{Store: s.rows}, &counted{fleet: s.fleet}
+	e, err := New(set, Parts{Log: hclog.NewNullLogger(), Store: v, Minions: c, Wire: testWire()})
 	assert.NilError(s.t, err)
 	e.Start()
 	s.entries = append(s.entries, e)
 	s.views = append(s.views, v)
+	s.hands = append(s.hands, c)
 	return e
 }
 
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/carry"
 	"jasminestep/internal/shard"
 	"jasminestep/internal/table"
 	"jasminestep/internal/work"
@@ -41,6 +42,8 @@
 	in      chan func(now time.Time)
 	st      *shard.State
 	runners map[work.Life]*runner
+	minions atomic.Int64 // how many runners there are
+	calls   *carry.Pool
 	asking  asking
 
 	own, seq int64 // versions of the two rows that every write depends on
@@ -68,6 +71,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.last.Store(steady().UnixNano())
+	o.calls = s.pool(o)
 	limits := shard.Defaults
 	limits.Lease = time.Duration(min(s.Set.Lease, s.Set.Most)) * time.Millisecond
 	limits.Keep = time.Duration(s.Set.Keep) * time.Millisecond
@@ -94,6 +98,7 @@
 // run takes the shard in and decides until it is handed over or lost.
 func (o *owner) run() {
 	defer close(o.left)
+	defer o.calls.Close()
 	defer o.cancel()
 	if err := o.load(); err != nil {
 		o.depose(err.Error())
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/carry"
 	"jasminestep/internal/relay"
 	"jasminestep/internal/shard"
 	"jasminestep/internal/table"
@@ -152,6 +153,18 @@
 	return nil
 }
 
+// Carry makes calls to minions for an owner.
+func (c *calls) Carry(b carry.Batch, _ *struct{}) error {
+	c.s.carrier.Take(b)
+	return nil
+}
+
+// Carried returns what came of such calls.
+func (c *calls) Carried(session string, out *carry.Answers) error {
+	*out = c.s.carrier.Fetch(session)
+	return nil
+}
+
 // Relay carries out a transaction for an entry that does not reach the store.
 func (c *calls) Relay(tx table.Tx, out *RelayReply) error {
 	res, err := c.s.store.DoFor(context.Background(), tx)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -26,27 +26,12 @@
 	o     *owner
 	life  work.Life
 	acked atomic.Int64 // ends up to this one may be forgotten
-	told  int64        // last end of the last report; 0 after one without ends, or without an answer
-	at    time.Time    // of the last report
 	wake  chan struct{}
 }
 
-// freshReport is how old a report may be when its ends are acknowledged.
-const freshReport = 60 * time.Millisecond
-
-// seen is up to which end the minion is told to forget: only those that its last
-// report listed, and only if that was just now. Once a minion has started anew
-// its ends have the same numbers again, and an acknowledgement meant for the
-// former life would make it forget ends that nobody has seen.
-func (r *runner) seen(now time.Time) int64 {
-	if now.Sub(r.at) > freshReport {
-		return 0
-	}
-	return min(r.told, r.acked.Load())
-}
-
 // startRunners has a runner for every life of a minion.
 func (o *owner) startRunners() {
+	defer func() { o.minions.Store(int64(len(o.runners))) }()
 	for _, l := range o.st.Fresh() {
 		if o.runners[l] != nil {
 			continue
@@ -98,10 +83,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.o.ctx, wait+renewTimeout)
 	ended := r.late(wait)
-	rep, fenced, err := r.o.s.Minions.Renew(ctx, &n.Minion, n.Token, n.Until, r.seen(steady()), wait)
+	rep, fenced, err := r.o.calls.Renew(ctx, &n.Minion, n.Token, n.Until, r.acked.Load(), wait)
 	ended()
 	cancel()
-	r.told = 0
 	if err != nil {
 		r.o.s.Log.Debug("renewal", "minion", r.life.ID, "fenced", fenced, "why", err.Error())
 		r.o.post(func(now time.Time) {
@@ -116,8 +100,7 @@
 	}
 	r.o.post(func(now time.Time) { r.o.st.Reported(now, n, rep) })
 	if len(rep.Ended) > 0 {
-		r.told, r.at = rep.Ended[len(rep.Ended)-1].N, steady()
-		r.await(r.told)
+		r.await(rep.Ended[len(rep.Ended)-1].N)
 	}
 }
 
@@ -151,7 +134,7 @@
 		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
 		defer cancel()
 		defer r.late(0)()
-		why, err := r.o.s.Minions.Start(ctx, &x.Minion, x.Start)
+		why, err := r.o.calls.Start(ctx, &x.Minion, x.Start)
 		r.o.post(func(now time.Time) { r.o.st.Started(now, x, why, err) })
 	}()
 }
@@ -170,7 +153,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
 		defer cancel()
-		if err := r.o.s.Minions.Stop(ctx, &x.Minion, x.Task, x.Attempt, x.Token); err != nil {
+		if err := r.o.calls.Stop(ctx, &x.Minion, x.Task, x.Attempt, x.Token); err != nil {
 			r.o.s.Log.Debug("stop", "task", x.Task.String(), "minion", r.life.ID, "why", err.Error())
 		}
 	}()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"jasminestep/internal/carry"
 	"jasminestep/internal/metric"
 	"jasminestep/internal/peer"
 	"jasminestep/internal/relay"
@@ -67,13 +68,14 @@
 	store *relay.Store
 	life  string // this process, among all that ran under the name of the VM
 
-	peers *peer.Client
-	l     net.Listener
-	front *web.Server
-	ready *web.Server
-	admin *web.Server
-	meter *metric.Meter
-	busy  atomic.Int64
+	peers   *peer.Client
+	l       net.Listener
+	front   *web.Server
+	ready   *web.Server
+	admin   *web.Server
+	meter   *metric.Meter
+	carrier *carry.Carrier
+	busy    atomic.Int64
 
 	cfg      atomic.Pointer[work.Config]
 	stopping atomic.Bool
@@ -109,6 +111,7 @@
 		leads: map[string]Lead{}, owners: map[string]*owner{},
 	}
 	s.store = &relay.Store{Own: p.Store, Peers: relays{s}, Now: steady, Lost: s.warn}
+	s.carrier = carry.NewCarrier(p.Minions, s.life, steady)
 	s.peers = peer.New(transport.From(""), &transport.Counter{})
 	var err error
 	if s.l, err = net.Listen("tcp", set.Peer); err != nil {
@@ -226,6 +229,7 @@
 func (s *Server) Stop() {
 	s.Log.Info("stop")
 	s.stopping.Store(true)
+	s.carrier.Leave()
 	grace, cancel := context.WithTimeout(context.Background(), time.Duration(s.Set.Grace)*time.Millisecond-exitMargin)
 	defer cancel()
 	s.release()
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -25,6 +25,7 @@
 	Lease  int64   `json:"lease"`
 	Most   int64   `json:"most"`
 	Keep   int64   `json:"keep"`
+	Direct int64   `json:"direct"`
 	Cores  float64 `json:"cores"`
 	Link   float64 `json:"link"`
 	First  bool    `json:"first"`
@@ -53,6 +54,7 @@
 	setting("lease", "ms", "5000", "1000 to 9000", "lease of runs, from each renewal on"),
 	setting("most", "ms", "10000", "1000 to 600000", "longest lease that minions grant; a longer lease is cut to it"),
 	setting("keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"),
+	setting("direct", "minions", "64", "1 to 100000", "an owner calls up to so many minions itself; calls to more go through other entries"),
 	setting("level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"),
 }
 
@@ -103,6 +105,7 @@
 		{"lease", s.Lease, 1000, 9000},
 		{"most", s.Most, 1000, 600_000},
 		{"keep", s.Keep, 1000, 86_400_000},
+		{"direct", s.Direct, 1, 100_000},
 	} {
 		if r.v < r.lo || r.v > r.hi {
 			return settings.Impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
@@ -128,6 +131,9 @@
 			*f.p = f.usual.Milliseconds()
 		}
 	}
+	if s.Direct == 0 {
+		s.Direct = 64
+	}
 	if s.Level == "" {
 		s.Level = "info"
 	}
