Urgent tasks run on fast minions, some entries are kept for short questions, logs in groups

Cause: minions differ in speed (0.8 to 1.25 times the usual); a task whose job has under a second of slack lost it on a slow one.

--- a/cmd/jasminestep/explain.go
+++ b/cmd/jasminestep/explain.go
@@ -84,7 +84,7 @@
 		if f := strings.Fields(text[:i]); len(f) > 0 {
 			l.from = f[len(f)-1]
 		}
-		out = append(out, l)
+		out = append(out, l.apart()...)
 	}
 	if err := s.Err(); err != nil {
 		return nil, fmt.Errorf("explain: read %s: %w", file, err)
@@ -92,6 +92,20 @@
 	return out, nil
 }
 
+// apart makes a line for each task of one that tells of several.
+func (l line) apart() []line {
+	tasks, minions := strings.Split(l.Task, ","), strings.Split(l.Minion, ",")
+	if len(tasks) == 1 || len(tasks) != len(minions) {
+		return []line{l}
+	}
+	out := make([]line, len(tasks))
+	for i := range tasks {
+		out[i] = l
+		out[i].Task, out[i].Minion = tasks[i], minions[i]
+	}
+	return out
+}
+
 // background are messages about owners and minions that explain delays.
 var background = map[string]bool{
 	"owner": true, "deposed": true, "loaded": true, "handed over": true, "write": true,
--- a/cmd/jasminestep/explain_test.go
+++ b/cmd/jasminestep/explain_test.go
@@ -30,3 +30,19 @@
 	assert.DeepEqual(t, got, []string{"edge-1 accepted", "edge-2 placed", "edge-2 silent", "edge-3 owner", "edge-3 over"})
 	assert.Equal(t, len(about(all, "c")), 0)
 }
+
+func TestExplainTakesLinesOfSeveralTasksApart(t *testing.T) {
+	text := `1.1 edge-2 {"@message":"placed","@timestamp":"2026-01-01T00:00:02Z","job":"a","task":"a.0.0.0,a.0.0.1","minion":"m1,m2","service":"s","term":1}
+1.2 edge-2 {"@message":"silent","@timestamp":"2026-01-01T00:00:03Z","minion":"m2","service":"s"}
+1.3 edge-2 {"@message":"over","@timestamp":"2026-01-01T00:00:05Z","job":"a","why":"completed","service":"s"}
+`
+	file := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	all, err := readLog(file)
+	assert.NilError(t, err)
+	var got []string
+	for _, l := range about(all, "a") {
+		got = append(got, l.Message+" "+l.Task+" "+l.Minion)
+	}
+	assert.DeepEqual(t, got, []string{"placed a.0.0.0 m1", "placed a.0.0.1 m2", "silent  m2", "over  "})
+}
--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -13,7 +13,7 @@
 
 // The placement service answers one question at a time for each VM that asks.
 // Owners therefore spread their questions over the entries, one at a time each.
-// Every shard begins with entries of its own for that, and one is kept for
+// Every shard begins with entries of its own for that, and some are kept for
 // short questions, so that urgent work does not wait behind long answers.
 
 // longAnswer is the time from which on a question counts as long.
@@ -95,13 +95,20 @@
 			all++
 		}
 	}
-	long := all
-	if len(o.asking.addrs) > 1 {
-		long--
+	return shard.Askers{All: all, Long: max(0, all-short(len(o.asking.addrs))), From: longAnswer}
+}
+
+// short is how many of n entries are kept for short questions.
+func short(n int) int {
+	if n < 2 {
+		return 0
 	}
-	return shard.Askers{All: all, Long: long, From: longAnswer}
+	return max(1, n/shortEach)
 }
 
+// shortEach is the number of entries of which one is kept for short questions.
+const shortEach = 6
+
 // ask sends a question through an entry that asks nothing at present.
 func (o *owner) ask(a shard.Ask) {
 	addr := ""
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -8,7 +8,9 @@
 }
 
 // Events lists every message that an entry logs. Lines about a job carry its id
-// under job; lines of an owner carry service and term.
+// under job; lines of an owner carry service and term. A line may tell the same
+// of several tasks of a job: task and minion are then lists with commas, in the
+// same order.
 var Events = []Event{
 	{"start", "id zone life", "an entry began to serve"},
 	{"stop", "", "a planned stop began"},
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -240,6 +240,7 @@
 	o := newOwner(ctx, s, service, l, seq)
 	s.mu.Lock()
 	s.owners[service] = o
+	s.Set.tune(len(s.owners))
 	s.mu.Unlock()
 	s.spawn(func() {
 		o.run()
@@ -247,6 +248,7 @@
 		if s.owners[service] == o {
 			delete(s.owners, service)
 		}
+		s.Set.tune(len(s.owners))
 		s.mu.Unlock()
 	})
 }
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -179,7 +179,7 @@
 
 // log writes the notes of the last decisions.
 func (o *owner) log() {
-	for _, n := range o.st.Notes {
+	for _, n := range grouped(o.st.Notes) {
 		o.s.Log.Info(n.What, "service", o.service, "term", o.term, "job", n.Job, "task", n.Task, "attempt", n.Attempt, "minion", n.Minion, "why", n.Why)
 	}
 	o.st.Notes = o.st.Notes[:0]
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -26,6 +26,7 @@
 	Most   int64   `json:"most"`
 	Keep   int64   `json:"keep"`
 	Direct int64   `json:"direct"`
+	Memory int64   `json:"memory"`
 	Cores  float64 `json:"cores"`
 	Link   float64 `json:"link"`
 	First  bool    `json:"first"`
@@ -55,6 +56,7 @@
 	setting("most", "ms", "10000", "1000 to 600000", "longest lease that minions grant; a longer lease is cut to it"),
 	setting("keep", "ms", "150000", "1000 to 86400000", "how long the outcome of an ended job is told"),
 	setting("direct", "minions", "64", "1 to 100000", "an owner calls up to so many minions itself; calls to more go through other entries"),
+	setting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an owner uses part of it to collect garbage less often; 0: unknown"),
 	setting("level", "name", "info", "debug, info, warn or error", "least severe log lines that are written"),
 }
 
@@ -106,6 +108,7 @@
 		{"most", s.Most, 1000, 600_000},
 		{"keep", s.Keep, 1000, 86_400_000},
 		{"direct", s.Direct, 1, 100_000},
+		{"memory", s.Memory, 0, 1_000_000},
 	} {
 		if r.v < r.lo || r.v > r.hi {
 			return settings.Impossible(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
--- a/internal/shard/blame.go
+++ b/internal/shard/blame.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"time"
 
 	"jasminestep/internal/work"
@@ -91,6 +92,19 @@
 	return 2
 }
 
+// speedSteps is how finely minions are told apart by their speed: this many
+// steps between the usual time and none.
+const speedSteps = 8
+
+// speed sorts minions of the same pace by how long runs take there: below 0 on
+// fast ones, above on slow ones.
+func (m *minion) speed() float64 {
+	if m.slow == 0 {
+		return 0
+	}
+	return max(-1, min(math.Round((m.slow-1)*speedSteps)/speedSteps, 0.9))
+}
+
 // Bounds on how long a run may stand still.
 const (
 	stillLeast = 2 * time.Second
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -139,8 +139,8 @@
 }
 
 // rank sets the order in which spots are used: the data's rack first; then the
-// zone of the other tasks; then the fullest minion, so that large tasks find room. Tasks that fill go where most
-// is left.
+// zone of the other tasks; then the fullest minion, so that large tasks find
+// room. Tasks that fill go where most is left, urgent ones to the fastest.
 func (sp *spot) rank(p *step) {
 	if sp.booked || p.booked && !sp.bookedBy(p) {
 		sp.order[0] = 2
@@ -149,6 +149,9 @@
 		sp.order[0]++
 	}
 	sp.order[1] = sp.pace() + p.distrust(sp.minion)
+	if p.pressed {
+		sp.order[1] += sp.speed()
+	}
 	if p.home != "" && sp.Zone != p.home {
 		sp.order[2] = 1
 	}
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -65,7 +65,8 @@
 	zones   int
 	askers  int
 	kinds   []kind
-	burst   float64 // the first kind comes so many times as often, for burstFor
+	speeds  []float64 // of minions, in turn; none: all are alike
+	burst   float64   // the first kind comes so many times as often, for burstFor
 }
 
 // Times of a replay.
@@ -106,6 +107,8 @@
 	n    int64
 	wake bool
 	ends []work.End
+
+	speed float64
 }
 
 // arrival is what the replay knows of a job.
@@ -163,7 +166,10 @@
 			Life: work.Life{ID: fmt.Sprintf("m%03d", i), Born: 1}, Service: "s", Address: "a", Room: sh.room,
 			Zone: fmt.Sprintf("z%d", i%sh.zones), Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
 		}
-		p.ms[m.ID] = &liveMinion{Minion: m, wake: true}
+		p.ms[m.ID] = &liveMinion{Minion: m, wake: true, speed: 1}
+		if len(sh.speeds) > 0 {
+			p.ms[m.ID].speed = sh.speeds[i%len(sh.speeds)]
+		}
 		p.order = append(p.order, m.ID)
 		p.st.See(p.now, m)
 	}
@@ -229,7 +235,7 @@
 		p.st.Started(p.now, o, work.BadTicket, nil)
 		return
 	}
-	w := s.work[o.Start.Task.Step][o.Start.Task.Index]
+	w := time.Duration(float64(s.work[o.Start.Task.Step][o.Start.Task.Index]) / m.speed)
 	run := &liveRun{start: o.Start, began: p.now, how: work.Done, ends: p.now.Add(w)}
 	name := o.Start.Task.String()
 	if s.fails[o.Start.Task.Step][o.Start.Task.Index] && !s.failed[name] {
@@ -549,7 +555,7 @@
 		},
 	},
 	{
-		name: "reports", minions: 350, room: work.Size{CPU: 64000, Mem: 131072}, zones: 4, askers: 35, burst: 1.9,
+		name: "reports", minions: 350, room: work.Size{CPU: 64000, Mem: 131072}, zones: 4, askers: 35, speeds: []float64{0.8, 1, 1.25}, burst: 1.9,
 		kinds: []kind{
 			{name: "thumb", perS: 137, steps: draw{1, 0, 1}, tasks: draw{3.2, 0.8, 19}, cpu: draw{9900, 0.45, 30000}, mem: draw{10000, 0.6, 30000}, ms: draw{640, 0.5, 1600}, off: 0.5, fails: 0.005, slack: 1.5, target: 300 * time.Millisecond, worth: 0.388, advice: answers(9.36, 0.13, 2000), allowed: 0.7},
 			{name: "report", perS: 3.81, steps: draw{1.2, 0.4, 3}, tasks: draw{20, 0.8, 120}, cpu: draw{18000, 0.4, 30000}, mem: draw{26000, 0.5, 51000}, ms: draw{6200, 0.5, 16000}, off: 0.9, gang: true, fails: 0.05, slack: 2.2, target: time.Second, worth: 16, advice: answers(702, 10.01, 2000), allowed: 0.3},
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -765,3 +765,24 @@
 	assert.Equal(t, len(again), 1)
 	assert.DeepEqual(t, again[0].IDs, []string{b.ID})
 }
+
+// What has little time left runs where runs are over soonest; other work does not
+// take that room first.
+func TestUrgentTasksRunOnFastMinions(t *testing.T) {
+	w, o := begun(t, 3)
+	for i, slow := range []float64{1.25, 0.8, 1} {
+		o.st.minions[w.minions[i].ID].slow = slow
+	}
+	urgent := newJob("a", tasks(1, 1000))
+	urgent.Slack, urgent.Target = 1.2, 100*time.Millisecond
+	easy := newJob("b", tasks(1, 1000))
+	easy.Slack, easy.Target = 4, 3*time.Second
+	w.submit(easy)
+	w.turn()
+	w.submit(urgent)
+	w.turn()
+	assert.Equal(t, len(w.minions[1].runs), 1)
+	for k := range w.minions[1].runs {
+		assert.Equal(t, k.task.Job, "a")
+	}
+}
