--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -139,7 +139,11 @@
 // crowded says that others have booked too much for n tasks of the step to book.
 func (v *view) crowded(p *step, n int) bool {
 	more := weigh(p.Reserved()) * float64(n)
-	return v.booked > 0 && v.booked+more > v.s.Policy.Booked*v.room
+	share := v.s.Policy.Booked
+	if p.late {
+		share *= v.s.Policy.Late
+	}
+	return v.booked > 0 && v.booked+more > share*v.room
 }
 
 // standing picks those of all slots that the step has booked.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -180,6 +180,7 @@
 	p := c.step
 	p.looked(v.now)
 	v.s.unshade(p)
+	p.late = c.tier >= late
 	p.pressed = c.tier == timely && c.slack < pressedFor && !v.books(p) || p.short
 	spots := v.spots(p)
 	if p.short {
--- a/internal/shard/policy.go
+++ b/internal/shard/policy.go
@@ -8,11 +8,12 @@
 	Together bool    // the tasks of a step share an availability zone
 	Copies   bool    // tasks of speculative steps start again when nothing is heard from their minion
 	Booked   float64 // share of all room that large tasks and gangs may book
+	Late     float64 // share of that which steps may book that are late already
 	Named    int     // minions named in a question about a gang; 0: as for any other step
 }
 
 // Usual is the policy that a new State has.
-var Usual = Policy{Urgent: true, Together: true, Copies: true, Booked: 0.25, Named: 100}
+var Usual = Policy{Urgent: true, Together: true, Copies: true, Booked: 0.25, Late: 0.3, Named: 100}
 
 // weigh is how much of the minions' room a size is: accelerators where there
 // are any, else processors.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -98,6 +98,7 @@
 	shades   []*minion     // that keep room for a start until there are tickets, once for each task
 	places   []place       // room that is booked
 	bookedAt time.Time
+	late     bool // it will miss its objective
 }
 
 // round is one occurrence of a job's steps.
