--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -383,6 +383,10 @@
 		if j.Service != o.service {
 			continue
 		}
+		if err := check(j); err != nil {
+			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+			continue
+		}
 		if err := o.st.Load(now, j, progress[j.ID]); err != nil {
 			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
 		}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -268,3 +268,28 @@
 	s.until("completed", func() bool { return s.state(o, jobName(4)) == "completed" })
 	assert.Assert(t, time.Since(began) < 4*time.Second, "%v", time.Since(began))
 }
+
+// Whatever stands in a row, an owner goes on: it passes over what makes no sense.
+func TestMalformedRowsEndNoOwner(t *testing.T) {
+	s := newSite(t, 0, 1)
+	row := func(tab, part, name, v string) {
+		_, err := s.rows.Do(context.Background(), table.Tx{Put: []table.Row{{Key: table.Key{Table: tab, Part: part, Name: name}, Value: []byte(v)}}})
+		assert.NilError(t, err)
+	}
+	job := func(n int, steps string) {
+		k := jobKey(jobName(n))
+		row(k.Table, k.Part, k.Name, `{"id":"`+jobName(n)+`","q":"h/q/","sv":"svc","ma":3,"st":`+steps+`}`)
+	}
+	job(1, `[{"n":1},{"n":1,"a":[7]}]`)
+	job(2, `[{"n":-1}]`)
+	job(3, `[{"n":1}]`)
+	row("progress", "svc", jobName(3), `{"st":"active","r":[{"s":[[{},{},{"p":1,"m":"x"}]]}]}`)
+	job(4, `[{"n":1}]`)
+	row("progress", "svc", jobName(4), `{"st":"active","r":[{"k":-3,"s":[[{"p":9}],[{}]]}]}`)
+	job(5, `"text"`)
+	row("job", "p1", "x.cancel", "")
+	s.entry("e0")
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	assert.Equal(t, s.submit(s.entries[0], jobName(9), "10ms", 1), http.StatusOK)
+	s.until("completed", func() bool { return s.state(s.entries[0], jobName(9)) == "completed" })
+}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -98,16 +98,41 @@
 // dearFrom is the time for a question from which on its answer is kept.
 const dearFrom = 300 * time.Millisecond
 
-// Load takes in a job as a predecessor left it; row is nil if it had not begun.
+// check says what in the row cannot be of the job.
+func (p *progress) check(j *work.Job) error {
+	for _, r := range p.Rounds {
+		if r.K < 0 || r.K >= j.Rounds() || len(r.Steps) > len(j.Steps) {
+			return fmt.Errorf("round %d with %d steps", r.K, len(r.Steps))
+		}
+		for i, ts := range r.Steps {
+			if len(ts) > 0 && len(ts) != j.Steps[i].Tasks {
+				return fmt.Errorf("step %d with %d tasks, not %d", i, len(ts), j.Steps[i].Tasks)
+			}
+			for _, t := range ts {
+				if t.Phase < Waiting || t.Phase > Finished {
+					return fmt.Errorf("step %d with a task in phase %d", i, t.Phase)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Load takes in a job as a predecessor left it; row is nil if it had not begun. A
+// job whose row makes no sense is not taken in: what it has done is not known.
 func (s *State) Load(now time.Time, j *work.Job, row []byte) error {
-	s.Submit(now, j)
 	if row == nil {
+		s.Submit(now, j)
 		return nil
 	}
 	var p progress
 	if err := json.Unmarshal(row, &p); err != nil {
 		return fmt.Errorf("progress of %s: %w", j.ID, err)
 	}
+	if err := p.check(j); err != nil {
+		return fmt.Errorf("progress of %s: %w", j.ID, err)
+	}
+	s.Submit(now, j)
 	n := s.jobs[j.ID]
 	n.state, n.begun = p.State, p.Begun
 	if n.state.Over() {
@@ -132,9 +157,6 @@
 func (s *State) loadRound(j *job, in savedRound) *round {
 	r := newRound(j, in.K)
 	for i, ts := range in.Steps {
-		if i >= len(r.steps) {
-			break
-		}
 		p := r.steps[i]
 		if len(ts) == 0 && p.Tasks > 0 {
 			p.left, p.waiting = 0, 0
