Progress of many jobs travels in few rows; a job's own row goes before its progress

Cause: an owner writes one row for each job that has changed, 90 at most in one transaction, and transactions follow one another. Seen on the way: the progress of a job that was long over was deleted before the job's own row; if that deletion failed, the next owner ran the job anew.

Change: beyond 60 jobs in a batch the progress of those that are not over is packed into bundles of at most 40 KB; a bundle is deleted once none of its jobs has its newest progress there. Readers take the newest by the store's version. The job's own row is deleted first, until that has been done, and its progress after it.

Weighed: several parts with a fence each let transactions run side by side, but a claim must then take all of them; bundles for everything would make each look at a job's row a search.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -34,7 +34,7 @@
 	{"owner row", "service why", "the row that names an owner cannot be read"},
 	{"write", "service term why", "an owner's write failed and is made again"},
 	{"row of a job", "job why", "a job's row cannot be read"},
-	{"job row stays", "job why", "the row of a job that is long over could not be deleted"},
+	{"job row stays", "job why", "the row of a job that is long over could not be deleted yet"},
 	{"job", "job", "the owner knows of a job"},
 	{"cancel", "job", "the owner knows of a cancellation"},
 	{"over", "job why", "a job has ended: completed, failed or canceled"},
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -305,9 +305,18 @@
 	if err != nil {
 		return sh, false, err
 	}
+	rows := r.Rows
+	if len(rows) == 0 {
+		from, to := shard.BundleRange()
+		if r, err = s.store.Read(ctx, k.Table, k.Part, from, to); err != nil {
+			return sh, false, err
+		}
+		rows = r.Rows
+	}
 	sh = shard.Shown{ID: id, Queue: j.Queue, State: shard.Queued}
-	if len(r.Rows) > 0 {
-		if sh.State, err = shard.SavedState(r.Rows[0].Value); err != nil {
+	saved, _ := shard.ReadSaved(rows)
+	if row := saved.Row(id); row != nil {
+		if sh.State, err = shard.SavedState(row); err != nil {
 			return sh, false, err
 		}
 	}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -284,9 +284,20 @@
 // forget deletes the rows of a job that is over for long.
 func (o *owner) forget(id string) {
 	tx := table.Tx{Delete: []table.Key{jobKey(id), jobKey(id + cancelMark)}}
-	if _, err := o.s.store.Do(o.ctx, tx); err != nil {
-		o.s.Log.Warn("job row stays", "job", id, "why", err.Error())
+	for told := false; ; told = true {
+		_, err := o.s.store.Do(o.ctx, tx)
+		if err == nil {
+			break
+		}
+		if o.ctx.Err() != nil {
+			return
+		}
+		if !told {
+			o.s.Log.Warn("job row stays", "job", id, "why", err.Error())
+		}
+		pause(o.ctx, retryGap)
 	}
+	o.post(func(time.Time) { o.st.Forgotten(id) })
 }
 
 func (o *owner) show(shown []shard.Shown) {
@@ -346,11 +357,12 @@
 	o.minionFrom, o.jobFrom = minions.Version, jobs.Version
 	now := steady()
 	o.sawMinions(now, minions.Rows, true)
-	progress := make(map[string][]byte, len(done.Rows))
-	for _, r := range done.Rows {
-		progress[r.Name] = r.Value
+	saved, bad := shard.ReadSaved(done.Rows)
+	for _, name := range bad {
+		o.s.Log.Error("row of a job", "job", name, "why", "the row has the progress of several jobs and cannot be read")
 	}
-	o.sawJobs(now, jobs.Rows, progress)
+	o.sawJobs(now, jobs.Rows, saved)
+	o.st.Adopt(saved)
 	o.s.Log.Info("loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
@@ -370,7 +382,7 @@
 }
 
 // sawJobs takes in rows of jobs and cancellations.
-func (o *owner) sawJobs(now time.Time, rows []table.Row, progress map[string][]byte) {
+func (o *owner) sawJobs(now time.Time, rows []table.Row, saved shard.Saved) {
 	for _, r := range rows {
 		if r.Deleted || strings.HasSuffix(r.Name, cancelMark) {
 			continue
@@ -387,7 +399,7 @@
 			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
 			continue
 		}
-		if err := o.st.Load(now, j, progress[j.ID]); err != nil {
+		if err := o.st.Load(now, j, saved.Row(j.ID)); err != nil {
 			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
 		}
 	}
@@ -421,7 +433,7 @@
 // followJobs finds jobs and cancellations of which nobody could tell this owner.
 func (o *owner) followJobs() {
 	follow(o.ctx, o.s.store, jobTable, o.jobFrom, 0, feedGap, o.s.dependency("jobs"), func(rows []table.Row, _ bool) {
-		o.post(func(now time.Time) { o.sawJobs(now, rows, nil) })
+		o.post(func(now time.Time) { o.sawJobs(now, rows, shard.Saved{}) })
 	})
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -293,3 +293,22 @@
 	assert.Equal(t, s.submit(s.entries[0], jobName(9), "10ms", 1), http.StatusOK)
 	s.until("completed", func() bool { return s.state(s.entries[0], jobName(9)) == "completed" })
 }
+
+// While no owner answers, the state of a job is read from whichever row has it.
+func TestStateIsReadFromABundle(t *testing.T) {
+	s := newSite(t, 1, 0)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	k := jobKey(jobName(1))
+	ctx := context.Background()
+	for _, r := range []table.Row{
+		{Key: k, Value: []byte(`{"id":"` + jobName(1) + `","q":"h/q/","sv":"svc","st":[{"n":1}]}`)},
+		{Key: table.Key{Table: "progress", Part: "svc", Name: ".b.1.1"}, Value: []byte(`{"` + jobName(1) + `":{"st":"active"}}`)},
+	} {
+		_, err := s.rows.Do(ctx, table.Tx{Put: []table.Row{r}})
+		assert.NilError(t, err)
+	}
+	sh, found, err := s.entries[0].read(ctx, jobName(1))
+	assert.NilError(t, err)
+	assert.Assert(t, found)
+	assert.Equal(t, string(sh.State), "active")
+}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -17,6 +17,9 @@
 func TestRunOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, 3)
+		if rapid.Bool().Draw(rt, "bundles") {
+			w.limits.Rows = 0
+		}
 		w.takeOver()
 		names := 0
 		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -203,19 +203,36 @@
 // Take returns what is to be made durable now, and starts a new batch. To be
 // called when no earlier batch is under way.
 func (s *State) Take() (Batch, error) {
-	for _, j := range s.changed {
+	if err := s.encode(); err != nil {
+		return Batch{}, err
+	}
+	b := s.batch
+	s.batch = Batch{Seen: map[work.Life]int64{}}
+	return b, nil
+}
+
+// encode adds the progress of all jobs that have changed to the batch.
+func (s *State) encode() error {
+	var packed []*job
+	for i, j := range s.changed {
+		j.dirty = false
+		s.show(j)
+		if i >= s.Limits.Rows && !j.state.Over() {
+			packed = append(packed, j)
+			continue
+		}
 		r, err := j.row(s.Service)
 		if err != nil {
-			return Batch{}, err
+			return err
 		}
-		j.dirty = false
+		s.unpack(j)
 		s.batch.Rows = append(s.batch.Rows, r)
-		s.show(j)
 	}
 	s.changed = s.changed[:0]
-	b := s.batch
-	s.batch = Batch{Seen: map[work.Life]int64{}}
-	return b, nil
+	if len(packed) == 0 {
+		return nil
+	}
+	return s.pack(packed)
 }
 
 // Orders returns what may be done at once.
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -126,7 +126,9 @@
 	}
 }
 
-// sweep forgets jobs that were over for long enough.
+// sweep has the rows of jobs that were over for long enough deleted. Forgotten
+// ends what is known of them: as long as a job's own row may be there, its
+// progress has to be, or the next owner would run it again.
 func (s *State) sweep(now time.Time) {
 	for len(s.ended) > 0 {
 		j := s.ended[0]
@@ -134,9 +136,17 @@
 			return
 		}
 		s.ended = s.ended[1:]
-		delete(s.jobs, j.ID)
-		s.batch.Delete = append(s.batch.Delete, ProgressKey(s.Service, j.ID))
 		s.batch.Drop = append(s.batch.Drop, j.ID)
-		s.batch.Shown = append(s.batch.Shown, Shown{ID: j.ID, Queue: j.Queue})
 	}
 }
+
+// Forgotten takes in that the rows of a job that Drop named are gone.
+func (s *State) Forgotten(id string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, id)
+	s.batch.Delete = append(s.batch.Delete, ProgressKey(s.Service, id))
+	s.batch.Shown = append(s.batch.Shown, Shown{ID: id, Queue: j.Queue})
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -28,12 +28,13 @@
 	Drift     float64       // how much slower a minion's clock may be, as a share
 	Keep      time.Duration // how long the outcome of an ended job is told
 	MaxEnds   int           // ends in one report of a minion; there may be more
+	Rows      int           // jobs with rows of their own in one batch
 }
 
 // Defaults suit minions that allow leases of 10 s.
 var Defaults = Limits{
 	Lease: 5 * time.Second, RenewFor: 3 * time.Second, LateOrder: 15 * time.Second, Drift: 0.02, Keep: 150 * time.Second,
-	MaxEnds: 500,
+	MaxEnds: 500, Rows: ownRows,
 }
 
 // Phase is where a task is in its life.
@@ -120,6 +121,7 @@
 	arrived  time.Time     // on the owner's clock
 	aim      time.Duration // objective: from submission, or its due time, to the end
 	wanted   bool          // cancel was asked before the job was known
+	bundle   *bundle       // that has its newest progress; nil if a row of its own has
 	copied   bool          // tasks of it may have more than one run
 }
 
@@ -200,6 +202,7 @@
 	candidates []candidate // of the last decision, for their room in memory
 	roomier    bool        // some minion takes more than at the last decision
 	checked    time.Time   // when all minions were last looked at
+	bundles    int         // that this term has written
 	epoch      int64       // changes with the set of minions
 	fresh      []work.Life // that were not told of yet
 	minions    map[string]*minion
@@ -263,7 +266,7 @@
 	Starts []Order
 	Seen   map[work.Life]int64 // ends that the minions may forget
 	Shown  []Shown
-	Drop   []string // jobs whose own rows can go
+	Drop   []string // jobs whose own rows can go; Forgotten is told when they have
 }
 
 // NeedsWrite says that the batch must not have its effects before a write has
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"testing"
@@ -19,7 +21,8 @@
 	now     time.Time
 	limits  Limits
 	minions []*box
-	rows    map[string][]byte // progress rows
+	rows    map[string]table.Row // progress rows, by name
+	version int64
 	jobs    []*work.Job
 	gone    map[string]bool // cancelled jobs
 	term    int64
@@ -293,7 +296,7 @@
 
 func newWorld(t failer, n int) *world {
 	w := &world{
-		t: t, now: epoch, limits: Defaults, rows: map[string][]byte{}, gone: map[string]bool{},
+		t: t, now: epoch, limits: Defaults, rows: map[string]table.Row{}, gone: map[string]bool{},
 		done: map[work.TaskID]bool{}, ever: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
 	}
 	for i := range n {
@@ -327,8 +330,13 @@
 	for _, b := range w.minions {
 		o.st.See(w.now, b.Minion)
 	}
+	saved, bad := ReadSaved(slices.Collect(maps.Values(w.rows)))
+	if len(bad) > 0 {
+		w.bad("unreadable: %v", bad)
+	}
+	defer func() { o.st.Adopt(saved) }()
 	for _, j := range w.jobs {
-		if err := o.st.Load(w.now, j, w.rows[j.ID]); err != nil {
+		if err := o.st.Load(w.now, j, saved.Row(j.ID)); err != nil {
 			w.bad("load: %v", err)
 		}
 		if w.gone[j.ID] {
@@ -397,6 +405,9 @@
 			o.w.tell("owner %d writes %s: %s", o.st.Term, r.Name, r.Value)
 			o.w.keep(r)
 		}
+		for _, k := range b.Delete {
+			delete(o.w.rows, k.Name)
+		}
 		o.st.Durable(o.w.now, o.w.now)
 	} else if !o.deposed && store {
 		o.st.Durable(o.w.now, o.w.now)
@@ -413,11 +424,12 @@
 }
 
 func (w *world) keep(r table.Row) {
-	var p progress
-	if err := json.Unmarshal(r.Value, &p); err != nil {
-		w.bad("row: %v", err)
+	if !json.Valid(r.Value) {
+		w.bad("row: %s", r.Value)
 	}
-	w.rows[r.Name] = r.Value
+	w.version++
+	r.Version = w.version
+	w.rows[r.Name] = r
 }
 
 func (w *world) box(id string) *box {
