Tidy: one interface for calls to minions, names

server.Minions stood beside the same interface in carry; a field that nobody read goes; a spot's room that is kept for others is named so. No change in behaviour; the tests of shard, carry and server pass.

--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -99,12 +99,12 @@
 	held := s.clock.delay(now, b.Sent)
 	c.mu.Unlock()
 	for i := range b.Calls {
-		go c.make(s, &b.Calls[i], now.Add(-held))
+		go c.perform(s, &b.Calls[i], now.Add(-held))
 	}
 }
 
-// make makes one call that was sent at sent, on this clock.
-func (c *Carrier) make(s *session, x *Call, sent time.Time) {
+// perform makes one call that was sent at sent, on this clock.
+func (c *Carrier) perform(s *session, x *Call, sent time.Time) {
 	r := Result{N: x.N}
 	if age := c.now().Sub(sent); age > tooLate {
 		r.Error = "the call was held up for " + age.String()
--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -20,7 +20,7 @@
 	"jasminestep/internal/work"
 )
 
-// Minions makes calls to minions.
+// Minions carries orders to minions.
 type Minions interface {
 	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error)
 	Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,13 +29,6 @@
 	"jasminestep/internal/work"
 )
 
-// Minions carries orders to minions.
-type Minions interface {
-	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error)
-	Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error
-	Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error)
-}
-
 // Adviser answers which minions may run a step.
 type Adviser interface {
 	Ask(ctx context.Context, step string, ids []string) (map[string]string, time.Duration, error)
@@ -56,7 +49,7 @@
 type Parts struct {
 	Log     hclog.Logger
 	Store   table.Store
-	Minions Minions
+	Minions carry.Minions
 	Adviser Adviser
 	Wire    Wire
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -67,7 +67,7 @@
 	ticket ticket
 	left   work.Size // room after what this decision has placed
 	here   int       // tasks of the step there
-	booked bool      // the room was kept for other steps
+	others bool      // the room is kept for other steps
 	order  [5]float64
 }
 
@@ -120,7 +120,7 @@
 		sp := spot{minion: m, pass: pass, ticket: text, left: m.free().Minus(m.kept(p)).Minus(m.shade), here: p.count(m)}
 		if !sp.left.Fits(need) && p.pressed {
 			sp.left = m.free().Minus(m.shade)
-			sp.booked = true
+			sp.others = true
 		}
 		if sp.left.Fits(need) {
 			all = append(all, sp)
@@ -142,7 +142,7 @@
 // zone of the other tasks; then the fullest minion, so that large tasks find
 // room. Tasks that fill go where most is left, urgent ones to the fastest.
 func (sp *spot) rank(p *step) {
-	if sp.booked || p.booked && !sp.bookedBy(p) {
+	if sp.others || p.booked && !sp.bookedBy(p) {
 		sp.order[0] = 2
 	}
 	if p.Rack != "" && !slices.Contains(sp.Labels, p.Rack) {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -98,8 +98,8 @@
 	wants    time.Duration // time of a question that could not be asked; 0 is none
 	shades   []*minion     // that keep room for a start until there are tickets, once for each task
 	places   []place       // room that is booked
-	bookedAt time.Time
-	late     bool // it will miss its objective
+	bookedAt time.Time     // when the first of that room was booked
+	late     bool          // it will miss its objective
 }
 
 // round is one occurrence of a job's steps.
@@ -120,7 +120,6 @@
 	dirty    bool
 	arrived  time.Time     // on the owner's clock
 	aim      time.Duration // objective: from submission, or its due time, to the end
-	wanted   bool          // cancel was asked before the job was known
 	bundle   *bundle       // that has its newest progress; nil if a row of its own has
 	copied   bool          // tasks of it may have more than one run
 }
