Entries that stop are not named; ways to carriers end cleanly

Read on the way: a call that came just as a carrier's way ended waited for all of its time, and an owner's last calls could open ways that nobody closes.

Change: an entry writes into its row that it leaves; such entries are not named, do not count in the order of claims, ask and carry nothing. A way that ends loses its calls at once; a closed pool opens none.

Tests: TestStoppingEntryIsNotNamed (failed before), TestCallsOnAWayThatEndsDoNotWait, TestClosedPoolOpensNoWays.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -341,3 +341,23 @@
 	ask(minion, 9) // too old
 	assert.DeepEqual(t, m.seen, []int64{0, 4, 0, 5, 0})
 }
+
+// A call that comes just as its way ends is made by the owner, or lost at once; it
+// does not wait for its time to be over.
+func TestCallsOnAWayThatEndsDoNotWait(t *testing.T) {
+	s := newSite(t, "a")
+	w := s.pool.way(context.Background(), minion)
+	w.end()
+	began := time.Now()
+	_, _, err := s.pool.Renew(within(t, 2*time.Second), minion, 1, 2, 0, 0)
+	assert.NilError(t, err)
+	_, err = s.pool.Start(within(t, 2*time.Second), minion, work.Start{})
+	assert.Assert(t, errors.Is(err, ErrLost), "%v", err)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
+func TestClosedPoolOpensNoWays(t *testing.T) {
+	s := newSite(t, "a")
+	s.pool.Close()
+	assert.Assert(t, s.pool.way(context.Background(), minion) == nil)
+}
--- a/internal/carry/pool.go
+++ b/internal/carry/pool.go
@@ -41,6 +41,7 @@
 	ways   map[string]*way
 	avoid  map[string]time.Time // carriers that get no calls, until when
 	opened int
+	closed bool
 }
 
 // way is the way through one carrier.
@@ -112,6 +113,9 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
 	first := int(spread(to.ID) % uint32(len(addrs)))
 	for i := range addrs {
 		a := addrs[(first+i)%len(addrs)]
@@ -145,10 +149,11 @@
 	go w.fetch()
 }
 
-// Close ends all ways.
+// Close ends all ways, and no others are opened.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, w := range p.ways {
 		w.cancel()
 	}
@@ -212,7 +217,7 @@
 
 // fetch takes in answers until the carrier is lost.
 func (w *way) fetch() {
-	defer w.cancel()
+	defer w.end()
 	for left := false; w.ctx.Err() == nil && !(left && w.idle()); {
 		ctx, cancel := context.WithTimeout(w.ctx, fetchLimit)
 		a, err := w.p.Peers.Carried(ctx, w.addr, w.session)
@@ -267,18 +272,26 @@
 
 // fail leaves the carrier.
 func (w *way) fail(why string) {
-	w.mu.Lock()
-	if w.lost || w.ctx.Err() != nil {
-		w.mu.Unlock()
+	if w.ctx.Err() != nil || !w.end() {
 		return
 	}
+	w.p.leave(w)
+	w.p.Lost(w.addr, why)
+}
+
+// end ends the way: calls that are under way, and later ones, are lost. It says
+// whether the way had not ended before.
+func (w *way) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.cancel()
+	if w.lost {
+		return false
+	}
 	w.lost = true
 	for n, ch := range w.waits {
 		delete(w.waits, n)
 		close(ch)
 	}
-	w.mu.Unlock()
-	w.cancel()
-	w.p.leave(w)
-	w.p.Lost(w.addr, why)
+	return true
 }
--- a/internal/server/ask.go
+++ b/internal/server/ask.go
@@ -27,7 +27,7 @@
 	names := []string{s.Set.ID}
 	addrs := map[string]string{s.Set.ID: s.Set.Peer}
 	for n, e := range s.names {
-		if n != s.Set.ID && !s.blamed(now, e.Addr) {
+		if n != s.Set.ID && !e.Leaving && !s.blamed(now, e.Addr) {
 			names = append(names, n)
 			addrs[n] = e.Addr
 		}
--- a/internal/server/carry.go
+++ b/internal/server/carry.go
@@ -68,7 +68,7 @@
 	}
 	zones := map[string][]Entry{}
 	for _, e := range s.names {
-		if !owns[e.Name] && !s.blamed(now, e.Addr) {
+		if !owns[e.Name] && !e.Leaving && !s.blamed(now, e.Addr) {
 			zones[e.Zone] = append(zones[e.Zone], e)
 		}
 	}
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -19,12 +19,13 @@
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
 
-	Strength float64 `json:"strength"` // as an owner
+	Strength float64 `json:"strength"`          // as an owner
+	Leaving  bool    `json:"leaving,omitempty"` // a planned stop has begun: it takes on nothing
 }
 
-// enrol writes this entry's row.
-func (s *Server) enrol(ctx context.Context) {
-	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone, s.Set.Strength()})
+// enrol writes this entry's row, at its start and when it is to stop.
+func (s *Server) enrol(ctx context.Context, leaving bool) {
+	b, err := json.Marshal(Entry{s.Set.ID, s.Set.Peer, s.Set.Zone, s.Set.Strength(), leaving})
 	if err != nil {
 		s.Log.Error("enrol", "why", err.Error())
 		return
--- a/internal/server/guard.go
+++ b/internal/server/guard.go
@@ -56,7 +56,7 @@
 	me := Entry{Name: s.Set.ID, Strength: s.Set.Strength()}
 	t := 0
 	for n, e := range s.names {
-		if n != me.Name && e.before(me, service) {
+		if n != me.Name && !e.Leaving && e.before(me, service) {
 			t++
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -140,7 +140,7 @@
 		s.Log.Debug("peers end", "why", err)
 	})
 	s.spawn(func() { s.store.Watch(ctx) })
-	s.spawn(func() { s.enrol(ctx) })
+	s.spawn(func() { s.enrol(ctx, false) })
 	s.spawn(func() {
 		follow(ctx, s.store, s.Wire.ConfigTable, -1, feedWait, 0, s.dependency("configuration"), s.configured)
 	})
@@ -225,6 +225,7 @@
 	s.carrier.Leave()
 	grace, cancel := context.WithTimeout(context.Background(), time.Duration(s.Set.Grace)*time.Millisecond-exitMargin)
 	defer cancel()
+	go s.enrol(grace, true)
 	s.release()
 	pause(grace, notice)
 	if err := s.front.Stop(grace); err != nil {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -312,3 +312,18 @@
 	assert.Assert(t, found)
 	assert.Equal(t, string(sh.State), "active")
 }
+
+// An entry that is being stopped is not named to claim what another gives up.
+func TestStoppingEntryIsNotNamed(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.until("an owner", func() bool { _, o := s.owner(); return o != nil })
+	_, o := s.owner()
+	s.until("it knows the others", func() bool { return len(o.others(steady())) == 2 })
+	named := o.successor(steady(), "svc")
+	for _, e := range s.entries {
+		if e.Set.ID == named {
+			go e.Stop()
+		}
+	}
+	s.until("another is named", func() bool { n := o.successor(steady(), "svc"); return n != named && n != "" })
+}
