Give each test process a loopback address of its own

Cause: tests and the soak chose a free port by opening and closing a listener and bound it later; an outgoing connection or another test could take it in between, and TestPlannedStopOfACarrierDelaysNothing failed once that way. Change: package loopback derives an address in 127.0.0.0/8 from the process ID and hands out ports below those of outgoing connections.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"jasminestep/internal/loopback"
 	"jasminestep/internal/table"
 	"jasminestep/internal/table/tabletest"
 	"jasminestep/platform/standin"
@@ -58,15 +59,6 @@
 	return l.Addr().String(), nil
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func newCluster(opt options, seed int64) (*cluster, error) {
 	s := &cluster{opt: opt, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger()}
 	s.store.InjectFaults(s.transactionFault)
@@ -155,9 +147,7 @@
 	}
 	var addrs [4]string
 	for i := range addrs {
-		if addrs[i], err = freeAddr(); err != nil {
-			return nil, err
-		}
+		addrs[i] = loopback.Addr()
 	}
 	e := &entry{name: name, callerAddr: addrs[0], configFile: filepath.Join(dir, name+".json"), storeProxy: p, dir: dir}
 	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000, "direct": %d}`,
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"jasminestep/internal/loopback"
 	"jasminestep/internal/table"
 	"jasminestep/internal/table/tabletest"
 	"jasminestep/internal/work"
@@ -293,13 +293,6 @@
 	return v.Store.Feed(ctx, tab, after, wait)
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func newCluster(t *testing.T, entries, minions int) *cluster {
 	return newClusterWithDirect(t, entries, minions, 0)
 }
@@ -333,7 +326,7 @@
 }
 
 func (s *cluster) startEntry(id string) *Server {
-	set := Settings{ID: id, Zone: "z", ClientAddr: freeAddr(s.t), ReadinessAddr: freeAddr(s.t), PeerAddr: freeAddr(s.t), MetricsAddr: freeAddr(s.t), Store: "127.0.0.1:1", MaxDirectMinions: s.direct}
+	set := Settings{ID: id, Zone: "z", ClientAddr: loopback.Addr(), ReadinessAddr: loopback.Addr(), PeerAddr: loopback.Addr(), MetricsAddr: loopback.Addr(), Store: "127.0.0.1:1", MaxDirectMinions: s.direct}
 	_, err := set.Check()
 	assert.NilError(s.t, err)
 	v, c := &faultyStore{Store: s.rows}, &countingClient{fleet: s.fleet}
