tabletest: index rows by part

Cause: a read scanned all rows, so a benchmark of an owner's load measured the stand-in. Change: rows are kept by part.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -72,13 +72,19 @@
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (Range, error)
 }
 
-// ReadAll reads every row of a table. The parts are read separately; Version is
-// the lowest of their versions, so the rows may already contain later changes.
+// ReadAll reads every row of a table whose parts are not known.
 func ReadAll(ctx context.Context, s Store, table string) (Range, error) {
 	parts, err := s.Parts(ctx, table)
 	if err != nil {
 		return Range{}, err
 	}
+	return ReadParts(ctx, s, table, parts)
+}
+
+// ReadParts reads every row of some parts of a table. The parts are read
+// separately; Version is the lowest of their versions, so the rows may already
+// contain later changes.
+func ReadParts(ctx context.Context, s Store, table string, parts []string) (Range, error) {
 	all := make([]Range, len(parts))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxConcurrentReads)
@@ -88,7 +94,7 @@
 			return err
 		})
 	}
-	if err = g.Wait(); err != nil {
+	if err := g.Wait(); err != nil {
 		return Range{}, err
 	}
 	var out Range
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -32,7 +32,7 @@
 type Store struct {
 	mu      sync.Mutex
 	faultOf func(tx table.Tx) Fault
-	rows    map[table.Key]table.Row
+	rows    map[part]map[string]table.Row // by part and name
 	log     []table.Row
 	trimmed int64 // the feed has no history up to this version
 	version int64
@@ -85,11 +85,16 @@
 	}
 }
 
+// part identifies a part of a table.
+type part struct{ table, name string }
+
+func partOf(k table.Key) part { return part{k.Table, k.Part} }
+
 func (s *Store) apply(tx table.Tx) table.Result {
 	ok := true
 	var current []table.Row
 	for _, c := range tx.If {
-		r, exists := s.rows[c.Key]
+		r, exists := s.rows[partOf(c.Key)][c.Name]
 		if exists {
 			current = append(current, r)
 		}
@@ -99,17 +104,21 @@
 		return table.Result{Rows: current}
 	}
 	if s.rows == nil {
-		s.rows = map[table.Key]table.Row{}
+		s.rows = map[part]map[string]table.Row{}
 	}
 	s.version++
 	for _, r := range tx.Put {
 		r.Version, r.Deleted = s.version, false
-		s.rows[r.Key] = r
+		p := partOf(r.Key)
+		if s.rows[p] == nil {
+			s.rows[p] = map[string]table.Row{}
+		}
+		s.rows[p][r.Name] = r
 		s.log = append(s.log, r)
 	}
 	for _, k := range tx.Delete {
-		if _, exists := s.rows[k]; exists {
-			delete(s.rows, k)
+		if _, exists := s.rows[partOf(k)][k.Name]; exists {
+			delete(s.rows[partOf(k)], k.Name)
 			s.log = append(s.log, table.Row{Key: k, Version: s.version, Deleted: true})
 		}
 	}
@@ -121,15 +130,15 @@
 }
 
 // Read implements table.Store.
-func (s *Store) Read(ctx context.Context, tab, part, from, to string) (table.Range, error) {
+func (s *Store) Read(ctx context.Context, tab, in, from, to string) (table.Range, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := ctx.Err(); err != nil {
 		return table.Range{}, err
 	}
 	out := table.Range{Version: s.version}
-	for k, r := range s.rows {
-		if k.Table == tab && k.Part == part && k.Name >= from && (to == "" || k.Name < to) {
+	for name, r := range s.rows[part{tab, in}] {
+		if name >= from && (to == "" || name < to) {
 			out.Rows = append(out.Rows, r)
 		}
 	}
@@ -144,12 +153,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	seen := map[string]bool{}
 	var out []string
-	for k := range s.rows {
-		if k.Table == tab && !seen[k.Part] {
-			seen[k.Part] = true
-			out = append(out, k.Part)
+	for p, rows := range s.rows {
+		if p.table == tab && len(rows) > 0 {
+			out = append(out, p.name)
 		}
 	}
 	sort.Strings(out)
