Archive ended jobs so that a new owner does not read them

Cause: a new owner read every job of the last 150 s, nearly all of them ended: 0.9 to 1.0 s on the grown site, during which nothing is placed anywhere. Change: once the end of a job is durable, one transaction for several jobs of a part replaces their rows by outcomes, which only requests for their state read. Acceptance and cancellation are conditional on the absence of an outcome, the owner remembers archived IDs for the retention time, and it drops notifications of jobs that were accepted before it read the store and are gone. All parts are read, empty ones too: with an empty table the version to follow from was 0, and old history would have started archived jobs again (TestArchivedJobKeepsItsOutcome failed so).

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -94,7 +94,7 @@
 	id, _, _ := strings.Cut(name, ".")
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never returns an error
-	return table.Key{Table: jobTable, Part: "p" + strconv.Itoa(int(h.Sum32()%jobParts)), Name: name}
+	return table.Key{Table: jobTable, Part: partName(int(h.Sum32() % jobParts)), Name: name}
 }
 
 // cancelSuffix ends the name of the row that records a job's cancellation.
@@ -129,17 +129,17 @@
 		web.Fail(w, http.StatusRequestEntityTooLarge, "the job is too large")
 		return
 	}
-	fresh, err := s.accept(ctx, j, row)
+	version, err := s.accept(ctx, j, row)
 	if err != nil {
 		s.storeFailed(w, id, err)
 		return
 	}
+	fresh := version != 0
 	s.Log.Info("accepted", "job", id, "queue", q.Name, "fresh", fresh, "version", cfg.Version)
 	web.Reply(w, http.StatusOK, struct{}{})
 	if fresh {
-		go s.notifyOwner(j.Service, "Submit", j, func(o *owner) {
-			o.post(func(now time.Time) { o.state.Submit(now, j) })
-		})
+		args := SubmitArgs{j, version}
+		go s.notifyOwner(j.Service, "Submit", args, func(o *owner) { o.submit(args) })
 	}
 }
 
@@ -151,31 +151,35 @@
 	maxBusyRetryTime = 700 * time.Millisecond
 )
 
-// accept makes a job durable exactly once. fresh is false if the job was
-// durable already. The error is marked table.ErrNotApplied only if this call can
-// never make the job durable. accept returns as soon as the store is
-// unreachable, because the client may reach an entry that can reach it.
-func (s *Server) accept(ctx context.Context, j *work.Job, row []byte) (fresh bool, err error) {
+// accept makes a job durable exactly once. It returns the version of the job's
+// row, or 0 if the job was durable already. The error is marked
+// table.ErrNotApplied only if this call can never make the job durable. accept
+// returns as soon as the store is unreachable, because the client may reach an
+// entry that can reach it.
+func (s *Server) accept(ctx context.Context, j *work.Job, row []byte) (version int64, err error) {
 	k := jobKey(j.ID)
-	tx := table.Tx{If: []table.Row{{Key: k}}, Put: []table.Row{{Key: k, Value: row}}}
+	tx := table.Tx{If: []table.Row{{Key: k}, {Key: outcomeKey(j.ID)}}, Put: []table.Row{{Key: k, Value: row}}}
 	uncertain := false // an attempt may have been committed, or may be later
 	startTime := monotonicNow()
 	for {
 		res, err := s.relayStore.Do(ctx, tx)
-		if err == nil {
-			return res.Done, nil // not done means that the row exists: the job was accepted before
+		switch {
+		case err == nil && res.Done:
+			return res.Version, nil
+		case err == nil:
+			return 0, nil // a row exists: the job was accepted before
 		}
 		notDone, busy := errors.Is(err, table.ErrNotApplied), errors.Is(err, table.ErrRateLimited)
 		uncertain = uncertain || !notDone
 		gap := acceptRetryDelay
 		switch {
 		case uncertain && (ctx.Err() != nil || !s.relayStore.Reachable()):
-			return false, fmt.Errorf("outcome unknown: %v", err)
+			return 0, fmt.Errorf("outcome unknown: %v", err)
 		case uncertain:
 		case busy && monotonicNow().Sub(startTime) < maxBusyRetryTime:
 			gap = busyRetryDelay
 		default:
-			return false, err
+			return 0, err
 		}
 		sleep(ctx, gap)
 	}
@@ -278,28 +282,31 @@
 	web.Reply(w, http.StatusOK, s.Codec.EncodeState(string(sh.State)))
 }
 
-// readJob reads a job's row, or returns nil if there is none.
-func (s *Server) readJob(ctx context.Context, id string) (*work.Job, error) {
+// readJob reads a job's row and its version, or returns nil if there is none.
+func (s *Server) readJob(ctx context.Context, id string) (*work.Job, int64, error) {
 	k := jobKey(id)
 	r, err := s.relayStore.Read(ctx, k.Table, k.Part, id, id+"\x00")
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if len(r.Rows) == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
 	j := &work.Job{}
 	if err = json.Unmarshal(r.Rows[0].Value, j); err != nil {
-		return nil, fmt.Errorf("row of job %s: %w", id, err)
+		return nil, 0, fmt.Errorf("row of job %s: %w", id, err)
 	}
-	return j, nil
+	return j, r.Rows[0].Version, nil
 }
 
 // readState reads a job's state from the store.
 func (s *Server) readState(ctx context.Context, id string) (sh shard.JobStatus, found bool, err error) {
-	j, err := s.readJob(ctx, id)
-	if err != nil || j == nil {
+	j, _, err := s.readJob(ctx, id)
+	switch {
+	case err != nil:
 		return sh, false, err
+	case j == nil:
+		return s.readOutcome(ctx, id)
 	}
 	k := shard.ProgressKey(j.Service, id)
 	r, err := s.relayStore.Read(ctx, k.Table, k.Part, id, id+"\x00")
@@ -317,44 +324,69 @@
 	sh = shard.JobStatus{ID: id, Queue: j.Queue, State: shard.Queued}
 	saved, _ := shard.ReadProgress(rows)
 	if row := saved.Row(id); row != nil {
-		if sh.State, err = shard.ParseJobState(row); err != nil {
-			return sh, false, err
-		}
+		sh.State, err = shard.ParseJobState(row)
+		return sh, err == nil, err
+	}
+	// It has not begun, or it was archived between the two reads.
+	if out, found, err := s.readOutcome(ctx, id); err != nil || found {
+		return out, found, err
 	}
 	return sh, true, nil
 }
 
 // cancelJob makes a cancellation durable and notifies the owner.
 func (s *Server) cancelJob(ctx context.Context, w http.ResponseWriter, q *work.Queue, id string) {
-	j, err := s.readJob(ctx, id)
-	for err != nil && ctx.Err() == nil {
-		sleep(ctx, retryDelay/5)
-		j, err = s.readJob(ctx, id)
-	}
-	if err != nil {
-		s.storeFailed(w, id, err)
-		return
-	}
-	if j == nil || j.Queue != q.Key() {
-		failNoSuchJob(w)
-		return
-	}
-	tx := table.Tx{Put: []table.Row{{Key: jobKey(id + cancelSuffix), Value: []byte(j.Service)}}}
 	for {
-		if _, err = s.relayStore.Do(ctx, tx); err == nil || ctx.Err() != nil {
-			break
+		j, ended, err := s.tryCancel(ctx, q, id)
+		switch {
+		case err == nil && ended:
+			web.Reply(w, http.StatusOK, struct{}{})
+			return
+		case err == nil && j == nil:
+			failNoSuchJob(w)
+			return
+		case err == nil:
+			s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
+				o.post(func(now time.Time) { o.state.Cancel(now, id) })
+			})
+			s.Log.Info("cancelled", "job", id)
+			web.Reply(w, http.StatusOK, struct{}{})
+			return
+		case ctx.Err() != nil:
+			s.storeFailed(w, id, err)
+			return
 		}
 		sleep(ctx, retryDelay/5)
 	}
+}
+
+// errArchivedMeanwhile means that a job was archived between the read of its row
+// and the write of its cancellation.
+var errArchivedMeanwhile = errors.New("the job has just been archived")
+
+// tryCancel writes the cancellation of a job of the queue. It returns a nil job
+// if there is none, and ended if it is archived, so that nothing is left to
+// cancel.
+func (s *Server) tryCancel(ctx context.Context, q *work.Queue, id string) (j *work.Job, ended bool, err error) {
+	j, version, err := s.readJob(ctx, id)
 	if err != nil {
-		s.storeFailed(w, id, err)
-		return
+		return nil, false, err
+	}
+	if j == nil {
+		out, found, err := s.readOutcome(ctx, id)
+		return nil, found && out.Queue == q.Key(), err
 	}
-	s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
-		o.post(func(now time.Time) { o.state.Cancel(now, id) })
+	if j.Queue != q.Key() {
+		return nil, false, nil
+	}
+	res, err := s.relayStore.Do(ctx, table.Tx{
+		If:  []table.Row{{Key: jobKey(id), Version: version}},
+		Put: []table.Row{{Key: jobKey(id + cancelSuffix), Value: []byte(j.Service)}},
 	})
-	s.Log.Info("cancelled", "job", id)
-	web.Reply(w, http.StatusOK, struct{}{})
+	if err == nil && !res.Done {
+		err = errArchivedMeanwhile
+	}
+	return j, false, err
 }
 
 // pendingJobs responds with the number of jobs of a queue that have not
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -9,38 +9,52 @@
 	"jasminestep/internal/table"
 )
 
-// followTable calls apply with the changes of a table until ctx ends. It reads
-// the whole table first if from is negative, and again whenever the feed has
-// been trimmed; whole is true for those calls. report is called with the result
-// of every request.
-func followTable(ctx context.Context, s table.Store, tab string, from int64, wait, gap time.Duration, report func(error), apply func(rows []table.Row, whole bool)) {
+// follower follows the changes of a table.
+type follower struct {
+	store     table.Store
+	table     string
+	read      func(ctx context.Context, s table.Store) (table.Range, error) // reads the whole table; nil: table.ReadAll
+	wait, gap time.Duration                                                 // long-poll wait of a feed request, and pause between two
+	report    func(error)                                                   // called with the result of every request
+	apply     func(rows []table.Row, whole bool)                            // called with changes, or with the whole table
+}
+
+// run follows the changes after the version from until ctx ends. It reads the
+// whole table first if from is negative, and again whenever the feed has been
+// trimmed.
+func (f follower) run(ctx context.Context, from int64) {
 	after := from
 	for ctx.Err() == nil {
-		var r table.Range
-		var err error
-		c, cancel := context.WithTimeout(ctx, followTimeout+wait)
-		if after < 0 {
-			r, err = table.ReadAll(c, s, tab)
-		} else {
-			r, err = s.Feed(c, tab, after, wait)
-		}
-		cancel()
+		r, err := f.next(ctx, after)
 		switch {
 		case errors.Is(err, table.ErrTrimmed):
 			after = -1
 			continue
 		case err != nil:
-			report(err)
+			f.report(err)
 			sleep(ctx, retryDelay)
 			continue
 		}
-		report(nil)
+		f.report(nil)
 		if after < 0 || len(r.Rows) > 0 {
-			apply(r.Rows, after < 0)
+			f.apply(r.Rows, after < 0)
 		}
 		after = r.Version
-		sleep(ctx, gap)
+		sleep(ctx, f.gap)
+	}
+}
+
+// next reads the changes after a version, or the whole table if it is negative.
+func (f follower) next(ctx context.Context, after int64) (table.Range, error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout+f.wait)
+	defer cancel()
+	switch {
+	case after >= 0:
+		return f.store.Feed(ctx, f.table, after, f.wait)
+	case f.read != nil:
+		return f.read(ctx, f.store)
 	}
+	return table.ReadAll(ctx, f.store, f.table)
 }
 
 // followTimeout limits a feed request on top of its long-poll wait, including
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -45,6 +45,7 @@
 	minionCount atomic.Int64 // number of handlers
 	minionCalls *carry.Dispatcher
 	advice      adviceRequests
+	archive     archiveQueue // belongs to the control goroutine
 
 	ownerVersion, seqVersion int64 // versions of the two rows that every write is conditional on
 	writeCount               int
@@ -109,6 +110,8 @@
 	o.loaded.Store(true)
 	o.s.spawn(func() { o.followJobs() })
 	o.s.spawn(func() { o.followMinions() })
+	o.s.spawn(func() { o.archiveJobs() })
+	o.s.spawn(func() { o.expireOutcomes() })
 	t := time.NewTicker(maxDecideInterval)
 	defer t.Stop()
 	for {
@@ -279,28 +282,7 @@
 		}
 	}
 	o.updateJobs(b.Statuses)
-	for _, id := range b.ExpiredJobs {
-		go o.deleteJobRows(id)
-	}
-}
-
-// deleteJobRows deletes the rows of a job whose retention time is over.
-func (o *owner) deleteJobRows(id string) {
-	tx := table.Tx{Delete: []table.Key{jobKey(id), jobKey(id + cancelSuffix)}}
-	for logged := false; ; logged = true {
-		_, err := o.s.relayStore.Do(o.ctx, tx)
-		if err == nil {
-			break
-		}
-		if o.ctx.Err() != nil {
-			return
-		}
-		if !logged {
-			o.s.Log.Warn("job row not deleted", "job", id, "why", err.Error())
-		}
-		sleep(o.ctx, retryDelay)
-	}
-	o.post(func(time.Time) { o.state.HandleJobDeleted(id) })
+	o.archive.add(now, b.Ended)
 }
 
 func (o *owner) updateJobs(shown []shard.JobStatus) {
@@ -347,7 +329,7 @@
 	if err != nil {
 		return fmt.Errorf("read minions: %w", err)
 	}
-	jobs, err := retryRead(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.relayStore, jobTable) })
+	jobs, err := retryRead(ctx, func() (table.Range, error) { return readJobs(ctx, o.s.relayStore) })
 	if err != nil {
 		return fmt.Errorf("read jobs: %w", err)
 	}
@@ -366,10 +348,23 @@
 	}
 	o.applyJobRows(now, jobs.Rows, saved)
 	o.state.AdoptBundles(saved)
+	o.state.DropOrphans(saved, rowNames(jobs.Rows))
 	o.s.Log.Info("loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
 
+// readJobs reads all job rows. It reads every part, also those that are empty at
+// present: the version of the result has to precede all changes that are not in
+// it, or the feed that continues from there would show jobs that were archived
+// long ago.
+func readJobs(ctx context.Context, s table.Store) (table.Range, error) {
+	parts := make([]string, jobParts)
+	for i := range parts {
+		parts[i] = partName(i)
+	}
+	return table.ReadParts(ctx, s, jobTable, parts)
+}
+
 // loadTimeout limits the time to read a shard; after it another entry may try.
 const loadTimeout = 10 * time.Second
 
@@ -433,17 +428,31 @@
 	}
 }
 
+// submit adds an accepted job unless it has been archived.
+func (o *owner) submit(a SubmitArgs) {
+	o.post(func(now time.Time) {
+		if a.Version <= o.jobVersion && !o.state.HasJob(a.Job.ID) {
+			return // its row was gone when this owner read all jobs: a previous owner archived it
+		}
+		o.state.Submit(now, a.Job)
+	})
+}
+
 // followJobs finds jobs and cancellations that this owner was not notified of.
 func (o *owner) followJobs() {
-	followTable(o.ctx, o.s.relayStore, jobTable, o.jobVersion, 0, feedInterval, o.s.feedLogger("jobs"), func(rows []table.Row, _ bool) {
+	f := follower{store: o.s.relayStore, table: jobTable, read: readJobs, gap: feedInterval, report: o.s.feedLogger("jobs")}
+	f.apply = func(rows []table.Row, _ bool) {
 		o.post(func(now time.Time) { o.applyJobRows(now, rows, shard.SavedProgress{}) })
-	})
+	}
+	f.run(o.ctx, o.jobVersion)
 }
 
 func (o *owner) followMinions() {
-	followTable(o.ctx, o.s.relayStore, o.s.Codec.MinionTable, o.minionVersion, 0, feedInterval, o.s.feedLogger("minions"), func(rows []table.Row, whole bool) {
+	f := follower{store: o.s.relayStore, table: o.s.Codec.MinionTable, gap: feedInterval, report: o.s.feedLogger("minions")}
+	f.apply = func(rows []table.Row, whole bool) {
 		o.post(func(now time.Time) { o.applyMinionRows(now, rows, whole) })
-	})
+	}
+	f.run(o.ctx, o.minionVersion)
 }
 
 // handOver gives up the shard at once so that another entry can claim it.
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -58,6 +58,12 @@
 	N    int
 }
 
+// SubmitArgs are the arguments of Submit.
+type SubmitArgs struct {
+	Job     *work.Job
+	Version int64 // of the row that accepted the job
+}
+
 // CancelArgs identify a cancelled job.
 type CancelArgs struct{ Service, ID string }
 
@@ -94,10 +100,10 @@
 
 // Submit notifies the owner of an accepted job. The reply tells whether this
 // entry is the owner.
-func (c *peerService) Submit(j *work.Job, owns *bool) error {
-	if o := c.s.localOwner(j.Service); o != nil {
+func (c *peerService) Submit(a SubmitArgs, owns *bool) error {
+	if o := c.s.localOwner(a.Job.Service); o != nil {
 		*owns = true
-		o.post(func(now time.Time) { o.state.Submit(now, j) })
+		o.submit(a)
 	}
 	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,9 +94,10 @@
 
 // Tables written by entries.
 const (
-	entryTable = "entry" // rows of entries, and in the part of each service its owner row
-	seqTable   = "seq"
-	jobTable   = "job"
+	entryTable   = "entry" // rows of entries, and in the part of each service its owner row
+	seqTable     = "seq"
+	jobTable     = "job"
+	outcomeTable = "outcome" // outcomes of archived jobs, in the parts of jobTable
 )
 
 // New returns an entry that listens on its addresses but does not serve yet.
@@ -145,10 +146,10 @@
 	s.spawn(func() { s.relayStore.Watch(ctx) })
 	s.spawn(func() { s.writeEntryRow(ctx, false) })
 	s.spawn(func() {
-		followTable(ctx, s.relayStore, s.Codec.ConfigTable, -1, feedLongPoll, 0, s.feedLogger("configuration"), s.applyConfig)
+		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), apply: s.applyConfig}.run(ctx, -1)
 	})
 	s.spawn(func() {
-		followTable(ctx, s.relayStore, entryTable, -1, feedLongPoll, entryFeedInterval, s.feedLogger("entries"), s.applyEntryTable)
+		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), apply: s.applyEntryTable}.run(ctx, -1)
 	})
 	s.spawn(func() { s.watchServices(ctx) })
 	s.Log.Info("start", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -22,6 +22,7 @@
 	version   int64
 	jobs      []*work.Job
 	cancelled map[string]bool // cancelled jobs
+	archived  map[string]bool // jobs without a row of their own
 	term      int64
 	owners    []*simOwner // the last one has the shard; the others do not know that yet
 	inFlight  []pendingOrder
@@ -293,7 +294,7 @@
 
 func newSimCluster(t fataler, n int) *simCluster {
 	w := &simCluster{
-		t: t, now: epoch, limits: DefaultLimits, rows: map[string]table.Row{}, cancelled: map[string]bool{},
+		t: t, now: epoch, limits: DefaultLimits, rows: map[string]table.Row{}, cancelled: map[string]bool{}, archived: map[string]bool{},
 		done: map[work.TaskID]bool{}, everDone: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
 	}
 	for i := range n {
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -48,6 +48,16 @@
 				w.cancelled[j.ID] = true
 				w.owners[len(w.owners)-1].st.Cancel(w.now, j.ID)
 			},
+			"archive": func(*rapid.T) { anyOwner().archive() },
+			"resubmit": func(*rapid.T) {
+				if len(w.jobs) == 0 {
+					return
+				}
+				j, st := w.jobs[pick("job", len(w.jobs))], w.owners[len(w.owners)-1].st
+				if st.jobs[j.ID] != nil || st.forgottenIDs[j.ID] { // owner.submit drops the others
+					st.Submit(w.now, j)
+				}
+			},
 			"step":   func(*rapid.T) { anyOwner().step() },
 			"commit": func(*rapid.T) { anyOwner().commit(true) },
 			"renew":  func(*rapid.T) { anyOwner().renew(anyBox()) },
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -33,12 +33,16 @@
 	m.used = m.used.Minus(r.size)
 	m.countRun(r, -1)
 	s.wakeSteps(m)
+	if r.step != nil {
+		s.forgetIfArchived(r.step.job)
+	}
 }
 
 func (m *minion) countRun(r *run, n int) {
 	if r.step == nil {
 		return
 	}
+	r.step.job.runs += n
 	if r.step.Fill {
 		m.fillRuns += n
 	}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -16,6 +16,7 @@
 	st      *State
 	acked   map[work.Incarnation]int64
 	batch   *Batch
+	ended   []JobStatus // jobs to archive
 	deposed bool
 	frozen  bool
 }
@@ -36,7 +37,12 @@
 		w.fail("unreadable progress rows: %v", bad)
 	}
 	defer func() { o.st.AdoptBundles(saved) }()
+	hasRow := map[string]bool{}
 	for _, j := range w.jobs {
+		if w.archived[j.ID] {
+			continue
+		}
+		hasRow[j.ID] = true
 		if err := o.st.Load(w.now, j, saved.Row(j.ID)); err != nil {
 			w.fail("load job: %v", err)
 		}
@@ -44,10 +50,26 @@
 			o.st.Cancel(w.now, j.ID)
 		}
 	}
+	o.st.DropOrphans(saved, hasRow)
 	w.owners = append(w.owners, o)
 	return o
 }
 
+// archive archives the ended jobs that the owner knows of. A former owner may
+// still do so, since an outcome does not change.
+func (o *simOwner) archive() {
+	if o.frozen {
+		return
+	}
+	ids := make([]string, 0, len(o.ended))
+	for _, j := range o.ended {
+		o.cluster.archived[j.ID] = true
+		ids = append(ids, j.ID)
+	}
+	o.ended = nil
+	o.st.HandleArchived(o.cluster.now, ids)
+}
+
 // step runs one decision; what needs a write waits for commit.
 func (o *simOwner) step() {
 	if o.frozen {
@@ -115,6 +137,7 @@
 		o.st.HandleWritten(o.cluster.now, o.cluster.now)
 	}
 	o.batch = nil
+	o.ended = append(o.ended, b.Ended...)
 	for _, x := range b.Starts {
 		if o.st.PrepareStart(o.cluster.now, &x) {
 			o.send(x)
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -138,8 +138,8 @@
 	n := s.jobs[j.ID]
 	n.state, n.begun = p.State, p.Begun
 	if n.state.Terminal() {
-		n.begun, n.endedAt = true, now
-		s.ended = append(s.ended, n)
+		n.begun = true
+		s.batch.Ended = append(s.batch.Ended, n.status())
 		s.publishNow(n)
 		return nil
 	}
@@ -208,6 +208,7 @@
 	if err := s.encode(); err != nil {
 		return Batch{}, err
 	}
+	s.deleteStaleRows()
 	b := s.batch
 	s.batch = Batch{AckedEnds: map[work.Incarnation]int64{}}
 	return b, nil
@@ -229,6 +230,9 @@
 		}
 		s.leaveBundle(j)
 		s.batch.Rows = append(s.batch.Rows, r)
+		if j.state.Terminal() {
+			s.batch.Ended = append(s.batch.Ended, j.status())
+		}
 	}
 	s.changed = s.changed[:0]
 	if len(packed) == 0 {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -22,7 +22,7 @@
 		s.evacuate(now)
 		s.startCopies()
 	}
-	s.expireJobs(now)
+	s.dropForgotten(now)
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
 	v.pruneReservations()
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -127,29 +127,3 @@
 		}
 	}
 }
-
-// expireJobs schedules the deletion of jobs that ended long enough ago. Their
-// progress stays until HandleJobDeleted: as long as a job's own row may exist
-// its progress must exist too, or the next owner would run the job again.
-func (s *State) expireJobs(now time.Time) {
-	for len(s.ended) > 0 {
-		j := s.ended[0]
-		if j.dirty || now.Sub(j.endedAt) <= s.Limits.Retention {
-			return
-		}
-		s.ended = s.ended[1:]
-		s.batch.ExpiredJobs = append(s.batch.ExpiredJobs, j.ID)
-	}
-}
-
-// HandleJobDeleted records that the rows of a job listed in ExpiredJobs are
-// gone.
-func (s *State) HandleJobDeleted(id string) {
-	j := s.jobs[id]
-	if j == nil {
-		return
-	}
-	delete(s.jobs, id)
-	s.batch.Delete = append(s.batch.Delete, ProgressKey(s.Service, id))
-	s.batch.Statuses = append(s.batch.Statuses, JobStatus{ID: id, Queue: j.Queue})
-}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -26,7 +26,7 @@
 	RenewWindow   time.Duration // how long after its last durable write an owner still renews
 	MaxOrderDelay time.Duration // how late a delayed order may still be executed
 	MaxClockDrift float64       // how much slower a minion's clock may run, as a fraction
-	Retention     time.Duration // how long the outcome of an ended job is available
+	Retention     time.Duration // how long an ended job is remembered after its archival
 	MaxEnds       int           // maximum number of ends in one report of a minion; there may be more
 	MaxRows       int           // jobs with rows of their own in one batch
 }
@@ -115,8 +115,9 @@
 	nextRound       int // first round that is not due yet
 	finished        int // rounds that are finished
 	begun           bool
-	endedAt         time.Time
 	dirty           bool
+	archived        bool          // its outcome is in the archive
+	runs            int           // runs on all minions
 	arrivedAt       time.Time     // on the owner's clock
 	cachedObjective time.Duration // objective: from submission, or the due time, to the end
 	bundle          *bundle       // bundle with the newest progress; nil if that is in a row of its own
@@ -195,7 +196,9 @@
 	jobs            map[string]*job
 	changed         []*job             // jobs whose rows have to be written
 	upcoming        []*job             // jobs with rounds that are not due yet
-	ended           []*job             // ended jobs, oldest first
+	forgotten       []forgottenJob     // archived jobs that are not in jobs any more, oldest first
+	forgottenIDs    map[string]bool    // IDs of forgotten
+	staleRows       []table.Key        // progress rows that can be deleted
 	queue           []*step            // steps with tasks that wait
 	candidates      []candidate        // buffer reused between decisions
 	roomFreed       bool               // some minion has more room than at the last decision
@@ -260,12 +263,12 @@
 // Batch is a set of changes to make durable and the effects that follow once
 // they are.
 type Batch struct {
-	Rows        []table.Row
-	Delete      []table.Key
-	Starts      []StartOrder
-	AckedEnds   map[work.Incarnation]int64 // ends that the minions may discard
-	Statuses    []JobStatus
-	ExpiredJobs []string // jobs whose own rows can be deleted; HandleJobDeleted reports that they are
+	Rows      []table.Row
+	Delete    []table.Key
+	Starts    []StartOrder
+	AckedEnds map[work.Incarnation]int64 // ends that the minions may discard
+	Statuses  []JobStatus
+	Ended     []JobStatus // jobs to archive; HandleArchived reports that they are
 }
 
 // NeedsWrite reports whether the effects of the batch have to wait for a write
@@ -286,7 +289,7 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, jobs: map[string]*job{}, minions: map[string]*minion{}, zones: map[string]*zone{}, baseline: map[string]float64{},
+		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{}, baseline: map[string]float64{},
 		termStart: now, lastDurable: now, batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
 }
@@ -295,7 +298,7 @@
 
 // Submit adds an accepted job. Repeated calls have no effect.
 func (s *State) Submit(now time.Time, j *work.Job) {
-	if s.jobs[j.ID] != nil {
+	if s.jobs[j.ID] != nil || s.forgottenIDs[j.ID] {
 		return
 	}
 	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrivedAt: now}
@@ -327,21 +330,23 @@
 	s.publishNow(j)
 }
 
+// status returns the status of the job as clients see it.
+func (j *job) status() JobStatus { return JobStatus{j.ID, j.Queue, j.state, j.begun} }
+
 // publishNow publishes a status that is already durable.
 func (s *State) publishNow(j *job) {
-	s.actions.Statuses = append(s.actions.Statuses, JobStatus{j.ID, j.Queue, j.state, j.begun})
+	s.actions.Statuses = append(s.actions.Statuses, j.status())
 }
 
 // publish publishes a status once the batch is durable.
 func (s *State) publish(j *job) {
-	s.batch.Statuses = append(s.batch.Statuses, JobStatus{j.ID, j.Queue, j.state, j.begun})
+	s.batch.Statuses = append(s.batch.Statuses, j.status())
 }
 
 // finishJob sets a final state and stops the runs that remain.
 func (s *State) finishJob(now time.Time, j *job, st JobState) {
-	j.state, j.endedAt = st, now
+	j.state = st
 	s.markChanged(j)
-	s.ended = append(s.ended, j)
 	s.note(Note{What: "over", Job: j.ID, Why: string(st)})
 	for _, r := range j.rounds {
 		for _, p := range r.steps {
