Detect the loss of an owner sooner, and prefer claimants of other zones

Cause: with the owner's zone cut at 33.5 s the next owner claimed at 35.2 s: each check took up to 0.5 s, the silence had to last 0.7 s, and the first claimants by rank were in the lost zone. Change: the first four claimants call the owner every 100 ms and the others every 400 ms; while it is silent checks follow each other; the silence has to last longer than the longest pause between two writes of an owner, 0.5 s. Among equals entries outside the owner's zone claim first, and entries that do not respond are not waited for. Claims stay conditional on the owner's last write.

--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -83,7 +83,7 @@
 		if e.Name == s.Settings.ID || owns[e.Name] || e.Leaving || s.avoided(now, e.Addr) {
 			continue
 		}
-		if best.Name == "" || e.claimsBefore(best, service) {
+		if best.Name == "" || e.claimsBefore(best, service, s.Settings.Zone) {
 			best = e
 		}
 	}
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -14,14 +14,17 @@
 // Timing of failure detection and of claims.
 const (
 	watchInterval      = 100 * time.Millisecond
-	pingInterval       = 200 * time.Millisecond
-	pingTimeout        = 300 * time.Millisecond
-	ownerTimeout       = 700 * time.Millisecond // without a response or a write, before a shard is taken over
+	silentInterval     = 25 * time.Millisecond  // replaces watchInterval while the owner does not respond
+	pingInterval       = 100 * time.Millisecond // of the entries that come first in claiming the shard
+	slowPingInterval   = 400 * time.Millisecond // of the others
+	pingTimeout        = 150 * time.Millisecond
+	ownerTimeout       = 500 * time.Millisecond // without a response or a write, before a shard is taken over; above maxWriteInterval
 	seqReadTimeout     = 700 * time.Millisecond
 	claimTimeout       = 4 * time.Second
 	maxWriteAge        = 3 * time.Second        // an owner that responds but makes nothing durable for longer is replaced
 	firstStartDelay    = 700 * time.Millisecond // after the first read of the entries, for the others to register
 	claimStagger       = 80 * time.Millisecond  // per rank
+	firstClaimants     = 4                      // entries that ping the owner at pingInterval
 	successorHeadStart = 250 * time.Millisecond // for the claim of the entry named by a handover
 	closedPortTimeout  = 250 * time.Millisecond // replaces ownerTimeout if the owner's port refuses connections
 	ownerRankPenalty   = 4                      // added to the rank of an entry that owns another shard
@@ -49,14 +52,16 @@
 	}
 }
 
-// claimRank returns how many entries precede this one in claiming a shard.
-func (s *Server) claimRank(service string) int {
+// claimRank returns how many entries precede this one in claiming a shard from
+// its present owner.
+func (s *Server) claimRank(now time.Time, service string, l OwnerRow) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	me := Entry{Name: s.Settings.ID, Strength: s.Settings.Strength()}
+	me := Entry{Name: s.Settings.ID, Zone: s.Settings.Zone, Strength: s.Settings.Strength()}
+	lostZone := s.entries[l.Name].Zone
 	t := 0
 	for n, e := range s.entries {
-		if n != me.Name && !e.Leaving && e.claimsBefore(me, service) {
+		if n != me.Name && n != l.Name && !e.Leaving && !s.avoided(now, e.Addr) && e.claimsBefore(me, service, lostZone) {
 			t++
 		}
 	}
@@ -67,11 +72,15 @@
 }
 
 // claimsBefore reports whether e claims a shard before f. Entries of higher
-// strength come first.
-func (e Entry) claimsBefore(f Entry, service string) bool {
+// strength come first, then those outside the zone of the lost owner, which may
+// be lost as a whole.
+func (e Entry) claimsBefore(f Entry, service, lostZone string) bool {
 	if e.Strength != f.Strength {
 		return e.Strength > f.Strength
 	}
+	if lost := e.Zone == lostZone; lost != (f.Zone == lostZone) {
+		return !lost
+	}
 	return rank(service, e.Name) < rank(service, f.Name)
 }
 
@@ -83,11 +92,31 @@
 	seqVersion   int64     // version of the seq row when the owner stopped responding
 }
 
+// interval returns how long to wait before the owner is looked at again.
+func (v *ownerWatch) interval() time.Duration {
+	if v.silentSince.IsZero() {
+		return watchInterval
+	}
+	return silentInterval
+}
+
+// pingInterval returns the time between two calls to the owner. The entries that
+// claim the shard first call it often, the others often only while it is silent.
+func (v *ownerWatch) pingInterval(rank int) time.Duration {
+	switch {
+	case !v.silentSince.IsZero():
+		return 0
+	case rank < firstClaimants:
+		return pingInterval
+	}
+	return slowPingInterval
+}
+
 // watchOwner claims the shard of a service whenever its owner is lost.
 func (s *Server) watchOwner(ctx context.Context, service string) {
 	var v ownerWatch
 	for ctx.Err() == nil {
-		s.awaitOwnerChange(ctx, watchInterval)
+		s.awaitOwnerChange(ctx, v.interval())
 		if s.stopping.Load() || s.localOwner(service) != nil || !s.canClaim() {
 			v = ownerWatch{}
 			continue
@@ -95,7 +124,8 @@
 		now := monotonicNow()
 		l, _ := s.ownerRow(service)
 		mayOwnMore := s.ownsShard()
-		stagger := time.Duration(s.claimRank(service)) * claimStagger
+		rank := s.claimRank(now, service, l)
+		stagger := time.Duration(rank) * claimStagger
 		switch {
 		case l.Name == s.Settings.ID:
 			s.claim(ctx, service, l, mayOwnMore, "the previous process on this VM owned it")
@@ -115,7 +145,7 @@
 			}
 		default:
 			v.unownedSince = time.Time{}
-			if s.ownerLost(ctx, service, l, &v, stagger) {
+			if now.Sub(v.lastPing) >= v.pingInterval(rank) && s.ownerLost(ctx, service, l, &v, stagger) {
 				s.claim(ctx, service, l, mayOwnMore, "its owner was silent")
 				v = ownerWatch{}
 			}
@@ -138,9 +168,6 @@
 // timeout, extended by stagger.
 func (s *Server) ownerLost(ctx context.Context, service string, l OwnerRow, v *ownerWatch, stagger time.Duration) bool {
 	now := monotonicNow()
-	if now.Sub(v.lastPing) < pingInterval {
-		return false
-	}
 	v.lastPing = now
 	ok, closed := s.pingOwner(ctx, service, l)
 	if ok {
@@ -156,10 +183,11 @@
 		v.silentSince, v.seqVersion = now, seq
 		return false
 	}
+	silent := monotonicNow().Sub(v.silentSince)
 	if closed {
-		return now.Sub(v.silentSince) >= closedPortTimeout+stagger
+		return silent >= closedPortTimeout+stagger
 	}
-	return now.Sub(v.silentSince) >= ownerTimeout+stagger
+	return silent >= ownerTimeout+stagger
 }
 
 // pingOwner reports whether an owner responds and makes progress, and if the
