--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -72,9 +72,10 @@
 	}
 }
 
-// otherEntries returns the addresses of the other entries. Entries that failed
-// to respond recently come last; otherwise the order differs from entry to
-// entry.
+// otherEntries returns the addresses of the other entries, as an entry without
+// a path to the store asks them. Entries that failed to respond recently come
+// last, and strong ones come before weak ones: the writes of an owner fill the
+// link of a weak entry. Among equals the order differs from entry to entry.
 func (s *Server) otherEntries(now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,6 +90,9 @@
 		if x != y {
 			return y
 		}
+		if out[a].Strength != out[b].Strength {
+			return out[a].Strength > out[b].Strength
+		}
 		return rank(s.Settings.ID, out[a].Name) < rank(s.Settings.ID, out[b].Name)
 	})
 	addrs := make([]string, len(out))
