Predict run times from those observed, and allow for queries in objectives

A job estimated at a tenth seemed late after 2 s and worthless after 7 s, although its objective was some 16 s away; and the objective left out the placement query for each step that the contract allows for. Change: a regression of run times on estimates, by queue, predicts the run time of new steps; the critical path has the time of a query of 30 minions a step.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -240,7 +240,7 @@
 	}
 	limit := time.Duration(queryAheadShare * float64(p.job.Advice.Valid))
 	for _, a := range p.After {
-		if q := p.round.steps[a]; q.waiting > 0 || q.Estimate > limit {
+		if q := p.round.steps[a]; q.waiting > 0 || q.runTime > limit {
 			return false
 		}
 	}
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -64,7 +64,8 @@
 	if r.step.Estimate <= 0 || r.placedAt.IsZero() || r.step.Fill {
 		return
 	}
-	ratio := float64(now.Sub(r.placedAt)) / float64(r.step.Estimate)
+	s.observeRunTime(r.step, now.Sub(r.placedAt))
+	ratio := float64(now.Sub(r.placedAt)) / float64(r.step.runTime)
 	q := r.step.job.Queue
 	if s.baseline[q] == 0 {
 		s.baseline[q] = ratio
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -157,7 +157,7 @@
 }
 
 func (s *State) loadRound(j *job, in savedRound) *round {
-	r := newRound(j, in.K)
+	r := s.newRound(j, in.K)
 	for i, ts := range in.Steps {
 		p := r.steps[i]
 		if len(ts) == 0 && p.Tasks > 0 {
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -111,7 +111,7 @@
 			return true
 		}
 		for j.nextRound < j.Rounds() && j.Due(j.nextRound) <= wall.UnixMilli() {
-			s.addRound(j, newRound(j, j.nextRound))
+			s.addRound(j, s.newRound(j, j.nextRound))
 			j.nextRound++
 		}
 		return j.nextRound >= j.Rounds()
--- a/internal/shard/rank.go
+++ b/internal/shard/rank.go
@@ -49,7 +49,7 @@
 // remainingWork is the remaining work of the step, in core-seconds.
 func (p *step) remainingWork() float64 {
 	cores := float64(p.Size.CPU)/1000 + coresPerGPU*float64(p.Size.GPU)
-	return cores * p.Estimate.Seconds() * float64(p.unfinished)
+	return cores * p.runTime.Seconds() * float64(p.unfinished)
 }
 
 func (s *State) candidate(now time.Time, wall time.Time, p *step) candidate {
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -255,11 +255,11 @@
 // before there is any, from the client's estimate.
 func (r *run) remaining(now time.Time) time.Duration {
 	if r.placedAt.IsZero() {
-		return max(r.step.Estimate, 0) // inherited from a previous owner: its start time is unknown
+		return max(r.step.runTime, 0) // inherited from a previous owner: its start time is unknown
 	}
 	if done := r.progressAt.Sub(r.placedAt); r.percent > 0 && done > 0 {
 		left := time.Duration(float64(done) * float64(100-r.percent) / float64(r.percent))
 		return max(left-now.Sub(r.progressAt), 0)
 	}
-	return max(r.step.Estimate-now.Sub(r.placedAt), 0)
+	return max(r.step.runTime-now.Sub(r.placedAt), 0)
 }
--- /dev/null
+++ b/internal/shard/runtime.go
@@ -0,0 +1,76 @@
+package shard
+
+import (
+	"math"
+	"time"
+)
+
+// Clients estimate the run times of their tasks, some of them badly. A step whose
+// run time is underestimated seems late long before it is, and one whose run time
+// is overestimated waits for too long. The shard therefore predicts run times
+// from estimates and the run times observed in the same queue: by a linear
+// regression of the logarithms, which keeps good estimates as they are and moves
+// bad ones towards the average of the queue.
+
+// runTimes holds what is known of the run times in one queue, as sums over the
+// observations of x, the logarithm of the estimate, and y, that of the run time
+// as a multiple of the estimate. The zero value predicts the estimate.
+type runTimes struct {
+	n, x, y, xx, xy float64
+}
+
+// Parameters of the prediction.
+const (
+	runTimeDecay   = 0.998 // weight of earlier observations at each new one
+	minRunTimes    = 10    // observations before the prediction differs from the estimate
+	maxCorrection  = 20    // factor between prediction and estimate, at most
+	minLogVariance = 1e-3  // of the estimates, below which they do not tell run times apart
+)
+
+// observe adds the run time of a task.
+func (r *runTimes) observe(estimate, took time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	x, y := math.Log(estimate.Seconds()), math.Log(took.Seconds()/estimate.Seconds())
+	for _, s := range []*float64{&r.n, &r.x, &r.y, &r.xx, &r.xy} {
+		*s *= runTimeDecay
+	}
+	r.n++
+	r.x += x
+	r.y += y
+	r.xx += x * x
+	r.xy += x * y
+}
+
+// predict returns the expected run time of a task with the given estimate.
+func (r *runTimes) predict(estimate time.Duration) time.Duration {
+	if r == nil || r.n < minRunTimes || estimate <= 0 {
+		return estimate
+	}
+	meanX, meanY := r.x/r.n, r.y/r.n
+	slope := 0.0
+	if variance := r.xx/r.n - meanX*meanX; variance > minLogVariance {
+		slope = (r.xy/r.n - meanX*meanY) / variance
+	}
+	factor := math.Exp(meanY + slope*(math.Log(estimate.Seconds())-meanX))
+	factor = max(1.0/maxCorrection, min(factor, maxCorrection))
+	return time.Duration(float64(estimate) * factor)
+}
+
+// predictRunTime returns the expected run time of a task of the step.
+func (s *State) predictRunTime(j *job, estimate time.Duration) time.Duration {
+	if !s.Policy.LearnRunTimes {
+		return estimate
+	}
+	return s.runTimes[j.Queue].predict(estimate)
+}
+
+// observeRunTime learns from a run that succeeded.
+func (s *State) observeRunTime(p *step, took time.Duration) {
+	q := p.job.Queue
+	if s.runTimes[q] == nil {
+		s.runTimes[q] = &runTimes{}
+	}
+	s.runTimes[q].observe(p.Estimate, took)
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -87,7 +87,8 @@
 	incomplete      bool          // some members of a gang were refused; the others wait for them at their minions
 	failedAttempt   int           // attempt of a gang whose failure has been counted
 	gangPlacedAt    time.Time     // when the current attempt of a gang was placed
-	criticalPath    time.Duration // longest chain of estimated work from this step on
+	runTime         time.Duration // expected run time of a task
+	criticalPath    time.Duration // longest chain of queries and expected run times from this step on
 	urgent          bool          // it is about to miss its objective and does not reserve room itself
 	preferredZone   string        // availability zone that its tasks should share; empty if none is chosen
 
@@ -208,14 +209,15 @@
 	newIncarnations []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
 	minions         map[string]*minion
 	zones           map[string]*zone
-	sortedMinions   []*minion          // by ID; nil when minions has changed
-	termStart       time.Time          // when the term began
-	renewalSeq      int64              // sequence number of the last renewal
-	baseline        map[string]float64 // average ratio of run time to estimate, by queue
-	queryCapacity   QueryCapacity      // remaining in this decision
-	queryOffset     uint               // where the next query begins to name minions
-	writeTime       time.Duration      // average duration of a write
-	lastDurable     time.Time          // start of the last write that became durable
+	sortedMinions   []*minion            // by ID; nil when minions has changed
+	termStart       time.Time            // when the term began
+	renewalSeq      int64                // sequence number of the last renewal
+	runTimes        map[string]*runTimes // by queue
+	baseline        map[string]float64   // average ratio of run time to estimate, by queue
+	queryCapacity   QueryCapacity        // remaining in this decision
+	queryOffset     uint                 // where the next query begins to name minions
+	writeTime       time.Duration        // average duration of a write
+	lastDurable     time.Time            // start of the last write that became durable
 	batch           Batch
 	actions         Actions
 }
@@ -289,7 +291,7 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{}, baseline: map[string]float64{},
+		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{}, baseline: map[string]float64{}, runTimes: map[string]*runTimes{},
 		termStart: now, lastDurable: now, batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
 }
@@ -381,10 +383,11 @@
 	}
 }
 
-func newRound(j *job, k int) *round {
+func (s *State) newRound(j *job, k int) *round {
 	r := &round{number: k, unfinished: len(j.Steps)}
 	for i := range j.Steps {
 		p := &step{Step: &j.Steps[i], index: i, job: j, round: r, unfinished: j.Steps[i].Tasks, waiting: j.Steps[i].Tasks}
+		p.runTime = s.predictRunTime(j, p.Estimate)
 		for x := range p.Tasks {
 			p.tasks = append(p.tasks, &task{id: work.TaskID{Job: j.ID, Round: k, Step: i, Index: x}})
 		}
@@ -396,7 +399,20 @@
 	return r
 }
 
-// longestChain is the longest chain of estimated work from the step on; the
+// minionsInObjective is how many minions the query names that the objective of a
+// job allows for each step.
+const minionsInObjective = 30
+
+// adviceTime is the part of the objective that is meant for the step's query.
+func (p *step) adviceTime() time.Duration {
+	a := p.job.Advice
+	if a == nil {
+		return 0
+	}
+	return a.Decide + minionsInObjective*a.Each
+}
+
+// longestChain is the longest chain of queries and expected run times from the step on; the
 // chains of later steps are already set.
 func (p *step) longestChain() time.Duration {
 	var after time.Duration
@@ -405,7 +421,7 @@
 			after = max(after, q.criticalPath)
 		}
 	}
-	return p.Estimate + after
+	return p.adviceTime() + p.runTime + after
 }
 
 // id returns the ID of the step; its Index is not used.
