Query minions for a wide gang in parallel

Cause: a wide gang asked for 100, 54, 29 and 27 minions one after the other, 1.0 to 1.7 s each, before it knew enough of them to fit. Change: if four minions a task are more than one query names, several queries are issued at once through different entries. Tickets are renewed by one query at a time, as before.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -7,7 +7,7 @@
 
 // advice is the state of the placement queries about one step.
 type advice struct {
-	inFlight   bool
+	inFlight   int               // queries without an answer
 	queried    map[string]bool   // minions that queries have named
 	eligible   map[string]ticket // minions that may run the step
 	sorted     []*minion         // eligible, sorted by ID, as of epoch
@@ -82,7 +82,7 @@
 // query issues a placement query about a step if one is possible now, and
 // reports whether it did.
 func (s *State) query(now time.Time, p *step, ids []string) bool {
-	if len(ids) == 0 || p.advice.inFlight || now.Before(p.advice.retryAfter) {
+	if len(ids) == 0 || now.Before(p.advice.retryAfter) {
 		return false
 	}
 	a := p.job.Advice
@@ -92,7 +92,13 @@
 		return false
 	}
 	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
-	p.advice.inFlight = true
+	p.advice.inFlight++
+	if p.advice.queried == nil {
+		p.advice.eligible, p.advice.queried = map[string]ticket{}, map[string]bool{}
+	}
+	for _, id := range ids {
+		p.advice.queried[id] = true
+	}
 	p.advice.nextQuery = now.Add(queryInterval)
 	s.actions.Queries = append(s.actions.Queries, AdviceQuery{
 		Step: p.id(),
@@ -182,16 +188,18 @@
 	if p == nil {
 		return
 	}
-	p.advice.inFlight = false
+	p.advice.inFlight--
 	p.checkAt = time.Time{}
 	if err != nil {
+		for _, id := range a.IDs {
+			if _, ok := p.advice.eligible[id]; !ok {
+				delete(p.advice.queried, id)
+			}
+		}
 		p.advice.retryAfter = now.Add(queryRetryDelay)
 		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
 		return
 	}
-	if p.advice.eligible == nil {
-		p.advice.eligible, p.advice.queried = map[string]ticket{}, map[string]bool{}
-	}
 	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
 	known := len(p.advice.eligible)
 	for _, id := range a.IDs {
@@ -223,7 +231,7 @@
 		if v.s.queryCapacity.Total == 0 {
 			return
 		}
-		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight || len(p.advice.eligible) > 0 || v.now.Before(p.advice.nextQuery) {
+		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(p.advice.eligible) > 0 || v.now.Before(p.advice.nextQuery) {
 			continue
 		}
 		if p.startsSoon() {
--- a/internal/shard/advice_test.go
+++ b/internal/shard/advice_test.go
@@ -84,3 +84,31 @@
 	assert.Equal(t, len(again), 1)
 	assert.DeepEqual(t, again[0].IDs, []string{b.ID})
 }
+
+// A wide gang queries enough minions at once; a narrow one issues one query, and
+// tickets are renewed by one query at a time.
+func TestWideGangQueriesInParallel(t *testing.T) {
+	for width, want := range map[int]int{5: 1, 30: 2} {
+		p := newReplay(workload{minions: 300, room: work.Size{CPU: 64000, Mem: 64000}, zones: 1, queryLimit: 10}, 1)
+		for _, m := range p.minions {
+			p.report(m)
+		}
+		j := newJob("a", work.Step{Tasks: width, Size: work.Size{CPU: 18000}, Gang: true, Estimate: time.Second})
+		a := newAdvice(700, 10, 2000)
+		j.Advice = &a
+		p.st.Submit(p.now, j)
+		for range 3 {
+			p.now = p.now.Add(tick)
+			p.st.Decide(p.now, p.now, QueryCapacity{Total: 10, Slow: 10, SlowFrom: time.Second})
+		}
+		qs := p.st.TakeActions().Queries
+		assert.Equal(t, len(qs), want, "width %d", width)
+		named := map[string]bool{}
+		for _, q := range qs {
+			for _, id := range q.IDs {
+				assert.Check(t, !named[id], "%s is named twice", id)
+				named[id] = true
+			}
+		}
+	}
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -223,7 +223,7 @@
 // change, since the query is about it. If no query is possible nothing is
 // reserved, because the room would be idle until the step can query.
 func (v *view) reserveRoom(p *step, plan []*scoredMinion) {
-	if p.hasReservations && p.advice.inFlight {
+	if p.hasReservations && p.advice.inFlight > 0 {
 		return
 	}
 	ready, ok := time.Duration(0), true
@@ -257,7 +257,7 @@
 // room is free. It reports whether the reservation is worth keeping.
 func (v *view) renewReservedTickets(p *step, ready time.Duration) bool {
 	a := p.job.Advice
-	if a == nil || p.advice.inFlight {
+	if a == nil || p.advice.inFlight > 0 {
 		return true
 	}
 	ids := p.reservedIDs()
@@ -286,14 +286,29 @@
 // ones. Once some are known to be eligible, only minions with room are useful.
 func (v *view) queryMore(c candidate) {
 	p := c.step
-	if p.job.Advice == nil || p.advice.inFlight || v.s.queryCapacity.Total == 0 || v.now.Before(p.advice.nextQuery) {
+	if p.job.Advice == nil || p.advice.inFlight > 0 || v.s.queryCapacity.Total == 0 || v.now.Before(p.advice.nextQuery) {
 		return
 	}
-	ids := v.unqueriedMinions(p, len(p.advice.eligible) > 0)
-	if len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery {
-		return
+	for range v.s.parallelQueries(p) {
+		ids := v.unqueriedMinions(p, len(p.advice.eligible) > 0)
+		if len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery {
+			return
+		}
+		if !v.s.query(v.now, p, ids) {
+			return
+		}
 	}
-	v.s.query(v.now, p, ids)
+}
+
+// parallelQueries returns how many queries about a step are issued at once. A
+// wide gang needs more minions than one query names, and its place for all of
+// them at the same time.
+func (s *State) parallelQueries(p *step) int {
+	n := s.queryLimit(p)
+	if !p.Gang || !s.Policy.ParallelQueries {
+		return 1
+	}
+	return (queryMinionsPerTask*p.waiting + n - 1) / n
 }
 
 // A step that already has this many eligible minions for each waiting task
@@ -339,6 +354,9 @@
 // costs far less than another query, so if the plan leaves tasks unplaced, other
 // eligible minions are named too: they may have room next.
 func (v *view) renewTickets(p *step, plan []*scoredMinion) {
+	if p.advice.inFlight > 0 {
+		return
+	}
 	var ids []string
 	for _, sp := range plan {
 		if sp.eligibility == ticketExpired && !slices.Contains(ids, sp.ID) {
