shard: split placing by job, and name what was renamed around

Cause: place.go scored, planned, queried, reserved and started in 507 lines, and kept names of things that had been renamed (sp, text, sendObstacle). Change: score.go, query.go and start.go take their parts; no behaviour changes.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -263,6 +263,9 @@
 // needs the capacity. Short steps then start when the previous step ends,
 // without the delay of a query.
 func (v *view) queryAhead() {
+	if !v.s.Policy.QueryAhead {
+		return
+	}
 	for _, p := range v.s.queue {
 		if v.s.queryCapacity.Total == 0 {
 			return
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -9,7 +9,7 @@
 	"jasminestep/internal/work"
 )
 
-func TestRunThatStandsStillIsEnded(t *testing.T) {
+func TestRunWithoutProgressIsStopped(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
 	w.submit(newJob("a", tasks(1, 1000)))
 	w.cycle()
@@ -48,7 +48,7 @@
 	assert.Equal(t, most, 1, "a suspect minion gets one run at a time")
 }
 
-func TestOneBadMomentIsOneStrike(t *testing.T) {
+func TestFailuresWhilePausedCountOnce(t *testing.T) {
 	w, o := newOwnedCluster(t, 1)
 	w.submit(newJob("a", tasks(4, 1000)))
 	w.cycle()
--- a/internal/shard/policy_test.go
+++ b/internal/shard/policy_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// BenchmarkAblation reports the share of its possible value that each job kind
+// earns without one mechanism of the default policy.
+func BenchmarkAblation(b *testing.B) {
+	mechanisms := map[string]func(*Policy){
+		"none":              func(*Policy) {},
+		"UrgentFirst":       func(p *Policy) { p.UrgentFirst = false },
+		"ShareZone":         func(p *Policy) { p.ShareZone = false },
+		"SpeculativeCopies": func(p *Policy) { p.SpeculativeCopies = false },
+		"MaxReserved":       func(p *Policy) { p.MaxReserved = 0 },
+		"LateFactor":        func(p *Policy) { p.LateFactor = 1 },
+		"LearnRunTimes":     func(p *Policy) { p.LearnRunTimes = false },
+		"ParallelQueries":   func(p *Policy) { p.ParallelQueries = false },
+		"ReserveByTaskSize": func(p *Policy) { p.ReserveByTaskSize = false },
+		"QueryAhead":        func(p *Policy) { p.QueryAhead = false },
+		"GangQueryMinions":  func(p *Policy) { p.GangQueryMinions = 0 },
+	}
+	for _, sh := range workloads {
+		for _, name := range slices.Sorted(maps.Keys(mechanisms)) {
+			b.Run(sh.name+"/without="+name, func(b *testing.B) {
+				p := DefaultPolicy
+				mechanisms[name](&p)
+				for range b.N {
+					for kind, share := range averageShares(sh, p, benchSeeds) {
+						b.ReportMetric(share, kind)
+					}
+				}
+			})
+		}
+	}
+}
+
 // benchSeeds is how many seeds of each workload a benchmark replays.
 const benchSeeds = 6
 
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -41,9 +41,9 @@
 // reserved.
 func (m *minion) reservedByOthers(p *step) work.Size {
 	var s work.Size
-	for _, b := range m.reservations {
-		if b.step != p {
-			s = s.Plus(b.step.Reserved().Times(int64(b.n)))
+	for _, r := range m.reservations {
+		if r.step != p {
+			s = s.Plus(r.step.Reserved().Times(int64(r.n)))
 		}
 	}
 	return s
@@ -165,8 +165,8 @@
 		return nil
 	}
 	left := make(map[*minion]int, len(p.reservations))
-	for _, pl := range p.reservations {
-		left[pl.minion] = pl.n
+	for _, r := range p.reservations {
+		left[r.minion] = r.n
 	}
 	var out []slot
 	for _, sl := range all {
@@ -184,9 +184,9 @@
 		p.hasReservations, p.reservedAt = true, v.now
 	}
 	v.reservedRoom += roomWeight(p.Reserved())
-	if i := slices.IndexFunc(p.reservations, func(pl stepReservation) bool { return pl.minion == m }); i >= 0 {
+	if i := slices.IndexFunc(p.reservations, func(r stepReservation) bool { return r.minion == m }); i >= 0 {
 		p.reservations[i].n++
-		m.reservations[slices.IndexFunc(m.reservations, func(b reservation) bool { return b.step == p })].n++
+		m.reservations[slices.IndexFunc(m.reservations, func(r reservation) bool { return r.step == p })].n++
 		return
 	}
 	p.reservations = append(p.reservations, stepReservation{m, 1})
@@ -195,8 +195,8 @@
 
 // cancelReservation cancels the step's reservation on a minion.
 func (p *step) cancelReservation(m *minion) {
-	p.reservations = slices.DeleteFunc(p.reservations, func(pl stepReservation) bool { return pl.minion == m })
-	m.reservations = slices.DeleteFunc(m.reservations, func(b reservation) bool { return b.step == p })
+	p.reservations = slices.DeleteFunc(p.reservations, func(r stepReservation) bool { return r.minion == m })
+	m.reservations = slices.DeleteFunc(m.reservations, func(r reservation) bool { return r.step == p })
 	p.hasReservations = len(p.reservations) > 0
 }
 
@@ -211,11 +211,11 @@
 // releaseReservations cancels all reservations of a step.
 func (v *view) releaseReservations(p *step) {
 	for len(p.reservations) > 0 {
-		pl := p.reservations[0]
-		v.reservedRoom -= roomWeight(p.Reserved()) * float64(pl.n)
-		p.cancelReservation(pl.minion)
+		r := p.reservations[0]
+		v.reservedRoom -= roomWeight(p.Reserved()) * float64(r.n)
+		p.cancelReservation(r.minion)
 		if p.reservedAt.Before(v.now) {
-			v.s.wakeSteps(pl.minion) // other steps have been refused that room
+			v.s.wakeSteps(r.minion) // other steps have been refused that room
 		}
 	}
 }
@@ -223,15 +223,15 @@
 // reservedIDs lists the minions on which the step has reserved room.
 func (p *step) reservedIDs() []string {
 	ids := make([]string, len(p.reservations))
-	for i, pl := range p.reservations {
-		ids[i] = pl.minion.ID
+	for i, r := range p.reservations {
+		ids[i] = r.minion.ID
 	}
 	return ids
 }
 
 // hasReservation reports whether the step has reserved room on the minion.
 func (m *minion) hasReservation(p *step) bool {
-	return slices.ContainsFunc(m.reservations, func(b reservation) bool { return b.step == p })
+	return slices.ContainsFunc(m.reservations, func(r reservation) bool { return r.step == p })
 }
 
 // expectedEnd is the expected end of a run.
--- /dev/null
+++ b/internal/shard/start.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"time"
+
+	"jasminestep/internal/work"
+)
+
+// gangAttempt is the attempt number for starting members of a gang: a new one,
+// unless some members already wait for the others.
+func (p *step) gangAttempt() int {
+	attempt, next := 0, 1
+	for _, t := range p.tasks {
+		attempt = max(attempt, t.attempt)
+		if t.phase == Placed {
+			next = 0
+		}
+	}
+	return attempt + next
+}
+
+// start places tasks of the step according to the plan.
+func (v *view) start(p *step, plan []*scoredMinion) {
+	next := 0
+	attempt := 0
+	if p.Gang {
+		attempt = p.gangAttempt()
+		if p.waiting == p.unfinished {
+			p.gangPlacedAt = v.now
+		}
+	}
+	for _, sm := range plan {
+		if sm.eligibility != eligible {
+			v.holdForTickets(p, []*scoredMinion{sm})
+			continue
+		}
+		for p.tasks[next].phase != Waiting {
+			next++
+		}
+		t := p.tasks[next]
+		if !p.Gang {
+			attempt = t.attempt + 1
+		}
+		v.placeTask(p, t, attempt, sm)
+	}
+}
+
+// placeTask places a task; its start is sent once the placement is durable.
+func (v *view) placeTask(p *step, t *task, attempt int, sm *scoredMinion) {
+	s := v.s
+	m := sm.minion
+	j := p.job
+	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
+	p.waiting--
+	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now})
+	s.markChanged(j)
+	if j.state == Queued {
+		j.state = Active
+	}
+	s.note(Note{What: "placed", Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	saved := ""
+	if p.Checkpoints {
+		saved = p.checkpoint(t)
+	}
+	s.batch.Starts = append(s.batch.Starts, StartOrder{m.Minion, work.Start{
+		Task: t.id, Attempt: attempt, Spec: j.Spec, Saved: saved, Ticket: sm.ticket.text,
+	}, sm.ticket.expires})
+}
+
+// checkpoint is where a run resumes; all members of a gang use the same one.
+func (p *step) checkpoint(t *task) string {
+	if !p.Gang {
+		return t.checkpoint
+	}
+	return p.tasks[0].checkpoint
+}
+
+// reasonNotToSend returns why a start should no longer be sent, or an empty string.
+func (s *State) reasonNotToSend(now time.Time, m *minion, r *run, o *StartOrder) string {
+	switch {
+	case r.state == cancelled:
+		return "stopped before it was sent"
+	case m.clockAt.IsZero() || !m.silentSince.IsZero():
+		return "its minion stopped answering before it was sent"
+	case o.Start.Ticket != "" && now.After(o.ticketExpires):
+		return "its ticket expired before it was sent"
+	}
+	return ""
+}
+
+// PrepareStart completes a start whose placement is durable. It returns false if
+// the start should no longer be sent.
+func (s *State) PrepareStart(now time.Time, o *StartOrder) bool {
+	m := s.minions[o.Minion.ID]
+	if m == nil || m.Incarnation != o.Minion.Incarnation {
+		return false
+	}
+	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	if r == nil {
+		return false
+	}
+	if why := s.reasonNotToSend(now, m, r, o); why != "" {
+		s.remove(m, r)
+		s.requeueLost(now, r, why)
+		return false
+	}
+	r.state = sent
+	o.Minion = m.Minion
+	o.Start.Token = m.token
+	o.Start.Until = m.lease(now, s.Limits)
+	return true
+}
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -135,8 +135,8 @@
 		return
 	}
 	fits := map[string]int{}
-	for _, sp := range scored {
-		fits[sp.Zone] = min(fits[sp.Zone]+sp.fitCount(p), p.waiting)
+	for _, sm := range scored {
+		fits[sm.Zone] = min(fits[sm.Zone]+sm.fitCount(p), p.waiting)
 	}
 	if p.preferredZone != "" && fits[p.preferredZone] == p.waiting {
 		return
@@ -150,10 +150,10 @@
 }
 
 // fitCount is how many tasks of the step fit on the minion.
-func (sp *scoredMinion) fitCount(p *step) int {
-	n := countFitting(sp.roomLeft, p.Reserved(), p.waiting)
+func (sm *scoredMinion) fitCount(p *step) int {
+	n := countFitting(sm.roomLeft, p.Reserved(), p.waiting)
 	if p.PerMinion > 0 {
-		n = min(n, p.PerMinion-sp.taskCount)
+		n = min(n, p.PerMinion-sm.taskCount)
 	}
 	return max(n, 0)
 }
