Tell clients of jobs with more time to come back later

Cause: while the store is down nothing can be accepted, and every rejected client was told to return after one second. With four tries those that came in the first moments of an outage of 4.5 s or more were lost for good, whatever the time that their jobs had. Change: Retry-After is a sixth of the job's objective, 1 to 4 s, by a function of the job alone.

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -21,14 +21,13 @@
 
 // Limits on requests of clients.
 const (
-	defaultDeadline   = 3 * time.Second
-	replyMargin       = 100 * time.Millisecond // before a client's deadline, to deliver the response
-	maxSpecBytes      = 4000
-	maxSteps          = 64
-	maxTasks          = 10_000 // of a job, over all steps
-	maxRowBytes       = 64 << 10
-	retryAfterSeconds = "1"
-	jobParts          = 64
+	defaultDeadline = 3 * time.Second
+	replyMargin     = 100 * time.Millisecond // before a client's deadline, to deliver the response
+	maxSpecBytes    = 4000
+	maxSteps        = 64
+	maxTasks        = 10_000 // of a job, over all steps
+	maxRowBytes     = 64 << 10
+	jobParts        = 64
 )
 
 var jobIDPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
@@ -74,16 +73,27 @@
 
 // failRetryable responds that nothing was done and that the client may retry.
 func failRetryable(w http.ResponseWriter, code int, format string, args ...any) {
-	w.Header().Set("Retry-After", retryAfterSeconds)
+	failUntil(w, code, minRetryAfter, format, args...)
+}
+
+// failUntil responds that nothing was done and when the client should retry.
+func failUntil(w http.ResponseWriter, code int, after time.Duration, format string, args ...any) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(after.Seconds())))
 	web.Fail(w, code, format, args...)
 }
 
 // storeFailed responds to a request whose store call failed.
 func (s *Server) storeFailed(w http.ResponseWriter, id string, err error) {
+	s.storeFailedFor(w, id, minRetryAfter, err)
+}
+
+// storeFailedFor responds to a request whose store call failed and that is worth
+// repeating after the given time.
+func (s *Server) storeFailedFor(w http.ResponseWriter, id string, after time.Duration, err error) {
 	if errors.Is(err, table.ErrNotApplied) {
 		s.Log.Info("rejected", "job", id, "why", err.Error())
 		w.Header().Set("Connection", "close") // the client may reach an entry that can reach the store
-		failRetryable(w, http.StatusServiceUnavailable, "the store is not to be reached")
+		failUntil(w, http.StatusServiceUnavailable, after, "the store is not to be reached")
 		return
 	}
 	s.Log.Info("unknown", "job", id, "why", err.Error())
@@ -131,7 +141,7 @@
 	}
 	version, err := s.accept(ctx, j, row)
 	if err != nil {
-		s.storeFailed(w, id, err)
+		s.storeFailedFor(w, id, retryAfter(j), err)
 		return
 	}
 	fresh := version != 0
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -87,6 +87,21 @@
 	return j.First + int64(k)*j.Every.Milliseconds()
 }
 
+// Objective returns the time from its submission, or from when a round is due,
+// within which the job should end, by the client's estimates.
+func (j *Job) Objective() time.Duration {
+	chains := make([]time.Duration, len(j.Steps)) // longest chain of work up to the end of each step
+	var longest time.Duration
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			chains[i] = max(chains[i], chains[a])
+		}
+		chains[i] += j.Steps[i].Estimate
+		longest = max(longest, chains[i])
+	}
+	return time.Duration(j.Slack*float64(longest)) + j.Target
+}
+
 // AdviceTiming describes the response times of a queue's placement service.
 type AdviceTiming struct {
 	Decide time.Duration `json:"d"` // time per request
