Wait for a new owner to load before turning a request for pending jobs away

Cause: TestPlannedStopHandsOver failed once under the race detector beside load: a client that asked for the number of pending jobs right after a handover was told 503 although the shard had an owner, which was still reading it. Reading takes some ms longer since all parts of the job table are read. Change: the entry asks again every 30 ms, for as long as one call to the owner may take.

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -399,30 +399,41 @@
 	return j, false, err
 }
 
-// pendingJobs responds with the number of jobs of a queue that have not
-// started.
+// pendingJobs responds with the number of jobs of a queue that have not started.
+// It waits a short time for an owner that has just claimed the shard to read it.
 func (s *Server) pendingJobs(ctx context.Context, w http.ResponseWriter, q *work.Queue) {
-	key := q.Key()
-	if o := s.localOwner(q.Service); o != nil {
-		n, ok := o.pendingJobs(key)
-		if !ok {
-			failRetryable(w, http.StatusServiceUnavailable, "the queue's shard is being read")
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	for {
+		if n, ok := s.countPending(ctx, q); ok {
+			web.Reply(w, http.StatusOK, s.Codec.EncodePending(n))
 			return
 		}
-		web.Reply(w, http.StatusOK, s.Codec.EncodePending(n))
-		return
-	}
-	var out PendingReply
-	if l, ok := s.waitForOwner(ctx, q.Service); ok {
-		c, cancel := context.WithTimeout(ctx, ownerCallTimeout)
-		defer cancel()
-		if err := s.callEntry(c, l.Addr, "Pending", PendingArgs{q.Service, key}, &out); err != nil {
-			s.Log.Debug("pending", "why", err.Error())
+		if ctx.Err() != nil {
+			failRetryable(w, http.StatusServiceUnavailable, "the owner of the queue does not answer")
+			return
 		}
+		sleep(ctx, pendingRetryDelay)
 	}
-	if !out.Owns {
-		failRetryable(w, http.StatusServiceUnavailable, "the owner of the queue does not answer")
-		return
+}
+
+// pendingRetryDelay is the pause before the owner is asked again for the number
+// of pending jobs.
+const pendingRetryDelay = 30 * time.Millisecond
+
+// countPending asks the owner for the number of pending jobs. ok is false if it
+// does not know, or there is none.
+func (s *Server) countPending(ctx context.Context, q *work.Queue) (n int, ok bool) {
+	if o := s.localOwner(q.Service); o != nil {
+		return o.pendingJobs(q.Key())
+	}
+	l, ok := s.waitForOwner(ctx, q.Service)
+	if !ok {
+		return 0, false
+	}
+	var out PendingReply
+	if err := s.callEntry(ctx, l.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
+		s.Log.Debug("pending", "why", err.Error())
 	}
-	web.Reply(w, http.StatusOK, s.Codec.EncodePending(out.N))
+	return out.N, out.Owns
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -332,3 +332,19 @@
 	}
 	s.eventually("another successor named", func() bool { n := o.successor(monotonicNow(), "svc"); return n != named && n != "" })
 }
+
+// While a new owner still reads its shard, the number of pending jobs is asked
+// for again instead of turning the client away.
+func TestPendingJobsWaitForTheOwnerToLoad(t *testing.T) {
+	s := newCluster(t, 1, 1)
+	s.eventually("an owner", func() bool { _, o := s.owner(); return o != nil && o.localOwner("svc").loaded.Load() })
+	o := s.entries[0].localOwner("svc")
+	o.loaded.Store(false)
+	time.AfterFunc(200*time.Millisecond, func() { o.loaded.Store(true) })
+	code, _ := s.request(s.entries[0], http.MethodGet, "/q/", nil)
+	assert.Equal(t, code, http.StatusOK)
+	o.loaded.Store(false)
+	code, _ = s.request(s.entries[0], http.MethodGet, "/q/", nil)
+	assert.Equal(t, code, http.StatusServiceUnavailable)
+	o.loaded.Store(true)
+}
