Note why a step waits for long

What was missing: a step that waited for half a minute beside free minions left no line in the log, so the hypotheses of the incident (late work is starved of queries; the step has left the queue; its room is counted as taken) could not be told apart.

Change: a runnable step that waits is noted each five seconds, with what decides whether it can be placed or a query be issued: minions that are allowed, exist and have room; those that no query has named; queries in flight and possible.

--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -70,8 +70,10 @@
 		}
 		kept = append(kept, p)
 		if !p.runnable() {
+			p.waitNotedAt = time.Time{}
 			continue
 		}
+		s.noteWait(now, p)
 		due := !now.Before(p.checkAt) || s.roomFreed && p.job.Advice == nil
 		if due || p.deferredCost > 0 {
 			c := s.candidate(now, wall, p)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -100,6 +100,7 @@
 	reservations    []stepReservation // reserved room
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
+	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
 }
 
 // round is one occurrence of a job's steps.
--- /dev/null
+++ b/internal/shard/wait.go
@@ -0,0 +1,65 @@
+package shard
+
+import (
+	"fmt"
+	"time"
+)
+
+// waitNoteInterval is the time after which a step that waits, although the steps
+// before it are done, is noted, and noted again.
+const waitNoteInterval = 5 * time.Second
+
+// noteWait notes why a step with runnable tasks still waits.
+func (s *State) noteWait(now time.Time, p *step) {
+	if p.waitNotedAt.IsZero() {
+		p.waitNotedAt = now
+	}
+	if now.Sub(p.waitNotedAt) < waitNoteInterval {
+		return
+	}
+	p.waitNotedAt = now
+	s.note(Note{What: "step waits", Job: p.job.ID, Task: p.id().StepID(), Why: s.waitState(now, p).String()})
+}
+
+// waitState is what decides whether the waiting tasks of a step can be placed or
+// a query for them be issued.
+type waitState struct {
+	waiting, tasks   int
+	allowed          int // minions that may run the step, as far as is known
+	allowedPresent   int // of these, those that still exist
+	allowedWithRoom  int // of these, those that could take a task now
+	unqueried        int // minions that no query has named
+	unqueriedRoom    int // of these, those that could take a task now
+	queriesInFlight  int
+	queryCapacity    QueryCapacity
+	reservedByOthers int // allowed minions whose room is free but reserved for other steps
+}
+
+func (s *State) waitState(now time.Time, p *step) waitState {
+	w := waitState{waiting: p.waiting, tasks: p.Tasks, allowed: len(p.advice.eligible), queriesInFlight: p.advice.inFlight, queryCapacity: s.queryCapacity}
+	for _, m := range s.minionsByID() {
+		fits := m.usable(now) && p.suits(m) && !p.conflicts(m) && !m.probing() && m.free().CanFit(p.Reserved())
+		_, allowed := p.advice.eligible[m.ID]
+		switch {
+		case allowed || p.job.Advice == nil:
+			w.allowedPresent++
+			if fits {
+				w.allowedWithRoom++
+				if !m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom).CanFit(p.Reserved()) {
+					w.reservedByOthers++
+				}
+			}
+		case !p.advice.queried[m.ID]:
+			w.unqueried++
+			if fits {
+				w.unqueriedRoom++
+			}
+		}
+	}
+	return w
+}
+
+func (w waitState) String() string {
+	return fmt.Sprintf("%d of %d tasks wait; %d minions are allowed, of which %d exist, %d have room, %d have it reserved for others; %d have not been queried, of which %d have room; %d queries in flight, %d more can be issued (%d slow)",
+		w.waiting, w.tasks, w.allowed, w.allowedPresent, w.allowedWithRoom, w.reservedByOthers, w.unqueried, w.unqueriedRoom, w.queriesInFlight, w.queryCapacity.Total, w.queryCapacity.Slow)
+}
