Drop what queries have told about minions that are gone

What callers saw: an accepted job is never completed (LOST): some of its tasks wait for ever beside free minions, after those that its queries had allowed have crashed and returned under other IDs.

Cause: a step that has enough eligible minions for its waiting tasks queries others only if that can add several. Minions that no longer exist were counted as eligible, and nothing ever took them out. Class: a belief about a minion that outlives the minion.

TestStepRunsAfterTheMinionsAllowedForItAreGone failed before (0 != 1 running, named: m0 m1 m2 m3).

Change: entries of minions that are gone are dropped when the set of minions changes; one that returns is queried again. Queries ahead of a step's turn go by the same set. Ruled out: starvation by other steps' queries, room counted as taken.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
 // advice is the state of the placement queries about one step.
 type advice struct {
 	inFlight   int               // queries without an answer
-	queried    map[string]bool   // minions that queries have named
-	eligible   map[string]ticket // minions that may run the step
+	queried    map[string]bool   // minions that queries have named; those that are gone are dropped when the set of minions changes
+	eligible   map[string]ticket // those of them that may run the step
 	sorted     []*minion         // eligible, sorted by ID, as of epoch
 	epoch      int64
 	unsorted   bool      // sorted lacks some of eligible
@@ -42,6 +43,14 @@
 	}
 }
 
+// pruneAdvice drops what queries have told about minions that are gone. If one
+// of them returns it is queried again.
+func (s *State) pruneAdvice(a *advice) {
+	gone := func(id string) bool { return s.minions[id] == nil }
+	maps.DeleteFunc(a.eligible, func(id string, _ ticket) bool { return gone(id) })
+	maps.DeleteFunc(a.queried, func(id string, _ bool) bool { return gone(id) })
+}
+
 // ticketMargin is subtracted from the stated validity of a ticket.
 const ticketMargin = 150 * time.Millisecond
 
@@ -270,7 +279,7 @@
 		if v.s.queryCapacity.Total == 0 {
 			return
 		}
-		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(p.advice.eligible) > 0 || v.now.Before(p.advice.nextQuery) {
+		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(v.s.eligibleMinions(p)) > 0 || v.now.Before(p.advice.nextQuery) {
 			continue
 		}
 		if p.startsSoon() {
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -39,12 +39,12 @@
 	}
 	a := &p.advice
 	if a.unsorted || a.epoch != s.epoch {
+		s.pruneAdvice(a)
 		a.sorted = a.sorted[:0]
 		for id := range a.eligible {
-			if m := s.minions[id]; m != nil {
-				a.sorted = append(a.sorted, m)
-				m.addEligibleStep(p)
-			}
+			m := s.minions[id]
+			a.sorted = append(a.sorted, m)
+			m.addEligibleStep(p)
 		}
 		slices.SortFunc(a.sorted, func(x, y *minion) int { return strings.Compare(x.ID, y.ID) })
 		a.unsorted, a.epoch = false, s.epoch
--- /dev/null
+++ b/internal/shard/waiting_test.go
@@ -0,0 +1,95 @@
+package shard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/work"
+)
+
+// queryingOwner answers the placement queries of an owner.
+type queryingOwner struct {
+	*simOwner
+	allowed map[string]bool
+	named   []string // minions in the queries so far
+}
+
+// run decides and answers queries for a time.
+func (q *queryingOwner) run(d time.Duration) {
+	w := q.cluster
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.pass(50 * time.Millisecond)
+		for _, b := range w.minions {
+			q.renew(b)
+		}
+		q.st.Decide(w.now, w.now, QueryCapacity{Total: 1, Slow: 1, SlowFrom: time.Second})
+		for _, a := range q.st.TakeActions().Queries {
+			tickets := map[string]string{}
+			for _, id := range a.IDs {
+				q.named = append(q.named, id)
+				if q.allowed[id] {
+					tickets[id] = "t"
+				}
+			}
+			q.st.HandleAdvice(w.now, w.now, a, tickets, time.Second, nil)
+		}
+		if q.batch == nil {
+			b, err := q.st.TakeBatch()
+			assert.NilError(w.t.(*testing.T), err)
+			q.batch = &b
+		}
+		q.commit(true)
+		w.deliver(len(w.inFlight))
+	}
+}
+
+func newQueryingOwner(t *testing.T, minions int, allowed ...string) *queryingOwner {
+	_, o := newOwnedCluster(t, minions)
+	q := &queryingOwner{simOwner: o, allowed: map[string]bool{}}
+	for _, id := range allowed {
+		q.allowed[id] = true
+	}
+	return q
+}
+
+func advisedJob(id string, st work.Step) *work.Job {
+	j := newJob(id, st)
+	j.Advice = &work.AdviceTiming{Decide: 10 * time.Millisecond, Each: time.Millisecond, Valid: time.Second}
+	return j
+}
+
+// addMinion adds a minion to the cluster and tells the owner of it.
+func (q *queryingOwner) addMinion(id string) {
+	w := q.cluster
+	b := &simMinion{cluster: w, Minion: work.Minion{Incarnation: work.Incarnation{ID: id}, Service: "s", Address: "a", Capacity: work.Size{CPU: 4000, Mem: 4000}, Labels: []string{"r0"}}}
+	b.restart()
+	w.minions = append(w.minions, b)
+	q.st.UpdateMinion(w.now, b.Minion)
+}
+
+// loseMinion ends a minion for good; others get its address.
+func (q *queryingOwner) loseMinion(id string) {
+	w := q.cluster
+	b := w.minion(id)
+	b.up, b.runs = false, map[runKey]work.Size{}
+	w.minions = slices.DeleteFunc(w.minions, func(x *simMinion) bool { return x == b })
+	q.st.UnlistMinion(w.now, id)
+	q.st.HandleReplaced(w.now, b.Incarnation)
+}
+
+func TestStepRunsAfterTheMinionsAllowedForItAreGone(t *testing.T) {
+	q := newQueryingOwner(t, 4, "m0", "m1", "m2", "n0")
+	w := q.cluster
+	w.submit(advisedJob("a", tasks(1, 3000)))
+	q.run(time.Second)
+	assert.Equal(t, w.running(), 1)
+	for _, id := range []string{"m0", "m1", "m2"} {
+		q.loseMinion(id)
+	}
+	q.addMinion("n0")
+	q.run(15 * time.Second)
+	assert.Equal(t, w.running(), 1, "named: %v", q.named)
+}
