Limit how long a step waits in order to save a query

Cause: a step with three eligible minions for each waiting task queries further ones only once eight of them have room. If the eligible ones stay full, as under long-running services, and fewer than eight others have room, it waits for ever. Class: a saving without a bound in time.

TestStepRunsOnANewMinionWhileTheAllowedOnesAreFull failed before (3 != 4 running), for lasting and for other tasks.

Change: the saving ends after ten times the duration of the query, between one and three seconds of waiting.

--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -25,7 +25,7 @@
 // it did.
 func (v *view) queryUnqueried(p *step) bool {
 	ids := v.unqueriedMinions(p, len(p.advice.eligible) > 0)
-	if len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery {
+	if len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery && v.now.Sub(p.waitsSince) < p.querySaving() {
 		return false
 	}
 	return v.s.query(v.now, p, ids)
@@ -44,12 +44,26 @@
 }
 
 // A step that already has this many eligible minions for each waiting task
-// issues another query only if that can add at least a few more.
+// issues another query only if that can add at least a few more: one of those
+// it has is expected to have room soon.
 const (
 	enoughEligible = 3
 	minUsefulQuery = 8
 )
 
+// Limits on how long a step waits in order to save a query. The minions that it
+// has may be full for good.
+const (
+	minQuerySaving  = time.Second
+	maxQuerySaving  = 3 * time.Second
+	savingPerDecide = 10 // by the duration of the query that is saved
+)
+
+// querySaving is how long the step waits before it queries even a single minion.
+func (p *step) querySaving() time.Duration {
+	return min(max(minQuerySaving, savingPerDecide*p.job.Advice.Decide), maxQuerySaving)
+}
+
 // renewReservedTickets requests new tickets for the minions that the step has
 // reserved room on, and for a few spare ones, unless the tickets are valid for
 // long enough: until the reply to a query issued now would arrive, or until the
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -70,7 +70,7 @@
 		}
 		kept = append(kept, p)
 		if !p.runnable() {
-			p.waitNotedAt = time.Time{}
+			p.waitsSince = time.Time{}
 			continue
 		}
 		s.noteWait(now, p)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -52,7 +52,7 @@
 	j := p.job
 	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
 	p.waiting--
-	p.waitNotedAt = time.Time{}
+	p.waitsSince = time.Time{}
 	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now})
 	s.markChanged(j)
 	if j.state == Queued {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -100,6 +100,7 @@
 	reservations    []stepReservation // reserved room
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
+	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
 	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
 }
 
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -11,8 +11,8 @@
 
 // noteWait notes why a step with runnable tasks still waits.
 func (s *State) noteWait(now time.Time, p *step) {
-	if p.waitNotedAt.IsZero() {
-		p.waitNotedAt = now
+	if p.waitsSince.IsZero() {
+		p.waitsSince, p.waitNotedAt = now, now
 	}
 	if now.Sub(p.waitNotedAt) < waitNoteInterval {
 		return
--- a/internal/shard/waiting_test.go
+++ b/internal/shard/waiting_test.go
@@ -93,3 +93,22 @@
 	q.run(15 * time.Second)
 	assert.Equal(t, w.running(), 1, "named: %v", q.named)
 }
+
+func TestStepRunsOnANewMinionWhileTheAllowedOnesAreFull(t *testing.T) {
+	for _, lasting := range []bool{true, false} {
+		q := newQueryingOwner(t, 3, "m0", "m1", "m2", "n0")
+		w := q.cluster
+		services := tasks(3, 3000)
+		services.Lasting = true
+		st := tasks(1, 3000)
+		st.Lasting = lasting
+		w.submit(newJob("full", services))
+		q.run(time.Second)
+		w.submit(advisedJob("a", st))
+		q.run(time.Second)
+		assert.Equal(t, w.running(), 3)
+		q.addMinion("n0")
+		q.run(3 * time.Second)
+		assert.Equal(t, w.running(), 4, "named: %v", q.named)
+	}
+}
