Avoid a lost carrier before its calls fail

What callers saw: TestAnotherCarrierIsUsedForOneThatIsLost failed once under the race detector, "2 (before int) != 3 (after int)" after 0.46 s, which is one RPC timeout in place of two: the renewals through the second carrier and through none at all had both been made directly, beside a working carrier. A start in the same place fails with ErrCarrierLost, so its task waits as one with an unknown outcome, although it was never sent.

Cause: link.abandon first closed the link, which lets the calls in progress fail, and only then had the dispatcher avoid the carrier. A caller that saw its call fail and made the next one in between was given the closed link again. With 20 ms of sleep between the two steps the test fails each time with the same numbers after the same 0.45 s, so the product was at fault, not the test.

Change: the dispatcher closes the link and avoids the carrier in one step, under its lock. Callers that hold a link already still get ErrCarrierLost, as before.

Evidence: TestNoCallIsRoutedToACarrierWhoseCallsFailed holds the dispatcher's lock while the carrier is lost. It failed before the change ("a call failed before its carrier was avoided", 2 of 2 runs with -race). With the change it and the test that failed pass 15 times with -race, and the package passes 3 times with -race.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -222,6 +222,36 @@
 	assert.Equal(t, before, after)
 }
 
+// While calls of a lost carrier had failed and the carrier was not avoided yet,
+// the next call was routed through its closed link: a renewal was made directly
+// beside a working carrier, and a start failed without having been sent.
+func TestNoCallIsRoutedToACarrierWhoseCallsFailed(t *testing.T) {
+	s := newTestSetup(t, "a", "b")
+	lost := s.dispatcher.linkTo(context.Background(), testMinion)
+	s.transport.setDown(lost.addr, true)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := lost.call(contextWithTimeout(t, 2*time.Second), Call{Kind: startCall})
+		failed <- err
+	}()
+	time.Sleep(rpcTimeout / 2)
+	s.dispatcher.mu.Lock() // nobody can be told to avoid the carrier now
+	var err error
+	select {
+	case err = <-failed:
+		s.dispatcher.mu.Unlock()
+		t.Fatalf("a call failed (%v) before its carrier was avoided", err)
+	case <-time.After(2 * rpcTimeout):
+		s.dispatcher.mu.Unlock()
+	}
+	assert.Assert(t, errors.Is(<-failed, ErrCarrierLost))
+	next := s.dispatcher.linkTo(context.Background(), testMinion)
+	assert.Assert(t, next != nil && next.addr != lost.addr)
+	why, err := s.dispatcher.Start(contextWithTimeout(t, time.Second), testMinion, work.Start{})
+	assert.NilError(t, err)
+	assert.Equal(t, why, work.NoCapacity)
+}
+
 // A carrier that was killed and restarted has lost the calls in progress, so it
 // must be abandoned.
 func TestCarrierThatStartsAnewIsLeft(t *testing.T) {
--- a/internal/carry/dispatcher.go
+++ b/internal/carry/dispatcher.go
@@ -248,6 +248,11 @@
 func (p *Dispatcher) avoidCarrier(w *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.avoid(w)
+}
+
+// avoid is avoidCarrier for callers that hold p.mu.
+func (p *Dispatcher) avoid(w *link) {
 	if p.links[w.addr] == w {
 		delete(p.links, w.addr)
 	}
@@ -275,11 +280,22 @@
 
 // abandon closes the link because its carrier failed, and reports the loss.
 func (w *link) abandon(why string) {
-	if w.ctx.Err() != nil || !w.close() {
-		return
+	if w.ctx.Err() == nil && w.dispatcher.dropLink(w) {
+		w.dispatcher.OnCarrierLost(w.addr, why)
+	}
+}
+
+// dropLink closes a link whose carrier failed and avoids the carrier, in one
+// step: whoever sees a call of the link fail finds the carrier avoided already.
+// It reports whether the link was still open.
+func (p *Dispatcher) dropLink(w *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !w.close() {
+		return false
 	}
-	w.dispatcher.avoidCarrier(w)
-	w.dispatcher.OnCarrierLost(w.addr, why)
+	p.avoid(w)
+	return true
 }
 
 // close closes the link: calls in progress and later ones fail with
