Name log events by a typed list of plain phrases

Who read an entry's log saw single words (ask, over, still, stray, gone, doubted, lost for two different things) and had to look each one up.

shard.Event is now the type of Note.What, with a documented constant for each event in internal/shard/note.go. The messages of internal/server are phrases of the same kind ("job accepted", "shard claimed", "owner deposed"); messages that stood for two things (lost, stop, configuration, row of a job) are two.

No decision changes.

--- a/cmd/jasminestep/entry.go
+++ b/cmd/jasminestep/entry.go
@@ -72,9 +72,9 @@
 func (c *entryCommand) reload(s *server.Server, log hclog.Logger) {
 	set, err := server.Load(c.Config)
 	if err != nil {
-		log.Error("reload", "why", err.Error())
+		log.Error("settings not reloaded", "why", err.Error())
 		return
 	}
 	log.SetLevel(hclog.LevelFromString(set.Level))
-	log.Info("reload", "level", set.Level, "addresses", s.Settings.SameAddresses(set))
+	log.Info("settings reloaded", "level", set.Level, "addresses", s.Settings.SameAddresses(set))
 }
--- a/cmd/jasminestep/explain.go
+++ b/cmd/jasminestep/explain.go
@@ -9,6 +9,9 @@
 	"sort"
 	"strings"
 	"text/tabwriter"
+
+	"jasminestep/internal/server"
+	"jasminestep/internal/shard"
 )
 
 type explainCommand struct {
@@ -20,20 +23,21 @@
 
 // logLine is one line of an entry's log.
 type logLine struct {
-	At      string `json:"@timestamp"`
-	Message string `json:"@message"`
-	Job     string `json:"job"`
-	Task    string `json:"task"`
-	Attempt int    `json:"attempt"`
-	Minion  string `json:"minion"`
-	Service string `json:"service"`
-	Term    int64  `json:"term"`
-	Why     string `json:"why"`
+	At      string      `json:"@timestamp"`
+	Event   shard.Event `json:"@message"`
+	Job     string      `json:"job"`
+	Task    string      `json:"task"`
+	Attempt int         `json:"attempt"`
+	Minion  string      `json:"minion"`
+	Service string      `json:"service"`
+	Term    int64       `json:"term"`
+	Why     string      `json:"why"`
 	source  string
 }
 
 // Execute prints the log lines of all entries about a job, ordered by time, and
-// those about its owner and its minions during the same period.
+// those about its owner and its minions during the same period, then what these
+// events mean.
 func (c *explainCommand) Execute([]string) error {
 	var all []logLine
 	files := c.Args.Files
@@ -51,9 +55,36 @@
 	if len(lines) == 0 {
 		return fmt.Errorf("explain: no log line mentions job %s", c.Args.ID)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if err := printLines(os.Stdout, lines); err != nil {
+		return err
+	}
+	fmt.Println()
+	return printMeanings(os.Stdout, lines)
+}
+
+func printLines(out io.Writer, lines []logLine) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, l := range lines {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", l.At, l.source, l.Event, strings.TrimPrefix(l.Task, l.Job), l.Minion, l.Why)
+	}
+	return w.Flush()
+}
+
+// printMeanings prints, for each event among the lines, what it means and what
+// to look at.
+func printMeanings(out io.Writer, lines []logLine) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printed := map[shard.Event]bool{}
 	for _, l := range lines {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", l.At, l.source, l.Message, strings.TrimPrefix(l.Task, l.Job), l.Minion, l.Why)
+		e, ok := server.FindLogEvent(l.Event)
+		if !ok || printed[l.Event] {
+			continue
+		}
+		printed[l.Event] = true
+		fmt.Fprintf(w, "%s:\t%s\n", e.Name, e.Doc)
+		if e.Look != "" {
+			fmt.Fprintf(w, "\tlook at: %s\n", e.Look)
+		}
 	}
 	return w.Flush()
 }
@@ -106,11 +137,12 @@
 	return out
 }
 
-// relatedMessages are the messages about owners and minions that can explain a
-// delay of a job.
-var relatedMessages = map[string]bool{
-	"owner": true, "deposed": true, "loaded": true, "handed over": true, "write": true,
-	"silent": true, "answers": true, "reborn": true, "paused": true, "draining": true, "forgotten": true,
+// relatedEvents are the events of owners and minions that can explain a delay of
+// a job.
+var relatedEvents = map[shard.Event]bool{
+	"shard claimed": true, "owner deposed": true, "shard loaded": true, "shard handed over": true, "shard write failed": true,
+	shard.MinionSilent: true, shard.MinionAnswers: true, shard.MinionRestarted: true, shard.MinionPaused: true,
+	shard.MinionDraining: true, shard.MinionForgotten: true,
 }
 
 // jobLines selects the lines of a job and, between its first and last line,
@@ -136,7 +168,7 @@
 	var out []logLine
 	for _, l := range all {
 		during := first != "" && l.At >= first && l.At <= last
-		related := relatedMessages[l.Message] && l.Job == "" && (minions[l.Minion] || l.Minion == "" && l.Service == service)
+		related := relatedEvents[l.Event] && l.Job == "" && (minions[l.Minion] || l.Minion == "" && l.Service == service)
 		if l.Job == id || during && related {
 			out = append(out, l)
 		}
--- a/cmd/jasminestep/main.go
+++ b/cmd/jasminestep/main.go
@@ -32,7 +32,7 @@
 	return []command{
 		{"serve", "run one entry process", "Runs one entry process until it is told to stop.\n\nExample: jasminestep serve --config entry.json", &serveCommand{}},
 		{"entry", "run one entry process on the users' platform", "Runs one entry process that keeps its state in the platform's store, until it is told to stop.\n\nExample: jasminestep entry --config entry.json", &entryCommand{}},
-		{"explain", "tell what became of a job on the users' platform", "Reads the logs of all entries, from files or standard input, and prints what they say of a job, in order, with what happened meanwhile to its owner and minions.\n\nExample: jasminestep explain 5c0e7a21d94b36f8 *.log", &explainCommand{}},
+		{"explain", "tell what became of a job on the users' platform", "Reads the logs of all entries, from files or standard input, and prints what they say of a job, in order, with what happened meanwhile to its owner and minions. Then it tells what each of these events means.\n\nExample: jasminestep explain 5c0e7a21d94b36f8 *.log", &explainCommand{}},
 		{"check", "check a settings file", "Checks a settings file without serving, or lists every setting, event, metric and policy.\n\nExample: jasminestep check entry.json", &checkCommand{}},
 		{"apply", "put a configuration in force", "Submits a configuration of the cell, from a file or standard input. It is refused if it was made from another version than the one in force.\n\nExample: go run ./examples/oshana cell | jasminestep apply --at 10.0.0.1:7001", &applyCommand{}},
 		{"get", "show the configuration in force", "Prints the configuration in force, ready to be edited and applied.\n\nExample: jasminestep get > cell.json", &getCommand{}},
--- a/cmd/jasminestep/serve.go
+++ b/cmd/jasminestep/serve.go
@@ -108,7 +108,7 @@
 		}
 	case "logs":
 		for _, e := range server.LogEvents {
-			fmt.Fprintf(w, "%s\t%s\t%s\n", e.Name, e.Fields, e.Doc)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Name, e.Fields, e.Doc, e.Look)
 		}
 	case "policies":
 		for _, p := range place.Policies {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if l.dropped > 0 {
-		l.lines <- fmt.Appendf(nil, "{\"@level\":\"warn\",\"@message\":\"dropped\",\"@timestamp\":%q,\"lines\":%d}\n", now.Format(time.RFC3339Nano), l.dropped)
+		l.lines <- fmt.Appendf(nil, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"@timestamp\":%q,\"lines\":%d}\n", now.Format(time.RFC3339Nano), l.dropped)
 		l.dropped = 0
 	}
 	l.tokens--
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -44,7 +44,7 @@
 	defer s.mu.Unlock()
 	lines := strings.Split(strings.TrimSpace(s.got.String()), "\n")
 	assert.Equal(t, lines[len(lines)-1], "last")
-	assert.Assert(t, strings.Contains(lines[len(lines)-2], `"dropped"`), lines[len(lines)-2])
+	assert.Assert(t, strings.Contains(lines[len(lines)-2], `"log lines dropped"`), lines[len(lines)-2])
 }
 
 func TestVolumeIsBounded(t *testing.T) {
--- a/internal/server/archive.go
+++ b/internal/server/archive.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		if err := o.archiveBatch(jobs); err != nil {
-			o.s.Log.Error("jobs not archived", "service", o.service, "jobs", len(jobs), "why", err.Error())
+			o.s.Log.Error("jobs cannot be archived", "service", o.service, "jobs", len(jobs), "why", err.Error())
 			return
 		}
 	}
@@ -163,7 +163,7 @@
 	for _, row := range r.Rows {
 		out, err := decodeOutcome(row)
 		if err != nil {
-			o.s.Log.Error("row of a job", "job", row.Name, "why", err.Error())
+			o.s.Log.Error("outcome row invalid", "job", row.Name, "why", err.Error())
 			continue
 		}
 		if out.At < limit.UnixMilli() && len(tx.Delete) < maxRowsPerTx {
--- a/internal/server/carry.go
+++ b/internal/server/carry.go
@@ -29,7 +29,7 @@
 		SessionPrefix: fmt.Sprintf("%s.%s.%d", s.instanceID, o.service, o.term),
 		Carriers:      cs.inZone,
 		OnCarrierLost: func(addr, why string) {
-			s.Log.Info("carrier left", "service", o.service, "term", o.term, "carrier", addr, "why", why)
+			s.Log.Info("carrier abandoned", "service", o.service, "term", o.term, "carrier", addr, "why", why)
 		},
 		Now: monotonicNow,
 	}
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -91,12 +91,12 @@
 // repeating after the given time.
 func (s *Server) storeFailedFor(w http.ResponseWriter, id string, after time.Duration, err error) {
 	if errors.Is(err, table.ErrNotApplied) {
-		s.Log.Info("rejected", "job", id, "why", err.Error())
+		s.Log.Info("request rejected", "job", id, "why", err.Error())
 		w.Header().Set("Connection", "close") // the client may reach an entry that can reach the store
 		failUntil(w, http.StatusServiceUnavailable, after, "the store is not to be reached")
 		return
 	}
-	s.Log.Info("unknown", "job", id, "why", err.Error())
+	s.Log.Info("request outcome unknown", "job", id, "why", err.Error())
 	web.Fail(w, http.StatusGatewayTimeout, "the store did not answer in time")
 }
 
@@ -145,7 +145,7 @@
 		return
 	}
 	fresh := version != 0
-	s.Log.Info("accepted", "job", id, "queue", q.Name, "fresh", fresh, "version", cfg.Version)
+	s.Log.Info("job accepted", "job", id, "queue", q.Name, "fresh", fresh, "version", cfg.Version)
 	web.Reply(w, http.StatusOK, struct{}{})
 	if fresh {
 		args := SubmitArgs{j, version}
@@ -359,7 +359,7 @@
 			s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
 				o.post(func(now time.Time) { o.state.Cancel(now, id) })
 			})
-			s.Log.Info("cancelled", "job", id)
+			s.Log.Info("cancellation accepted", "job", id)
 			web.Reply(w, http.StatusOK, struct{}{})
 			return
 		case ctx.Err() != nil:
@@ -433,7 +433,7 @@
 	}
 	var out PendingReply
 	if err := s.callEntry(ctx, l.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
-		s.Log.Debug("pending", "why", err.Error())
+		s.Log.Debug("pending jobs not counted", "why", err.Error())
 	}
 	return out.N, out.Owns
 }
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -150,13 +150,13 @@
 		}
 	}
 	s.mu.Unlock()
-	s.Log.Warn("lost", "what", "store")
+	s.Log.Warn("store unreachable")
 	for _, a := range addrs {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 			defer cancel()
 			if err := s.peers.Call(ctx, a, peer.Control, "NoStore", struct{}{}, &struct{}{}); err != nil {
-				s.Log.Debug("warning", "to", a, "why", err.Error())
+				s.Log.Debug("store loss not reported", "to", a, "why", err.Error())
 			}
 		}()
 	}
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -1,10 +1,13 @@
 package server
 
+import "jasminestep/internal/shard"
+
 // LogEvent documents one log message.
 type LogEvent struct {
-	Name   string
+	Name   shard.Event
 	Fields string
-	Doc    string
+	Doc    string // what it means
+	Look   string // what to look at; empty if it is part of normal operation
 }
 
 // LogEvents lists every message that an entry logs. Lines about a job have its
@@ -12,55 +15,76 @@
 // cover the same event of several tasks of a job; task and minion are then
 // comma-separated lists in the same order.
 var LogEvents = []LogEvent{
-	{"start", "id zone life", "an entry started serving"},
-	{"stop", "", "a planned stop began"},
-	{"end", "", "a planned stop is complete"},
-	{"reload", "level addresses", "the settings file was reloaded; only the log level takes effect"},
-	{"configuration", "version queues services why", "a configuration took effect or could not be decoded"},
-	{"lost", "what why", "the store or one of its feeds is unreachable; or, with a task, a run was given up and the task is pending again"},
-	{"regained", "what", "a feed of the store is reachable again"},
-	{"entry row not written", "why", "the entry's own row could not be written; it is retried"},
-	{"accepted", "job queue fresh version", "a job is durable; fresh is false if it already was"},
-	{"rejected", "job why", "a request was rejected without effect"},
-	{"unknown", "job why", "the outcome of a request is unknown: the store did not respond in time"},
-	{"cancelled", "job", "a cancellation is durable"},
-	{"owner", "service term why", "this entry became the owner of a shard"},
-	{"claim failed", "service why", "a shard could not be claimed: the store did not respond"},
-	{"claim lost", "service term why", "another entry claimed the shard first"},
-	{"loaded", "service term jobs minions", "an owner has read its shard"},
-	{"deposed", "service term why", "this entry no longer owns the shard"},
-	{"handed over", "service term next", "a shard was released for another entry to claim"},
-	{"handover failed", "service why", "a shard could not be released; other entries have to detect that it has no owner"},
-	{"owner row", "service why", "an owner row cannot be decoded"},
-	{"write", "service term why", "an owner's write failed and is retried"},
-	{"row of a job", "job why", "a job's row cannot be decoded"},
-	{"jobs not archived yet", "service jobs why", "ended jobs could not be archived; it is retried"},
-	{"jobs not archived", "service jobs why", "the outcomes of ended jobs could not be encoded"},
-	{"outcomes not deleted", "part why", "outcomes past their retention time could not be deleted; it is retried"},
-	{"job", "job", "the owner learned of a job"},
-	{"cancel", "job", "the owner learned of a cancellation"},
-	{"over", "job why", "a job ended: completed, failed or canceled"},
-	{"ask", "job task why", "the placement service was asked about a step"},
-	{"advised", "job task why", "the placement service responded"},
-	{"unadvised", "job task why", "the placement service did not respond"},
-	{"placed", "job task attempt minion", "a task was assigned to a minion; its start is sent once the assignment is durable"},
-	{"refused", "job task attempt minion why", "the minion refused the start"},
-	{"unanswered", "job task attempt minion why", "a start got no response; a later report shows whether the task runs"},
-	{"ended", "job task attempt minion why", "a minion reported the end of a run"},
-	{"still", "job task attempt minion why", "a run made no progress and is stopped"},
-	{"stray", "job task attempt minion", "a minion runs a task that the owner did not order; the run is stopped"},
-	{"minion", "minion why", "a minion's row appeared; why is its availability zone"},
-	{"draining", "minion", "a minion is draining"},
-	{"evacuated", "job task attempt minion why", "a run was stopped because it cannot end before its minion shuts down; why is the remaining time"},
-	{"gone", "minion", "another minion has its address, so none of its runs are left"},
-	{"unlisted", "minion", "a minion's row was deleted"},
-	{"forgotten", "minion", "a minion without a row does not respond and its leases have expired"},
-	{"reborn", "minion", "a minion restarted under the same id"},
-	{"copy", "job task attempt minion why", "a second run of a task of a speculative step is pending; the first may continue"},
-	{"doubted", "minion why", "calls to several minions of an availability zone are late; the zone gets no new tasks until one of them responds"},
-	{"silent", "minion", "a minion did not respond to a lease renewal"},
-	{"answers", "minion", "the minion responds again"},
-	{"carrier left", "service term carrier why", "an entry that made calls to minions for this owner does not respond; the owner makes them itself or through another entry"},
-	{"paused", "minion why", "a minion failed too often and gets no tasks for a while"},
-	{"dropped", "lines", "log lines were dropped because the reader is slow or there were too many"},
+	{"entry started", "id zone life", "an entry started serving", ""},
+	{"entry stopping", "", "a planned stop began", ""},
+	{"requests unfinished at stop", "why", "requests were cut off, because they took longer than the grace period", "the store's response times before it"},
+	{"entry stopped", "", "a planned stop is complete", "without it, the entry was killed or froze"},
+	{"settings reloaded", "level addresses", "the settings file was read again; only the log level takes effect", ""},
+	{"settings not reloaded", "why", "the settings file is invalid; the old settings stay", "the file and line in why"},
+	{"configuration applied", "version queues services", "a new configuration is in use", ""},
+	{"configuration row invalid", "why", "a configuration could not be decoded; the old one stays", "who wrote the row"},
+	{"feed lost", "what why", "a feed of the store is unreachable", "other entries: all mean the store, one zone a partition"},
+	{"feed regained", "what", "a feed of the store is reachable again", ""},
+	{"store unreachable", "", "neither this entry nor another one that it can reach has access to the store", "the store and the entry's network"},
+	{"entry row not written", "why", "the entry's own row could not be written; it is retried", "the store"},
+	{"log lines dropped", "lines", "log lines were left out because their reader is slow or there were too many", "the log collector; counts from this log are too low"},
+
+	{"job accepted", "job queue fresh version", "a job is durable; fresh is false if it already was", ""},
+	{"cancellation accepted", "job", "a cancellation is durable", ""},
+	{"request rejected", "job why", "a request was rejected without effect", "`feed lost` and `shard write failed` at that time, on this entry and on others"},
+	{"request outcome unknown", "job why", "the store did not respond in time; the request may have taken effect", "the store; a later line about the job"},
+
+	{"shard claimed", "service term why", "this entry became the owner of a shard", "why; the log of the former owner"},
+	{"shard claim failed", "service why", "a shard could not be claimed because the store did not respond", "the store"},
+	{"shard claim lost", "service term why", "another entry claimed the shard first", "nothing, unless owners change every few seconds: then the store"},
+	{"shard loaded", "service term jobs minions", "an owner has read its shard and makes decisions", ""},
+	{"owner deposed", "service term why", "this entry no longer owns the shard; its later writes have no effect", "whether it was frozen, cut off or slow"},
+	{"shard handed over", "service term next", "a shard was released for another entry to claim", ""},
+	{"shard handover failed", "service why", "a shard could not be released; other entries have to detect that it has no owner", "the store"},
+	{"shard write failed", "service term why", "an owner's write failed and is retried; logged once a write", "the store"},
+	{"owner row invalid", "service why", "an owner row cannot be decoded; the shard is left as it is", "who wrote the row"},
+	{"job row invalid", "job why", "a job's row or its progress is invalid; the job is left as it is", "who wrote the row"},
+	{"outcome row invalid", "job why", "the outcome of an archived job cannot be decoded", "who wrote the row"},
+	{"jobs not archived yet", "service jobs why", "ended jobs could not be archived; it is retried", "the store, if it lasts: the next owner then reads more rows"},
+	{"jobs cannot be archived", "service jobs why", "the outcomes of ended jobs could not be encoded; this owner archives no more", "a fault of the program"},
+	{"outcomes not deleted", "part why", "outcomes past their retention time could not be deleted; it is retried", "the store"},
+	{"carrier abandoned", "service term carrier why", "an entry that made calls to minions for this owner does not respond; the owner makes them itself or through another entry", "that entry's log"},
+
+	{shard.JobReceived, "job", "the owner learned of an accepted job", "`shard claimed`, if it is long after `job accepted`"},
+	{shard.CancellationReceived, "job", "the owner learned of a cancellation", ""},
+	{shard.JobEnded, "job why", "a job completed, failed or was cancelled", "`run ended` and `run stalled`, if it failed: several minions mean the job"},
+	{shard.PlacementQueried, "job task why", "the placement service is asked which minions are eligible for a step", ""},
+	{shard.PlacementAnswered, "job task why", "the placement service told which minions are eligible", "why, if few are"},
+	{shard.PlacementQueryFailed, "job task why", "the placement service did not answer; it is asked again", "the placement service"},
+
+	{shard.TaskPlaced, "job task attempt minion", "a minion was chosen for a task; the start is sent once that is durable", ""},
+	{shard.StartRefused, "job task attempt minion why", "the minion refused the start", "why; other starts on the minion"},
+	{shard.StartUnanswered, "job task attempt minion why", "the start got no reply; a later report shows whether the task runs", "the minion and the network to it, if there are many"},
+	{shard.RunEnded, "job task attempt minion why", "a minion reported the end of a run", "the minion's other runs, if it failed"},
+	{shard.RunLost, "job task attempt minion why", "a run was given up; its task waits again", "why; the minion's lines before it"},
+	{shard.RunStalled, "job task attempt minion why", "a run makes no progress and is stopped; why is for how long", "the minion's other runs"},
+	{shard.RunEvacuated, "job task attempt minion why", "a run is stopped because it would not end before its minion leaves; why is the remaining time", ""},
+	{shard.CopyQueued, "job task attempt minion why", "a second run of a speculative task waits, because the minion of the first does not answer; the first may continue", "`minion silent`, `zone unreachable`"},
+	{shard.UnexpectedRun, "job task attempt minion", "a minion has a run that its owner did not order or gave up; it is stopped", "the minion, if it repeats: it executes orders late"},
+
+	{shard.MinionAdded, "minion why", "a minion's row appeared; why is its availability zone", ""},
+	{shard.MinionUnlisted, "minion", "a minion's row was deleted; it may still run and answer", ""},
+	{shard.MinionDraining, "minion", "a minion drains and gets no new tasks", ""},
+	{shard.MinionRestarted, "minion", "a minion restarted under the same ID; its earlier runs are gone", "the minion"},
+	{shard.MinionReplaced, "minion", "another minion has the address; none of the former one's runs are left", ""},
+	{shard.MinionForgotten, "minion", "a minion without a row does not answer and its leases have ended", ""},
+	{shard.MinionPaused, "minion why", "a minion failed too often and gets no new tasks for the time in why", "`run ended`, `run stalled` and `start refused` of the minion"},
+	{shard.MinionSilent, "minion", "a lease renewal got no reply", "other minions of its zone at that time"},
+	{shard.MinionAnswers, "minion", "the first reply of a minion after its silence", ""},
+	{shard.ZoneUnreachable, "minion why", "several minions of an availability zone are slow to answer; the zone gets no new tasks until one answers", "the network to that zone"},
+}
+
+// FindLogEvent returns the documentation of a message.
+func FindLogEvent(name shard.Event) (LogEvent, bool) {
+	for _, e := range LogEvents {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return LogEvent{}, false
 }
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -88,7 +88,7 @@
 	ended()
 	cancel()
 	if err != nil {
-		r.o.s.Log.Debug("renewal", "minion", r.incarnation.ID, "fenced", fenced, "why", err.Error())
+		r.o.s.Log.Debug("renewal failed", "minion", r.incarnation.ID, "fenced", fenced, "why", err.Error())
 		r.o.post(func(now time.Time) {
 			if errors.Is(err, work.ErrWrongMinion) {
 				r.o.state.HandleReplaced(now, r.incarnation)
@@ -156,7 +156,7 @@
 		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
 		defer cancel()
 		if err := r.o.minionCalls.Stop(ctx, &x.Minion, x.Task, x.Attempt, x.Token); err != nil {
-			r.o.s.Log.Debug("stop", "task", x.Task.String(), "minion", r.incarnation.ID, "why", err.Error())
+			r.o.s.Log.Debug("stop not delivered", "task", x.Task.String(), "minion", r.incarnation.ID, "why", err.Error())
 		}
 	}()
 }
--- a/internal/server/notes_test.go
+++ b/internal/server/notes_test.go
@@ -10,9 +10,9 @@
 
 func TestNotesOfSeveralTasksAreOneLine(t *testing.T) {
 	placed := func(job, task, minion string, attempt int) shard.Note {
-		return shard.Note{What: "placed", Job: job, Task: task, Attempt: attempt, Minion: minion}
+		return shard.Note{What: shard.TaskPlaced, Job: job, Task: task, Attempt: attempt, Minion: minion}
 	}
-	over := shard.Note{What: "over", Job: "a"}
+	over := shard.Note{What: shard.JobEnded, Job: "a"}
 	got := groupNotes([]shard.Note{
 		placed("a", "a.0.0.0", "m1", 1), placed("a", "a.0.0.1", "m2", 1), placed("a", "a.0.0.2", "m1", 2),
 		placed("b", "b.0.0.0", "m1", 2), over, over,
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -92,7 +92,7 @@
 
 // depose stops the owner; decisions that are not durable yet are discarded.
 func (o *owner) depose(why string) {
-	o.s.Log.Warn("deposed", "service", o.service, "term", o.term, "why", why)
+	o.s.Log.Warn("owner deposed", "service", o.service, "term", o.term, "why", why)
 	o.cancel()
 }
 
@@ -184,7 +184,7 @@
 // logNotes logs the notes of the last decisions.
 func (o *owner) logNotes() {
 	for _, n := range groupNotes(o.state.Notes) {
-		o.s.Log.Info(n.What, "service", o.service, "term", o.term, "job", n.Job, "task", n.Task, "attempt", n.Attempt, "minion", n.Minion, "why", n.Why)
+		o.s.Log.Info(string(n.What), "service", o.service, "term", o.term, "job", n.Job, "task", n.Task, "attempt", n.Attempt, "minion", n.Minion, "why", n.Why)
 	}
 	o.state.Notes = o.state.Notes[:0]
 }
@@ -237,7 +237,7 @@
 			return startTime, fmt.Errorf("write: %w", o.ctx.Err())
 		case err != nil:
 			if !logged {
-				o.s.Log.Warn("write", "service", o.service, "term", o.term, "why", err.Error())
+				o.s.Log.Warn("shard write failed", "service", o.service, "term", o.term, "why", err.Error())
 			}
 			logged = true
 			sleep(o.ctx, writeRetryDelay)
@@ -344,12 +344,12 @@
 	o.applyMinionRows(now, minions.Rows, true)
 	saved, bad := shard.ReadProgress(progress.Rows)
 	for _, name := range bad {
-		o.s.Log.Error("row of a job", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
+		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
 	}
 	o.applyJobRows(now, jobs.Rows, saved)
 	o.state.AdoptBundles(saved)
 	o.state.DropOrphans(saved, rowNames(jobs.Rows))
-	o.s.Log.Info("loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
+	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
 
@@ -387,18 +387,18 @@
 		}
 		j := &work.Job{}
 		if err := json.Unmarshal(r.Value, j); err != nil {
-			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
 			continue
 		}
 		if j.Service != o.service {
 			continue
 		}
 		if err := validateJob(j); err != nil {
-			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
 			continue
 		}
 		if err := o.state.Load(now, j, saved.Row(j.ID)); err != nil {
-			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
 		}
 	}
 	for _, r := range rows {
@@ -417,7 +417,7 @@
 		}
 		m, ok := o.s.Codec.DecodeMinion(r.Name, r.Value)
 		if !ok {
-			o.s.Log.Debug("cannot decode minion row", "minion", r.Name)
+			o.s.Log.Debug("minion row invalid", "minion", r.Name)
 			continue
 		}
 		listed[m.ID] = true
@@ -476,8 +476,8 @@
 	defer o.cancel()
 	next := OwnerRow{Term: o.term, Next: o.s.successor(monotonicNow(), o.service)}
 	if _, err := o.s.replaceOwnerRow(o.ctx, o.service, o.ownerVersion, o.seqVersion, next); err != nil {
-		o.s.Log.Warn("handover failed", "service", o.service, "why", err.Error())
+		o.s.Log.Warn("shard handover failed", "service", o.service, "why", err.Error())
 		return
 	}
-	o.s.Log.Info("handed over", "service", o.service, "term", o.term, "next", next.Next)
+	o.s.Log.Info("shard handed over", "service", o.service, "term", o.term, "next", next.Next)
 }
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -33,7 +33,7 @@
 	for _, r := range rows {
 		l, err := decodeOwnerRow(r)
 		if err != nil {
-			s.Log.Error("owner row", "service", r.Part, "why", err.Error())
+			s.Log.Error("owner row invalid", "service", r.Part, "why", err.Error())
 			continue
 		}
 		if l.version > s.ownerRows[r.Part].version {
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -235,13 +235,13 @@
 	defer cancel()
 	stored, err := s.relayStore.Read(c, entryTable, service, "", "")
 	if err != nil {
-		s.Log.Warn("claim failed", "service", service, "why", err.Error())
+		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
 	}
 	current := OwnerRow{}
 	if len(stored.Rows) > 0 {
 		if current, err = decodeOwnerRow(stored.Rows[0]); err != nil {
-			s.Log.Error("owner row", "service", service, "why", err.Error())
+			s.Log.Error("owner row invalid", "service", service, "why", err.Error())
 			return
 		}
 	}
@@ -251,7 +251,7 @@
 	}
 	seq, err := s.readSeqVersion(c, service)
 	if err != nil {
-		s.Log.Warn("claim failed", "service", service, "why", err.Error())
+		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
 	}
 	if current.Life == s.instanceID && current.Name == s.Settings.ID {
@@ -262,11 +262,11 @@
 	next := OwnerRow{Name: s.Settings.ID, Addr: s.Settings.PeerAddr, Life: s.instanceID, Term: current.Term + 1}
 	res, err := s.replaceOwnerRow(c, service, current.version, seq, next)
 	if err != nil || !res.Done {
-		s.Log.Info("claim lost", "service", service, "term", next.Term, "why", fmt.Sprint(err))
+		s.Log.Info("shard claim lost", "service", service, "term", next.Term, "why", fmt.Sprint(err))
 		return
 	}
 	next.version = res.Version
-	s.Log.Info("owner", "service", service, "term", next.Term, "why", why)
+	s.Log.Info("shard claimed", "service", service, "term", next.Term, "why", why)
 	s.setOwnerRow(service, next)
 	s.startOwner(ctx, service, next, res.Version)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -152,7 +152,7 @@
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), apply: s.applyEntryTable}.run(ctx, -1)
 	})
 	s.spawn(func() { s.watchServices(ctx) })
-	s.Log.Info("start", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
+	s.Log.Info("entry started", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
 }
 
 func (s *Server) spawn(f func()) {
@@ -181,10 +181,10 @@
 		}
 		up = err == nil
 		if up {
-			s.Log.Info("regained", "what", name)
+			s.Log.Info("feed regained", "what", name)
 			return
 		}
-		s.Log.Warn("lost", "what", name, "why", err.Error())
+		s.Log.Warn("feed lost", "what", name, "why", err.Error())
 	}
 }
 
@@ -196,7 +196,7 @@
 		}
 		c, err := s.Codec.DecodeConfig(r.Value)
 		if err != nil {
-			s.Log.Error("configuration", "why", err.Error())
+			s.Log.Error("configuration row invalid", "why", err.Error())
 			continue
 		}
 		old := s.cfg.Load()
@@ -204,7 +204,7 @@
 			continue
 		}
 		s.cfg.Store(c)
-		s.Log.Info("configuration", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
+		s.Log.Info("configuration applied", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
 	}
 }
 
@@ -231,7 +231,7 @@
 // the load balancer sends clients elsewhere, and completes requests in
 // progress.
 func (s *Server) Stop() {
-	s.Log.Info("stop")
+	s.Log.Info("entry stopping")
 	s.stopping.Store(true)
 	s.carrier.StartDraining()
 	grace, cancel := context.WithTimeout(context.Background(), time.Duration(s.Settings.Grace)*time.Millisecond-shutdownMargin)
@@ -240,10 +240,10 @@
 	s.handOverAll()
 	sleep(grace, readinessNotice)
 	if err := s.clientServer.Stop(grace); err != nil {
-		s.Log.Warn("stop", "why", err.Error())
+		s.Log.Warn("requests unfinished at stop", "why", err.Error())
 	}
 	s.cancel()
-	s.Log.Info("end")
+	s.Log.Info("entry stopped")
 }
 
 // Kill stops the entry without handing over shards or completing requests.
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -91,7 +91,7 @@
 		p.deferredCost = cost
 		return false
 	}
-	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
+	s.note(Note{What: PlacementQueried, Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
 	p.advice.inFlight++
 	if p.advice.queried == nil {
 		p.advice.eligible, p.advice.queried = map[string]ticket{}, map[string]bool{}
@@ -230,10 +230,10 @@
 			}
 		}
 		p.advice.retryAfter = now.Add(queryRetryDelay)
-		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
+		s.note(Note{What: PlacementQueryFailed, Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
 		return
 	}
-	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
+	s.note(Note{What: PlacementAnswered, Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
 	known := len(p.advice.eligible)
 	if !a.renewal {
 		s.observeShare(p.job.Queue, len(a.IDs), len(tickets))
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -29,7 +29,7 @@
 	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stopping || !r.isCurrent(m) || r.state == unsent || r.state == cancelled {
 		return
 	}
-	s.note(Note{What: "copy", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
+	s.note(Note{What: CopyQueued, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
 	r.step.job.hasCopies = true
 	t.openAttempts = append(t.openAttempts, t.attempt)
 	s.requeue(r.step, t)
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -36,7 +36,7 @@
 			default:
 				continue
 			}
-			s.note(Note{What: "evacuated", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: left.Round(time.Millisecond).String()})
+			s.note(Note{What: RunEvacuated, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: left.Round(time.Millisecond).String()})
 			s.evict(now, m, r)
 		}
 	}
@@ -59,7 +59,7 @@
 		return
 	}
 	if len(m.runs) > 0 || m.synced {
-		s.note(Note{What: "gone", Minion: m.ID})
+		s.note(Note{What: MinionReplaced, Minion: m.ID})
 	}
 	m.synced = false
 	if m.silentSince.IsZero() {
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -32,7 +32,7 @@
 	}
 	d := min(minPause<<min(m.failures-failuresBeforePause, 3), maxPause)
 	m.pausedUntil = now.Add(d)
-	s.note(Note{What: "paused", Minion: m.ID, Why: d.String()})
+	s.note(Note{What: MinionPaused, Minion: m.ID, Why: d.String()})
 }
 
 // suspect reports whether the minion has failed too often to be given more than
@@ -130,7 +130,7 @@
 	r.stopping = true
 	p.failures++
 	s.recordFailure(now, m)
-	s.note(Note{What: "still", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
+	s.note(Note{What: RunStalled, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -82,7 +82,7 @@
 	switch {
 	case m == nil:
 		m = s.newMinion(w)
-		s.note(Note{What: "minion", Minion: w.ID, Why: w.Zone})
+		s.note(Note{What: MinionAdded, Minion: w.ID, Why: w.Zone})
 	case w.Born > m.Born:
 		s.replaceLife(now, m, w)
 	case w.Born < m.Born:
@@ -92,7 +92,7 @@
 		s.checkedAt = time.Time{}
 	}
 	if w.Draining && !m.Draining {
-		s.note(Note{What: "draining", Minion: w.ID})
+		s.note(Note{What: MinionDraining, Minion: w.ID})
 	}
 	if m.Address == "" {
 		defer s.announce(m)
@@ -112,7 +112,7 @@
 		return
 	}
 	m.listed, m.unlistedAt = false, now
-	s.note(Note{What: "unlisted", Minion: id})
+	s.note(Note{What: MinionUnlisted, Minion: id})
 }
 
 // UnlistMissing unlists every minion that is not in listed, the full list of
@@ -130,7 +130,7 @@
 // incarnation, which has the same ID and has seen no token; the first report of
 // the new incarnation settles that.
 func (s *State) replaceLife(now time.Time, m *minion, w work.Minion) {
-	s.note(Note{What: "reborn", Minion: m.ID})
+	s.note(Note{What: MinionRestarted, Minion: m.ID})
 	var carriedOver []*run
 	for _, r := range m.runs {
 		s.remove(m, r)
@@ -180,7 +180,7 @@
 	if t == nil || t.phase != Placed || t.attempt != r.key.attempt {
 		return
 	}
-	s.note(Note{What: "lost", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: t.incarnation.ID, Why: why})
+	s.note(Note{What: RunLost, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: t.incarnation.ID, Why: why})
 	s.requeue(r.step, t)
 	if r.step.Gang && (r.state == unsent || r.state == sent) && s.repairGang(now, r.step) {
 		return // the run has certainly not begun
@@ -267,7 +267,7 @@
 	}
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
-		s.note(Note{What: "silent", Minion: l.ID})
+		s.note(Note{What: MinionSilent, Minion: l.ID})
 	}
 }
 
@@ -293,7 +293,7 @@
 		}
 		m.token = max(m.token, o.Start.Token+1)
 		m.pausedUntil = maxTime(m.pausedUntil, now.Add(noReplyPause))
-		s.note(Note{What: "unanswered", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: err.Error()})
+		s.note(Note{What: StartUnanswered, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: err.Error()})
 	case why == work.Accepted:
 		if r.state == sent {
 			r.state = live
@@ -308,7 +308,7 @@
 }
 
 func (s *State) handleRefusal(now time.Time, m *minion, r *run, why work.Refusal) {
-	s.note(Note{What: "refused", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: string(why)})
+	s.note(Note{What: StartRefused, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: string(why)})
 	s.remove(m, r)
 	switch why {
 	case work.BadTicket:
@@ -341,7 +341,7 @@
 			s.cancelReservations(m)
 			s.sortedMinions = nil
 			s.epoch++
-			s.note(Note{What: "forgotten", Minion: id})
+			s.note(Note{What: MinionForgotten, Minion: id})
 		}
 	}
 }
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -350,7 +350,7 @@
 		})
 	}
 	for _, n := range p.st.Notes {
-		if n.What == "over" {
+		if n.What == JobEnded {
 			if s := p.jobs[n.Job]; s != nil && n.Why == string(Completed) {
 				s.duration = p.now.Sub(s.at) + writeTime
 			}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -29,7 +29,7 @@
 	if !m.silentSince.IsZero() {
 		m.silentSince = time.Time{}
 		m.token++ // orders sent before the silence must not be executed any more
-		s.note(Note{What: "answers", Minion: m.ID})
+		s.note(Note{What: MinionAnswers, Minion: m.ID})
 		s.wakeSteps(m)
 	}
 	for _, e := range rep.Ended {
@@ -86,7 +86,7 @@
 	if p := s.stepOf(k.task); p != nil {
 		r.size, r.step = p.Reserved(), p
 	}
-	s.note(Note{What: "stray", Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: m.ID})
+	s.note(Note{What: UnexpectedRun, Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: m.ID})
 	m.add(r)
 	return r
 }
@@ -150,7 +150,7 @@
 		s.handleStaleEnd(now, m, p, t, e)
 		return
 	}
-	s.note(Note{What: "ended", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: string(e.How)})
+	s.note(Note{What: RunEnded, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: string(e.How)})
 	if e.Saved != "" {
 		t.checkpoint = e.Saved
 	}
@@ -178,7 +178,7 @@
 	}
 	switch {
 	case e.How == work.Done:
-		s.note(Note{What: "ended", Job: t.id.Job, Task: t.id.String(), Attempt: e.Attempt, Minion: m.ID, Why: "done, after it was given up"})
+		s.note(Note{What: RunEnded, Job: t.id.Job, Task: t.id.String(), Attempt: e.Attempt, Minion: m.ID, Why: "done, after it was given up"})
 		if p.Gang {
 			s.stopGang(now, p)
 		} else {
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -57,7 +57,7 @@
 	if j.state == Queued {
 		j.state = Active
 	}
-	s.note(Note{What: "placed", Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	s.note(Note{What: TaskPlaced, Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
 	saved := ""
 	if p.Checkpoints {
 		saved = p.checkpoint(t)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -223,16 +223,6 @@
 	actions         Actions
 }
 
-// Note is one decision, for the log.
-type Note struct {
-	What    string
-	Job     string
-	Task    string
-	Attempt int
-	Minion  string
-	Why     string
-}
-
 // StartOrder is a start to be sent.
 type StartOrder struct {
 	Minion        work.Minion
@@ -299,8 +289,6 @@
 	}
 }
 
-func (s *State) note(n Note) { s.Notes = append(s.Notes, n) }
-
 // Submit adds an accepted job. Repeated calls have no effect.
 func (s *State) Submit(now time.Time, j *work.Job) {
 	if s.jobs[j.ID] != nil || s.forgottenIDs[j.ID] {
@@ -310,7 +298,7 @@
 	s.jobs[j.ID] = n
 	s.upcoming = append(s.upcoming, n)
 	s.publishNow(n)
-	s.note(Note{What: "job", Job: j.ID})
+	s.note(Note{What: JobReceived, Job: j.ID})
 }
 
 // Cancel ends a job. It has no effect on jobs that have already ended.
@@ -319,7 +307,7 @@
 	if j == nil || j.state.Terminal() {
 		return
 	}
-	s.note(Note{What: "cancel", Job: id})
+	s.note(Note{What: CancellationReceived, Job: id})
 	s.finishJob(now, j, Cancelled)
 }
 
@@ -352,7 +340,7 @@
 func (s *State) finishJob(now time.Time, j *job, st JobState) {
 	j.state = st
 	s.markChanged(j)
-	s.note(Note{What: "over", Job: j.ID, Why: string(st)})
+	s.note(Note{What: JobEnded, Job: j.ID, Why: string(st)})
 	for _, r := range j.rounds {
 		for _, p := range r.steps {
 			for _, t := range p.tasks {
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -51,7 +51,7 @@
 	z.slowMinions[l.ID] = true
 	if !was && z.unreachable() {
 		s.checkedAt = time.Time{}
-		s.note(Note{What: "doubted", Minion: l.ID, Why: "no answers from " + z.name})
+		s.note(Note{What: ZoneUnreachable, Minion: l.ID, Why: "no answers from " + z.name})
 	}
 }
 
