--- /dev/null
+++ b/internal/server/commit.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/table"
+)
+
+// errDeposed means that another entry owns the shard.
+var errDeposed = errors.New("another entry owns the shard")
+
+// commit makes a batch durable and then applies its effects.
+func (o *owner) commit(b shard.Batch) {
+	startTime, err := o.writeAll(b)
+	o.post(func(now time.Time) {
+		o.writing = false
+		if err != nil {
+			o.depose(err.Error())
+			return
+		}
+		o.state.HandleWritten(now, startTime)
+		o.applyEffects(b)
+	})
+}
+
+// writeAll writes a batch in as many transactions as needed.
+func (o *owner) writeAll(b shard.Batch) (startTime time.Time, err error) {
+	rows, deletes := b.Rows, b.Delete
+	for first := true; first || len(rows)+len(deletes) > 0; first = false {
+		n := min(len(rows), maxRowsPerTx)
+		k := min(len(deletes), maxRowsPerTx-n)
+		if startTime, err = o.write(rows[:n], deletes[:k]); err != nil {
+			return startTime, err
+		}
+		rows, deletes = rows[n:], deletes[k:]
+	}
+	return startTime, nil
+}
+
+// write makes rows durable if this entry still owns the shard. Every write
+// changes the seq row and is conditional on its version. Thus a write that got
+// no response can be sent again, and it cannot take effect late and overwrite a
+// later one.
+func (o *owner) write(rows []table.Row, deletes []table.Key) (time.Time, error) {
+	o.writeCount++
+	writeID := fmt.Sprintf("%s.%d.%d", o.s.instanceID, o.term, o.writeCount)
+	tx := table.Tx{
+		If:     []table.Row{{Key: ownerKey(o.service), Version: o.ownerVersion}, {Key: seqKey(o.service), Version: o.seqVersion}},
+		Put:    append([]table.Row{{Key: seqKey(o.service), Value: []byte(writeID)}}, rows...),
+		Delete: deletes,
+	}
+	for logged := false; ; {
+		startTime := monotonicNow()
+		res, err := o.s.relayStore.Do(o.ctx, tx)
+		switch {
+		case o.ctx.Err() != nil:
+			return startTime, fmt.Errorf("write: %w", o.ctx.Err())
+		case err != nil:
+			if !logged {
+				o.s.Log.Warn("shard write failed", "service", o.service, "term", o.term, "why", err.Error())
+			}
+			logged = true
+			sleep(o.ctx, writeRetryDelay)
+			continue
+		case res.Done:
+			o.seqVersion = res.Version
+		default:
+			if o.seqVersion = committedVersion(res.Rows, writeID); o.seqVersion == 0 {
+				return startTime, errDeposed
+			}
+		}
+		o.lastWriteNanos.Store(startTime.UnixNano())
+		o.s.metrics.Write(monotonicNow().Sub(startTime))
+		return startTime, nil
+	}
+}
+
+// committedVersion returns the version of the seq row if an earlier attempt of
+// the same write was committed, else 0.
+func committedVersion(rows []table.Row, writeID string) int64 {
+	for _, r := range rows {
+		if r.Table == seqTable && string(r.Value) == writeID {
+			return r.Version
+		}
+	}
+	return 0
+}
+
+// applyEffects does what may be done once a batch is durable.
+func (o *owner) applyEffects(b shard.Batch) {
+	now := monotonicNow()
+	for _, x := range b.Starts {
+		r := o.handlers[x.Minion.Incarnation]
+		if o.handingOver || !o.state.PrepareStart(now, &x) || r == nil {
+			continue
+		}
+		r.sendStart(x)
+	}
+	for l, n := range b.AckedEnds {
+		if r := o.handlers[l]; r != nil {
+			r.acknowledge(n)
+		}
+	}
+	o.updateJobs(b.Statuses)
+	o.archive.add(now, b.Ended)
+}
--- /dev/null
+++ b/internal/server/load.go
@@ -0,0 +1,137 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/table"
+	"jasminestep/internal/work"
+)
+
+// load reads the whole shard.
+func (o *owner) load() error {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	minions, err := retryRead(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.relayStore, o.s.Codec.MinionTable) })
+	if err != nil {
+		return fmt.Errorf("read minions: %w", err)
+	}
+	jobs, err := retryRead(ctx, func() (table.Range, error) { return readJobs(ctx, o.s.relayStore) })
+	if err != nil {
+		return fmt.Errorf("read jobs: %w", err)
+	}
+	progress, err := retryRead(ctx, func() (table.Range, error) {
+		return o.s.relayStore.Read(ctx, shard.ProgressTable, o.service, "", "")
+	})
+	if err != nil {
+		return fmt.Errorf("read progress: %w", err)
+	}
+	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
+	now := monotonicNow()
+	o.applyMinionRows(now, minions.Rows, true)
+	saved, bad := shard.ReadProgress(progress.Rows)
+	for _, name := range bad {
+		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
+	}
+	o.applyJobRows(now, jobs.Rows, saved)
+	o.state.AdoptBundles(saved)
+	o.state.DropOrphans(saved, rowNames(jobs.Rows))
+	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
+	return nil
+}
+
+// loadTimeout limits the time to read a shard; after it another entry may try.
+const loadTimeout = 10 * time.Second
+
+// readJobs reads all job rows. It reads every part, also those that are empty at
+// present: the version of the result has to precede all changes that are not in
+// it, or the feed that continues from there would show jobs that were archived
+// long ago.
+func readJobs(ctx context.Context, s table.Store) (table.Range, error) {
+	parts := make([]string, jobParts)
+	for i := range parts {
+		parts[i] = partName(i)
+	}
+	return table.ReadParts(ctx, s, jobTable, parts)
+}
+
+// retryRead repeats a read until it succeeds or ctx ends.
+func retryRead(ctx context.Context, f func() (table.Range, error)) (table.Range, error) {
+	for {
+		r, err := f()
+		if err == nil || ctx.Err() != nil {
+			return r, err
+		}
+		sleep(ctx, writeRetryDelay)
+	}
+}
+
+// applyJobRows applies rows of jobs and cancellations.
+func (o *owner) applyJobRows(now time.Time, rows []table.Row, saved shard.SavedProgress) {
+	for _, r := range rows {
+		if r.Deleted || strings.HasSuffix(r.Name, cancelSuffix) {
+			continue
+		}
+		j := &work.Job{}
+		if err := json.Unmarshal(r.Value, j); err != nil {
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
+			continue
+		}
+		if j.Service != o.service {
+			continue
+		}
+		if err := validateJob(j); err != nil {
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
+			continue
+		}
+		if err := o.state.Load(now, j, saved.Row(j.ID)); err != nil {
+			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
+		}
+	}
+	for _, r := range rows {
+		if id, ok := strings.CutSuffix(r.Name, cancelSuffix); ok && !r.Deleted {
+			o.state.Cancel(now, id)
+		}
+	}
+}
+
+func (o *owner) applyMinionRows(now time.Time, rows []table.Row, whole bool) {
+	listed := map[string]bool{}
+	for _, r := range rows {
+		if r.Deleted {
+			o.state.UnlistMinion(now, r.Name)
+			continue
+		}
+		m, ok := o.s.Codec.DecodeMinion(r.Name, r.Value)
+		if !ok {
+			o.s.Log.Debug("minion row invalid", "minion", r.Name)
+			continue
+		}
+		listed[m.ID] = true
+		o.state.UpdateMinion(now, m)
+	}
+	if whole {
+		o.state.UnlistMissing(now, listed)
+	}
+}
+
+// followJobs finds jobs and cancellations that this owner was not notified of.
+func (o *owner) followJobs() {
+	f := follower{store: o.s.relayStore, table: jobTable, read: readJobs, gap: feedInterval, report: o.s.feedLogger("jobs")}
+	f.apply = func(rows []table.Row, _ bool) {
+		o.post(func(now time.Time) { o.applyJobRows(now, rows, shard.SavedProgress{}) })
+	}
+	f.run(o.ctx, o.jobVersion)
+}
+
+func (o *owner) followMinions() {
+	f := follower{store: o.s.relayStore, table: o.s.Codec.MinionTable, gap: feedInterval, report: o.s.feedLogger("minions")}
+	f.apply = func(rows []table.Row, whole bool) {
+		o.post(func(now time.Time) { o.applyMinionRows(now, rows, whole) })
+	}
+	f.run(o.ctx, o.minionVersion)
+}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"jasminestep/internal/carry"
 	"jasminestep/internal/shard"
-	"jasminestep/internal/table"
 	"jasminestep/internal/work"
 )
 
@@ -28,9 +22,6 @@
 	maxRowsPerTx      = 90
 )
 
-// errDeposed means that another entry owns the shard.
-var errDeposed = errors.New("another entry owns the shard")
-
 // owner makes the decisions for one shard. The goroutine of run, the control
 // goroutine, executes posted functions and has exclusive access to state.
 type owner struct {
@@ -189,102 +180,6 @@
 	o.state.Notes = o.state.Notes[:0]
 }
 
-// commit makes a batch durable and then applies its effects.
-func (o *owner) commit(b shard.Batch) {
-	startTime, err := o.writeAll(b)
-	o.post(func(now time.Time) {
-		o.writing = false
-		if err != nil {
-			o.depose(err.Error())
-			return
-		}
-		o.state.HandleWritten(now, startTime)
-		o.applyEffects(b)
-	})
-}
-
-// writeAll writes a batch in as many transactions as needed.
-func (o *owner) writeAll(b shard.Batch) (startTime time.Time, err error) {
-	rows, deletes := b.Rows, b.Delete
-	for first := true; first || len(rows)+len(deletes) > 0; first = false {
-		n := min(len(rows), maxRowsPerTx)
-		k := min(len(deletes), maxRowsPerTx-n)
-		if startTime, err = o.write(rows[:n], deletes[:k]); err != nil {
-			return startTime, err
-		}
-		rows, deletes = rows[n:], deletes[k:]
-	}
-	return startTime, nil
-}
-
-// write makes rows durable if this entry still owns the shard. Every write
-// changes the seq row and is conditional on its version. Thus a write that got
-// no response can be sent again, and it cannot take effect late and overwrite a
-// later one.
-func (o *owner) write(rows []table.Row, deletes []table.Key) (time.Time, error) {
-	o.writeCount++
-	writeID := fmt.Sprintf("%s.%d.%d", o.s.instanceID, o.term, o.writeCount)
-	tx := table.Tx{
-		If:     []table.Row{{Key: ownerKey(o.service), Version: o.ownerVersion}, {Key: seqKey(o.service), Version: o.seqVersion}},
-		Put:    append([]table.Row{{Key: seqKey(o.service), Value: []byte(writeID)}}, rows...),
-		Delete: deletes,
-	}
-	for logged := false; ; {
-		startTime := monotonicNow()
-		res, err := o.s.relayStore.Do(o.ctx, tx)
-		switch {
-		case o.ctx.Err() != nil:
-			return startTime, fmt.Errorf("write: %w", o.ctx.Err())
-		case err != nil:
-			if !logged {
-				o.s.Log.Warn("shard write failed", "service", o.service, "term", o.term, "why", err.Error())
-			}
-			logged = true
-			sleep(o.ctx, writeRetryDelay)
-			continue
-		case res.Done:
-			o.seqVersion = res.Version
-		default:
-			if o.seqVersion = committedVersion(res.Rows, writeID); o.seqVersion == 0 {
-				return startTime, errDeposed
-			}
-		}
-		o.lastWriteNanos.Store(startTime.UnixNano())
-		o.s.metrics.Write(monotonicNow().Sub(startTime))
-		return startTime, nil
-	}
-}
-
-// committedVersion returns the version of the seq row if an earlier attempt of
-// the same write was committed, else 0.
-func committedVersion(rows []table.Row, writeID string) int64 {
-	for _, r := range rows {
-		if r.Table == seqTable && string(r.Value) == writeID {
-			return r.Version
-		}
-	}
-	return 0
-}
-
-// applyEffects does what may be done once a batch is durable.
-func (o *owner) applyEffects(b shard.Batch) {
-	now := monotonicNow()
-	for _, x := range b.Starts {
-		r := o.handlers[x.Minion.Incarnation]
-		if o.handingOver || !o.state.PrepareStart(now, &x) || r == nil {
-			continue
-		}
-		r.sendStart(x)
-	}
-	for l, n := range b.AckedEnds {
-		if r := o.handlers[l]; r != nil {
-			r.acknowledge(n)
-		}
-	}
-	o.updateJobs(b.Statuses)
-	o.archive.add(now, b.Ended)
-}
-
 func (o *owner) updateJobs(shown []shard.JobStatus) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -321,113 +216,6 @@
 	return o.pendingByQueue[queue], o.loaded.Load()
 }
 
-// load reads the whole shard.
-func (o *owner) load() error {
-	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
-	defer cancel()
-	minions, err := retryRead(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.relayStore, o.s.Codec.MinionTable) })
-	if err != nil {
-		return fmt.Errorf("read minions: %w", err)
-	}
-	jobs, err := retryRead(ctx, func() (table.Range, error) { return readJobs(ctx, o.s.relayStore) })
-	if err != nil {
-		return fmt.Errorf("read jobs: %w", err)
-	}
-	progress, err := retryRead(ctx, func() (table.Range, error) {
-		return o.s.relayStore.Read(ctx, shard.ProgressTable, o.service, "", "")
-	})
-	if err != nil {
-		return fmt.Errorf("read progress: %w", err)
-	}
-	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
-	now := monotonicNow()
-	o.applyMinionRows(now, minions.Rows, true)
-	saved, bad := shard.ReadProgress(progress.Rows)
-	for _, name := range bad {
-		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
-	}
-	o.applyJobRows(now, jobs.Rows, saved)
-	o.state.AdoptBundles(saved)
-	o.state.DropOrphans(saved, rowNames(jobs.Rows))
-	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
-	return nil
-}
-
-// readJobs reads all job rows. It reads every part, also those that are empty at
-// present: the version of the result has to precede all changes that are not in
-// it, or the feed that continues from there would show jobs that were archived
-// long ago.
-func readJobs(ctx context.Context, s table.Store) (table.Range, error) {
-	parts := make([]string, jobParts)
-	for i := range parts {
-		parts[i] = partName(i)
-	}
-	return table.ReadParts(ctx, s, jobTable, parts)
-}
-
-// loadTimeout limits the time to read a shard; after it another entry may try.
-const loadTimeout = 10 * time.Second
-
-// retryRead repeats a read until it succeeds or ctx ends.
-func retryRead(ctx context.Context, f func() (table.Range, error)) (table.Range, error) {
-	for {
-		r, err := f()
-		if err == nil || ctx.Err() != nil {
-			return r, err
-		}
-		sleep(ctx, writeRetryDelay)
-	}
-}
-
-// applyJobRows applies rows of jobs and cancellations.
-func (o *owner) applyJobRows(now time.Time, rows []table.Row, saved shard.SavedProgress) {
-	for _, r := range rows {
-		if r.Deleted || strings.HasSuffix(r.Name, cancelSuffix) {
-			continue
-		}
-		j := &work.Job{}
-		if err := json.Unmarshal(r.Value, j); err != nil {
-			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
-			continue
-		}
-		if j.Service != o.service {
-			continue
-		}
-		if err := validateJob(j); err != nil {
-			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
-			continue
-		}
-		if err := o.state.Load(now, j, saved.Row(j.ID)); err != nil {
-			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
-		}
-	}
-	for _, r := range rows {
-		if id, ok := strings.CutSuffix(r.Name, cancelSuffix); ok && !r.Deleted {
-			o.state.Cancel(now, id)
-		}
-	}
-}
-
-func (o *owner) applyMinionRows(now time.Time, rows []table.Row, whole bool) {
-	listed := map[string]bool{}
-	for _, r := range rows {
-		if r.Deleted {
-			o.state.UnlistMinion(now, r.Name)
-			continue
-		}
-		m, ok := o.s.Codec.DecodeMinion(r.Name, r.Value)
-		if !ok {
-			o.s.Log.Debug("minion row invalid", "minion", r.Name)
-			continue
-		}
-		listed[m.ID] = true
-		o.state.UpdateMinion(now, m)
-	}
-	if whole {
-		o.state.UnlistMissing(now, listed)
-	}
-}
-
 // submit adds an accepted job unless it has been archived.
 func (o *owner) submit(a SubmitArgs) {
 	o.post(func(now time.Time) {
@@ -437,47 +225,3 @@
 		o.state.Submit(now, a.Job)
 	})
 }
-
-// followJobs finds jobs and cancellations that this owner was not notified of.
-func (o *owner) followJobs() {
-	f := follower{store: o.s.relayStore, table: jobTable, read: readJobs, gap: feedInterval, report: o.s.feedLogger("jobs")}
-	f.apply = func(rows []table.Row, _ bool) {
-		o.post(func(now time.Time) { o.applyJobRows(now, rows, shard.SavedProgress{}) })
-	}
-	f.run(o.ctx, o.jobVersion)
-}
-
-func (o *owner) followMinions() {
-	f := follower{store: o.s.relayStore, table: o.s.Codec.MinionTable, gap: feedInterval, report: o.s.feedLogger("minions")}
-	f.apply = func(rows []table.Row, whole bool) {
-		o.post(func(now time.Time) { o.applyMinionRows(now, rows, whole) })
-	}
-	f.run(o.ctx, o.minionVersion)
-}
-
-// handOver gives up the shard at once so that another entry can claim it.
-// Decisions that are not durable yet are left to that entry.
-func (o *owner) handOver() {
-	o.post(func(time.Time) { o.handingOver = true })
-	select {
-	case <-o.done:
-	case <-time.After(handOverTimeout):
-		o.depose("handover timed out")
-	}
-}
-
-// handOverTimeout limits the time of a handover; after it other entries have to
-// detect that the shard has no owner.
-const handOverTimeout = 2 * time.Second
-
-// releaseShard writes an owner row that names no owner, but the entry that
-// should claim the shard next.
-func (o *owner) releaseShard() {
-	defer o.cancel()
-	next := OwnerRow{Term: o.term, Next: o.s.successor(monotonicNow(), o.service)}
-	if _, err := o.s.replaceOwnerRow(o.ctx, o.service, o.ownerVersion, o.seqVersion, next); err != nil {
-		o.s.Log.Warn("shard handover failed", "service", o.service, "why", err.Error())
-		return
-	}
-	o.s.Log.Info("shard handed over", "service", o.service, "term", o.term, "next", next.Next)
-}
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -69,27 +69,6 @@
 	}
 }
 
-// successor returns the name of the entry that should claim a shard released by
-// this one: the one of highest strength that responds and owns no shard.
-func (s *Server) successor(now time.Time, service string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	owns := map[string]bool{}
-	for _, l := range s.ownerRows {
-		owns[l.Name] = true
-	}
-	best := Entry{}
-	for _, e := range s.entries {
-		if e.Name == s.Settings.ID || owns[e.Name] || e.Leaving || s.avoided(now, e.Addr) {
-			continue
-		}
-		if best.Name == "" || e.claimsBefore(best, service, s.Settings.Zone) {
-			best = e
-		}
-	}
-	return best.Name
-}
-
 func decodeOwnerRow(r table.Row) (OwnerRow, error) {
 	var l OwnerRow
 	if err := json.Unmarshal(r.Value, &l); err != nil {
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -288,16 +288,3 @@
 		s.mu.Unlock()
 	})
 }
-
-// handOverAll hands over all shards.
-func (s *Server) handOverAll() {
-	s.mu.Lock()
-	var owners []*owner
-	for _, o := range s.localOwners {
-		owners = append(owners, o)
-	}
-	s.mu.Unlock()
-	for _, o := range owners {
-		go o.handOver()
-	}
-}
