List the note of a waiting step among the events

The note came in beside the typed list of events; it gets its constant and its row in the table of events.

--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -11,6 +11,7 @@
 	PlacementQueried     Event = "placement queried"      // the placement service is asked about a step
 	PlacementAnswered    Event = "placement answered"     // the placement service told which minions are eligible
 	PlacementQueryFailed Event = "placement query failed" // the placement service did not answer
+	StepWaits            Event = "step waits"             // tasks of a step could run and have waited for long
 )
 
 // Events of runs.
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -18,7 +18,7 @@
 		return
 	}
 	p.waitNotedAt = now
-	s.note(Note{What: "step waits", Job: p.job.ID, Task: p.id().StepID(), Why: s.waitState(now, p).String()})
+	s.note(Note{What: StepWaits, Job: p.job.ID, Task: p.id().StepID(), Why: s.waitState(now, p).String()})
 }
 
 // waitState is what decides whether the waiting tasks of a step can be placed or
