Give the step that has waited longest its turn at queries

Cause: waiting steps issue queries in order of rank: what can meet its objective first, then late steps, the smallest first. While others use up the capacity for queries, a large late step is never asked about. Class: strict priority without ageing.

TestLateStepIsQueriedAboutWhileUrgentOnesUseAllQueries failed before (0 != 1 running).

Change: of the queries that use up the capacity, each eighth goes to the step that has waited longest, if that is five seconds or more.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -100,6 +100,9 @@
 		p.deferredCost = cost
 		return false
 	}
+	if s.queryCapacity.Total == 0 {
+		s.contendedQueries++
+	}
 	s.note(Note{What: PlacementQueried, Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
 	p.advice.inFlight++
 	if p.advice.queried == nil {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -25,7 +25,7 @@
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
 	v.pruneReservations()
-	for _, c := range s.due(now, wall) {
+	for _, c := range s.longestWaitFirst(now, s.due(now, wall)) {
 		if c.due || s.queryCapacity.allows(c.deferredCost) {
 			v.place(c)
 		}
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -21,6 +21,38 @@
 	s.note(Note{What: StepWaits, Job: p.job.ID, Task: p.id().StepID(), Why: s.waitState(now, p).String()})
 }
 
+// Limits on how long queries for other steps may hold up a step.
+const (
+	longWait   = 5 * time.Second
+	queryTurns = 8 // of the queries that use up the capacity, one in so many goes to the step that has waited longest
+)
+
+// longestWaitFirst puts the step that has waited longest first when it is its
+// turn. Otherwise a step whose job is late would never be queried about while
+// more urgent or smaller ones use up the capacity for queries.
+func (s *State) longestWaitFirst(now time.Time, cs []candidate) []candidate {
+	if s.contendedQueries < queryTurns {
+		return cs
+	}
+	oldest := -1
+	for i, c := range cs {
+		if c.job.Advice == nil || c.advice.inFlight > 0 || now.Sub(c.waitsSince) < longWait {
+			continue
+		}
+		if oldest < 0 || c.waitsSince.Before(cs[oldest].waitsSince) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return cs
+	}
+	s.contendedQueries = 0
+	c := cs[oldest]
+	copy(cs[1:oldest+1], cs[:oldest])
+	cs[0] = c
+	return cs
+}
+
 // waitState is what decides whether the waiting tasks of a step can be placed or
 // a query for them be issued.
 type waitState struct {
--- a/internal/shard/waiting_test.go
+++ b/internal/shard/waiting_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -13,8 +14,9 @@
 // queryingOwner answers the placement queries of an owner.
 type queryingOwner struct {
 	*simOwner
-	allowed map[string]bool
-	named   []string // minions in the queries so far
+	allowed  map[string]bool
+	hopeless map[string]bool // jobs that may run nowhere
+	named    []string        // minions in the queries so far
 }
 
 // run decides and answers queries for a time.
@@ -30,7 +32,7 @@
 			tickets := map[string]string{}
 			for _, id := range a.IDs {
 				q.named = append(q.named, id)
-				if q.allowed[id] {
+				if q.allowed[id] && !q.hopeless[a.Step.Job] {
 					tickets[id] = "t"
 				}
 			}
@@ -48,7 +50,7 @@
 
 func newQueryingOwner(t *testing.T, minions int, allowed ...string) *queryingOwner {
 	_, o := newOwnedCluster(t, minions)
-	q := &queryingOwner{simOwner: o, allowed: map[string]bool{}}
+	q := &queryingOwner{simOwner: o, allowed: map[string]bool{}, hopeless: map[string]bool{}}
 	for _, id := range allowed {
 		q.allowed[id] = true
 	}
@@ -80,6 +82,28 @@
 	q.st.HandleReplaced(w.now, b.Incarnation)
 }
 
+// Jobs that come all the time and are more urgent may use all queries.
+func TestLateStepIsQueriedAboutWhileUrgentOnesUseAllQueries(t *testing.T) {
+	q := newQueryingOwner(t, 2)
+	w := q.cluster
+	st := tasks(1, 3000)
+	st.Label = "r1"
+	w.submit(advisedJob("late", st))
+	q.run(10 * time.Second)
+	assert.Equal(t, len(q.named), 0)
+	q.addMinion("n0")
+	w.minion("n0").Labels = []string{"r1"}
+	q.st.UpdateMinion(w.now, w.minion("n0").Minion)
+	q.allowed["n0"] = true
+	for i := range 100 {
+		j := advisedJob(fmt.Sprint("urgent", i), tasks(1, 1000))
+		q.hopeless[j.ID] = true
+		w.submit(j)
+		q.run(50 * time.Millisecond)
+	}
+	assert.Equal(t, w.running(), 1)
+}
+
 func TestStepRunsAfterTheMinionsAllowedForItAreGone(t *testing.T) {
 	q := newQueryingOwner(t, 4, "m0", "m1", "m2", "n0")
 	w := q.cluster
