Part the handling of client requests: submit, cancel, lookup, rows

It keeps the dispatch, the replies and the notice to the owner; submit.go, cancel.go and lookup.go have one request each, rows.go the tables, parts and keys of the rows that entries write. Declarations are moved only; jobParts has left the group of limits for a comment of its own.

--- a/internal/server/archive.go
+++ b/internal/server/archive.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,12 +30,6 @@
 	At    int64          `json:"at"` // when the job was archived, Unix milliseconds
 }
 
-func outcomeKey(id string) table.Key {
-	k := jobKey(id)
-	k.Table = outcomeTable
-	return k
-}
-
 // archiveQueue holds the ended jobs that are not archived yet. The zero value is
 // empty.
 type archiveQueue struct {
@@ -210,6 +203,3 @@
 	}
 	return out
 }
-
-// partName names a part of jobTable and outcomeTable.
-func partName(i int) string { return "p" + strconv.Itoa(i) }
--- /dev/null
+++ b/internal/server/cancel.go
@@ -0,0 +1,68 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/table"
+	"jasminestep/internal/web"
+	"jasminestep/internal/work"
+)
+
+// cancelJob makes a cancellation durable and notifies the owner.
+func (s *Server) cancelJob(ctx context.Context, w http.ResponseWriter, q *work.Queue, id string) {
+	for {
+		j, ended, err := s.tryCancel(ctx, q, id)
+		switch {
+		case err == nil && ended:
+			web.Reply(w, http.StatusOK, struct{}{})
+			return
+		case err == nil && j == nil:
+			failNoSuchJob(w)
+			return
+		case err == nil:
+			s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
+				o.post(func(now time.Time) { o.state.Cancel(now, id) })
+			})
+			s.Log.Info("cancellation accepted", "job", id)
+			web.Reply(w, http.StatusOK, struct{}{})
+			return
+		case ctx.Err() != nil:
+			s.storeFailed(w, id, err)
+			return
+		}
+		sleep(ctx, retryDelay/5)
+	}
+}
+
+// errArchivedMeanwhile means that a job was archived between the read of its row
+// and the write of its cancellation.
+var errArchivedMeanwhile = errors.New("the job has just been archived")
+
+// tryCancel writes the cancellation of a job of the queue. It returns a nil job
+// if there is none, and ended if it is archived, so that nothing is left to
+// cancel.
+func (s *Server) tryCancel(ctx context.Context, q *work.Queue, id string) (j *work.Job, ended bool, err error) {
+	j, version, err := s.readJob(ctx, id)
+	if err != nil {
+		return nil, false, err
+	}
+	if j == nil {
+		out, found, err := s.readOutcome(ctx, id)
+		return nil, found && out.Queue == q.Key(), err
+	}
+	if j.Queue != q.Key() {
+		return nil, false, nil
+	}
+	res, err := s.relayStore.Do(ctx, table.Tx{
+		If:  []table.Row{{Key: jobKey(id), Version: version}},
+		Put: []table.Row{{Key: jobKey(id + cancelSuffix), Value: []byte(j.Service)}},
+	})
+	if err == nil && !res.Done {
+		err = errArchivedMeanwhile
+	}
+	return j, false, err
+}
--- /dev/null
+++ b/internal/server/lookup.go
@@ -0,0 +1,149 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/shard"
+	"jasminestep/internal/web"
+	"jasminestep/internal/work"
+)
+
+// lookUpJob asks the owner of a service for a job.
+func (s *Server) lookUpJob(ctx context.Context, service, id string) (out LookReply, err error) {
+	if o := s.localOwner(service); o != nil {
+		out.Owns = true
+		out.Shown, out.Known = o.lookUpJob(id)
+		return out, nil
+	}
+	l, ok := s.ownerRow(service)
+	if !ok || l.Addr == "" {
+		return out, errors.New("no owner")
+	}
+	c, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	err = s.callEntry(c, l.Addr, "Look", LookArgs{service, id}, &out)
+	return out, err
+}
+
+// jobState responds with the state of a job.
+func (s *Server) jobState(ctx context.Context, w http.ResponseWriter, q *work.Queue, id string) {
+	out, err := s.lookUpJob(ctx, q.Service, id)
+	if err == nil && out.Known {
+		s.replyState(w, q, out.Shown)
+		return
+	}
+	sh, found, err := s.readState(ctx, id)
+	switch {
+	case err != nil:
+		s.storeFailed(w, id, err)
+	case !found:
+		failNoSuchJob(w)
+	default:
+		s.replyState(w, q, sh)
+	}
+}
+
+func (s *Server) replyState(w http.ResponseWriter, q *work.Queue, sh shard.JobStatus) {
+	if sh.Queue != q.Key() {
+		failNoSuchJob(w)
+		return
+	}
+	web.Reply(w, http.StatusOK, s.Codec.EncodeState(string(sh.State)))
+}
+
+// readJob reads a job's row and its version, or returns nil if there is none.
+func (s *Server) readJob(ctx context.Context, id string) (*work.Job, int64, error) {
+	k := jobKey(id)
+	r, err := s.relayStore.Read(ctx, k.Table, k.Part, id, id+"\x00")
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(r.Rows) == 0 {
+		return nil, 0, nil
+	}
+	j := &work.Job{}
+	if err = json.Unmarshal(r.Rows[0].Value, j); err != nil {
+		return nil, 0, fmt.Errorf("row of job %s: %w", id, err)
+	}
+	return j, r.Rows[0].Version, nil
+}
+
+// readState reads a job's state from the store.
+func (s *Server) readState(ctx context.Context, id string) (sh shard.JobStatus, found bool, err error) {
+	j, _, err := s.readJob(ctx, id)
+	switch {
+	case err != nil:
+		return sh, false, err
+	case j == nil:
+		return s.readOutcome(ctx, id)
+	}
+	k := shard.ProgressKey(j.Service, id)
+	r, err := s.relayStore.Read(ctx, k.Table, k.Part, id, id+"\x00")
+	if err != nil {
+		return sh, false, err
+	}
+	rows := r.Rows
+	if len(rows) == 0 {
+		from, to := shard.BundleRange()
+		if r, err = s.relayStore.Read(ctx, k.Table, k.Part, from, to); err != nil {
+			return sh, false, err
+		}
+		rows = r.Rows
+	}
+	sh = shard.JobStatus{ID: id, Queue: j.Queue, State: shard.Queued}
+	saved, _ := shard.ReadProgress(rows)
+	if row := saved.Row(id); row != nil {
+		sh.State, err = shard.ParseJobState(row)
+		return sh, err == nil, err
+	}
+	// It has not begun, or it was archived between the two reads.
+	if out, found, err := s.readOutcome(ctx, id); err != nil || found {
+		return out, found, err
+	}
+	return sh, true, nil
+}
+
+// pendingJobs responds with the number of jobs of a queue that have not started.
+// It waits a short time for an owner that has just claimed the shard to read it.
+func (s *Server) pendingJobs(ctx context.Context, w http.ResponseWriter, q *work.Queue) {
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	for {
+		if n, ok := s.countPending(ctx, q); ok {
+			web.Reply(w, http.StatusOK, s.Codec.EncodePending(n))
+			return
+		}
+		if ctx.Err() != nil {
+			failRetryable(w, http.StatusServiceUnavailable, "the owner of the queue does not answer")
+			return
+		}
+		sleep(ctx, pendingRetryDelay)
+	}
+}
+
+// pendingRetryDelay is the pause before the owner is asked again for the number
+// of pending jobs.
+const pendingRetryDelay = 30 * time.Millisecond
+
+// countPending asks the owner for the number of pending jobs. ok is false if it
+// does not know, or there is none.
+func (s *Server) countPending(ctx context.Context, q *work.Queue) (n int, ok bool) {
+	if o := s.localOwner(q.Service); o != nil {
+		return o.pendingJobs(q.Key())
+	}
+	l, ok := s.waitForOwner(ctx, q.Service)
+	if !ok {
+		return 0, false
+	}
+	var out PendingReply
+	if err := s.callEntry(ctx, l.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
+		s.Log.Debug("pending jobs not counted", "why", err.Error())
+	}
+	return out.N, out.Owns
+}
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -20,12 +20,6 @@
 	version int64 // of the row in the store
 }
 
-func ownerKey(service string) table.Key {
-	return table.Key{Table: entryTable, Part: service, Name: "owner"}
-}
-
-func seqKey(service string) table.Key { return table.Key{Table: seqTable, Part: service, Name: "seq"} }
-
 // applyOwnerRows applies owner rows; whole means that rows are all there are.
 func (s *Server) applyOwnerRows(rows []table.Row, whole bool) {
 	s.mu.Lock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,14 +92,6 @@
 	ownersChanged chan struct{} // closed at the next change of an owner row
 }
 
-// Tables written by entries.
-const (
-	entryTable   = "entry" // rows of entries, and in the part of each service its owner row
-	seqTable     = "seq"
-	jobTable     = "job"
-	outcomeTable = "outcome" // outcomes of archived jobs, in the parts of jobTable
-)
-
 // New returns an entry that listens on its addresses but does not serve yet.
 func New(set Settings, p Dependencies) (*Server, error) {
 	s := &Server{
