Count turns at queries also where only slow ones are contended

Cause: part of the capacity is kept for short queries, so steps with slow ones compete while some capacity is left; the turn of the step that has waited longest never came, and it passed if no query was to be had at that moment.

TestLateStepIsQueriedAboutWhileUrgentOnesUseAllQueries with such a capacity failed before (0 != 1 running).

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -100,7 +100,10 @@
 		p.deferredCost = cost
 		return false
 	}
-	if s.queryCapacity.Total == 0 {
+	switch {
+	case p == s.turnOf:
+		s.turnOf, s.contendedQueries = nil, 0
+	case s.queryCapacity.Slow == 0:
 		s.contendedQueries++
 	}
 	s.note(Note{What: PlacementQueried, Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -218,7 +218,8 @@
 	eligibleShares   map[string]*eligibleShare // by queue
 	baseline         map[string]float64        // average ratio of run time to estimate, by queue
 	queryCapacity    QueryCapacity             // remaining in this decision
-	contendedQueries int                       // queries that used up the capacity since the longest wait last went first
+	contendedQueries int                       // queries that used up the capacity since turnOf last issued one
+	turnOf           *step                     // the step that has waited longest, while it goes first
 	queryOffset      uint                      // where the next query begins to name minions
 	writeTime        time.Duration             // average duration of a write
 	lastDurable      time.Time                 // start of the last write that became durable
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -31,6 +31,7 @@
 // turn. Otherwise a step whose job is late would never be queried about while
 // more urgent or smaller ones use up the capacity for queries.
 func (s *State) longestWaitFirst(now time.Time, cs []candidate) []candidate {
+	s.turnOf = nil
 	if s.contendedQueries < queryTurns {
 		return cs
 	}
@@ -46,8 +47,8 @@
 	if oldest < 0 {
 		return cs
 	}
-	s.contendedQueries = 0
 	c := cs[oldest]
+	s.turnOf = c.step
 	copy(cs[1:oldest+1], cs[:oldest])
 	cs[0] = c
 	return cs
--- a/internal/shard/waiting_test.go
+++ b/internal/shard/waiting_test.go
@@ -14,6 +14,7 @@
 // queryingOwner answers the placement queries of an owner.
 type queryingOwner struct {
 	*simOwner
+	free     QueryCapacity
 	allowed  map[string]bool
 	hopeless map[string]bool // jobs that may run nowhere
 	named    []string        // minions in the queries so far
@@ -27,7 +28,7 @@
 		for _, b := range w.minions {
 			q.renew(b)
 		}
-		q.st.Decide(w.now, w.now, QueryCapacity{Total: 1, Slow: 1, SlowFrom: time.Second})
+		q.st.Decide(w.now, w.now, q.free)
 		for _, a := range q.st.TakeActions().Queries {
 			tickets := map[string]string{}
 			for _, id := range a.IDs {
@@ -50,7 +51,7 @@
 
 func newQueryingOwner(t *testing.T, minions int, allowed ...string) *queryingOwner {
 	_, o := newOwnedCluster(t, minions)
-	q := &queryingOwner{simOwner: o, allowed: map[string]bool{}, hopeless: map[string]bool{}}
+	q := &queryingOwner{simOwner: o, free: QueryCapacity{Total: 1, Slow: 1, SlowFrom: time.Second}, allowed: map[string]bool{}, hopeless: map[string]bool{}}
 	for _, id := range allowed {
 		q.allowed[id] = true
 	}
@@ -82,26 +83,30 @@
 	q.st.HandleReplaced(w.now, b.Incarnation)
 }
 
-// Jobs that come all the time and are more urgent may use all queries.
+// Jobs that come all the time and are more urgent may use all queries, or all
+// that may be slow.
 func TestLateStepIsQueriedAboutWhileUrgentOnesUseAllQueries(t *testing.T) {
-	q := newQueryingOwner(t, 2)
-	w := q.cluster
-	st := tasks(1, 3000)
-	st.Label = "r1"
-	w.submit(advisedJob("late", st))
-	q.run(10 * time.Second)
-	assert.Equal(t, len(q.named), 0)
-	q.addMinion("n0")
-	w.minion("n0").Labels = []string{"r1"}
-	q.st.UpdateMinion(w.now, w.minion("n0").Minion)
-	q.allowed["n0"] = true
-	for i := range 100 {
-		j := advisedJob(fmt.Sprint("urgent", i), tasks(1, 1000))
-		q.hopeless[j.ID] = true
-		w.submit(j)
-		q.run(50 * time.Millisecond)
+	for _, free := range []QueryCapacity{{Total: 1, Slow: 1, SlowFrom: time.Second}, {Total: 3, Slow: 1}} {
+		q := newQueryingOwner(t, 2)
+		q.free = free
+		w := q.cluster
+		st := tasks(1, 3000)
+		st.Label = "r1"
+		w.submit(advisedJob("late", st))
+		q.run(10 * time.Second)
+		assert.Equal(t, len(q.named), 0)
+		q.addMinion("n0")
+		w.minion("n0").Labels = []string{"r1"}
+		q.st.UpdateMinion(w.now, w.minion("n0").Minion)
+		q.allowed["n0"] = true
+		for i := range 100 {
+			j := advisedJob(fmt.Sprint("urgent", i), tasks(1, 1000))
+			q.hopeless[j.ID] = true
+			w.submit(j)
+			q.run(50 * time.Millisecond)
+		}
+		assert.Equal(t, w.running(), 1, "%+v", free)
 	}
-	assert.Equal(t, w.running(), 1)
 }
 
 func TestStepRunsAfterTheMinionsAllowedForItAreGone(t *testing.T) {
