Gather owners and cancel jobs in one place each

The set of entries that own a shard was built in two places, the list of this entry's owners in two, and the cancellation of a job was posted to the owner in two. Each is one function now: ownerNames, allLocalOwners, owner.cancelJob.

--- a/internal/server/cancel.go
+++ b/internal/server/cancel.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,9 +23,7 @@
 			failNoSuchJob(w)
 			return
 		case err == nil:
-			s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) {
-				o.post(func(now time.Time) { o.state.Cancel(now, id) })
-			})
+			s.notifyOwner(j.Service, "Cancel", CancelArgs{j.Service, id}, func(o *owner) { o.cancelJob(id) })
 			s.Log.Info("cancellation accepted", "job", id)
 			web.Reply(w, http.StatusOK, struct{}{})
 			return
--- a/internal/server/carry.go
+++ b/internal/server/carry.go
@@ -65,10 +65,8 @@
 func (s *Server) chooseCarriers(now time.Time, service string) map[string][]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owns := map[string]bool{s.Settings.ID: true}
-	for _, l := range s.ownerRows {
-		owns[l.Name] = true
-	}
+	owns := s.ownerNames()
+	owns[s.Settings.ID] = true
 	zones := map[string][]Entry{}
 	for _, e := range s.entries {
 		if !owns[e.Name] && !e.Leaving && !s.avoided(now, e.Addr) {
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -31,13 +31,7 @@
 
 // handOverAll hands over all shards.
 func (s *Server) handOverAll() {
-	s.mu.Lock()
-	var owners []*owner
-	for _, o := range s.localOwners {
-		owners = append(owners, o)
-	}
-	s.mu.Unlock()
-	for _, o := range owners {
+	for _, o := range s.allLocalOwners() {
 		go o.handOver()
 	}
 }
@@ -47,10 +41,7 @@
 func (s *Server) successor(now time.Time, service string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owns := map[string]bool{}
-	for _, l := range s.ownerRows {
-		owns[l.Name] = true
-	}
+	owns := s.ownerNames()
 	best := Entry{}
 	for _, e := range s.entries {
 		if e.Name == s.Settings.ID || owns[e.Name] || e.Leaving || s.avoided(now, e.Addr) {
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -225,3 +225,8 @@
 		o.state.Submit(now, a.Job)
 	})
 }
+
+// cancelJob ends a job whose cancellation is durable.
+func (o *owner) cancelJob(id string) {
+	o.post(func(now time.Time) { o.state.Cancel(now, id) })
+}
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -72,6 +72,15 @@
 	return l, nil
 }
 
+// ownerNames returns the names of all entries that own a shard; s.mu is held.
+func (s *Server) ownerNames() map[string]bool {
+	names := map[string]bool{}
+	for _, l := range s.ownerRows {
+		names[l.Name] = true
+	}
+	return names
+}
+
 func (s *Server) ownerRow(service string) (OwnerRow, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,6 +38,13 @@
 	return s.localOwners[service]
 }
 
+// allLocalOwners returns the owners that run in this entry.
+func (s *Server) allLocalOwners() []*owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.localOwners))
+}
+
 // watchServices starts watching the owner of every configured service.
 func (s *Server) watchServices(ctx context.Context) {
 	watched := map[string]bool{}
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -112,7 +112,7 @@
 func (c *peerService) Cancel(a CancelArgs, owns *bool) error {
 	if o := c.s.localOwner(a.Service); o != nil {
 		*owns = true
-		o.post(func(now time.Time) { o.state.Cancel(now, a.ID) })
+		o.cancelJob(a.ID)
 	}
 	return nil
 }
--- a/internal/server/samples.go
+++ b/internal/server/samples.go
@@ -12,13 +12,7 @@
 	if c := s.cfg.Load(); c != nil {
 		out = append(out, metric.Sample{Name: "step_cell_version", Value: float64(c.Version)})
 	}
-	s.mu.Lock()
-	owners := make([]*owner, 0, len(s.localOwners))
-	for _, o := range s.localOwners {
-		owners = append(owners, o)
-	}
-	s.mu.Unlock()
-	for _, o := range owners {
+	for _, o := range s.allLocalOwners() {
 		out = append(out,
 			metric.Sample{Name: "step_owner", Label: "service", LabelValue: o.service, Value: 1},
 			metric.Sample{Name: "step_epoch", Label: "service", LabelValue: o.service, Value: float64(o.term)})
