Use the standard library for sorted keys and defaults

Two packages had a loop of their own for the sorted keys of a map, and two a closure for default values of settings: slices.Sorted with maps.Keys, and cmp.Or. internal/control keeps its sortedKeys, whose comment says why order matters.

--- a/cmd/jasminestep/monitor.go
+++ b/cmd/jasminestep/monitor.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -101,12 +102,12 @@
 	fmt.Fprintln(w, "ENTRY\tOWNER\tEPOCH\tROW\tCONFIG\tQUEUED\tRUNNING\tPOOLS (free/slots, waiting)\tSILENT")
 	for _, t := range all {
 		pools := ""
-		for _, p := range sortedKeys(t.Pools) {
+		for _, p := range slices.Sorted(maps.Keys(t.Pools)) {
 			l := t.Pools[p]
 			pools += fmt.Sprintf("%s %d/%d, %d  ", p, l.Free, l.Slots, l.Queue)
 		}
 		silent := ""
-		for _, id := range sortedKeys(t.Peers) {
+		for _, id := range slices.Sorted(maps.Keys(t.Peers)) {
 			if t.Peers[id] != "alive" {
 				silent += id + " " + t.Peers[id] + "  "
 			}
@@ -124,7 +125,7 @@
 		if t.Owner != t.VM {
 			continue // followers hold replicas of the owner's state
 		}
-		for _, m := range sortedKeys(t.Members) {
+		for _, m := range slices.Sorted(maps.Keys(t.Members)) {
 			x := t.Members[m]
 			if x.Queued+x.Running > 0 {
 				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\t%d MiB\t%d\n", t.Zone, m, x.Queued, x.Running, float64(x.Size.CPU)/1000, x.Size.Memory, x.Size.Accel)
@@ -143,16 +144,7 @@
 				used++
 			}
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", t.Zone, len(t.Workers), used, strings.Join(sortedKeys(t.Holds), " "))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", t.Zone, len(t.Workers), used, strings.Join(slices.Sorted(maps.Keys(t.Holds)), " "))
 	}
 	return w.Flush()
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -57,18 +58,14 @@
 
 // WithDefaults returns l with zero fields replaced by defaults.
 func (l Timing) WithDefaults() Timing {
-	setDefault := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
-	}
-	setDefault(&l.OwnerLease, DefaultTiming.OwnerLease)
-	setDefault(&l.ClockSkew, DefaultTiming.ClockSkew)
-	setDefault(&l.MaxWriteInterval, DefaultTiming.MaxWriteInterval)
-	setDefault(&l.MinWriteInterval, DefaultTiming.MinWriteInterval)
-	setDefault(&l.TaskLease, DefaultTiming.TaskLease)
-	setDefault(&l.VMListLag, DefaultTiming.VMListLag)
-	setDefault(&l.RequestTimeout, DefaultTiming.RequestTimeout)
+	d := DefaultTiming
+	l.OwnerLease = cmp.Or(l.OwnerLease, d.OwnerLease)
+	l.ClockSkew = cmp.Or(l.ClockSkew, d.ClockSkew)
+	l.MaxWriteInterval = cmp.Or(l.MaxWriteInterval, d.MaxWriteInterval)
+	l.MinWriteInterval = cmp.Or(l.MinWriteInterval, d.MinWriteInterval)
+	l.TaskLease = cmp.Or(l.TaskLease, d.TaskLease)
+	l.VMListLag = cmp.Or(l.VMListLag, d.VMListLag)
+	l.RequestTimeout = cmp.Or(l.RequestTimeout, d.RequestTimeout)
 	return l
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -94,25 +95,16 @@
 const defaultAdopt = time.Minute
 
 func (s *Settings) setDefaults() {
-	fill := func(p *int64, def time.Duration) {
-		if *p == 0 {
-			*p = def.Milliseconds()
-		}
-	}
 	d := control.DefaultTiming
-	fill(&s.Lease, d.OwnerLease)
-	fill(&s.Margin, d.ClockSkew)
-	fill(&s.Gap, d.MinWriteInterval)
-	fill(&s.Task, d.TaskLease)
-	fill(&s.Lag, d.VMListLag)
-	fill(&s.Request, d.RequestTimeout)
-	fill(&s.Adopt, defaultAdopt)
-	if s.Snapshot == 0 {
-		s.Snapshot = 2000
-	}
-	if s.Level == "" {
-		s.Level = "info"
-	}
+	s.Lease = cmp.Or(s.Lease, d.OwnerLease.Milliseconds())
+	s.Margin = cmp.Or(s.Margin, d.ClockSkew.Milliseconds())
+	s.Gap = cmp.Or(s.Gap, d.MinWriteInterval.Milliseconds())
+	s.Task = cmp.Or(s.Task, d.TaskLease.Milliseconds())
+	s.Lag = cmp.Or(s.Lag, d.VMListLag.Milliseconds())
+	s.Request = cmp.Or(s.Request, d.RequestTimeout.Milliseconds())
+	s.Adopt = cmp.Or(s.Adopt, defaultAdopt.Milliseconds())
+	s.Snapshot = cmp.Or(s.Snapshot, 2000)
+	s.Level = cmp.Or(s.Level, "info")
 }
 
 // ErrInvalid is wrapped by errors about settings that parse but whose value is
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,7 +34,7 @@
 		}
 	}},
 	{"a worker fails every task, another restarts", func(r *demoRun, rnd *rand.Rand, hold time.Duration) {
-		ids := sortedKeys(r.cluster.Workers)
+		ids := slices.Sorted(maps.Keys(r.cluster.Workers))
 		a, b := r.cluster.Workers[ids[rnd.IntN(len(ids))]], r.cluster.Workers[ids[rnd.IntN(len(ids))]]
 		a.SetFaults(WorkerFaults{FailAll: true})
 		b.Crash()
@@ -48,7 +49,7 @@
 		r.cluster.Platform.SetFaults(StoreFaults{})
 	}},
 	{"an entry is killed and restarted", func(r *demoRun, rnd *rand.Rand, hold time.Duration) {
-		ids := sortedKeys(r.cluster.settings)
+		ids := slices.Sorted(maps.Keys(r.cluster.settings))
 		r.restart(ids[rnd.IntN(len(ids))], hold)
 	}},
 	{"a zone is cut off from everything else", func(r *demoRun, rnd *rand.Rand, hold time.Duration) {
@@ -62,7 +63,7 @@
 		r.cluster.Net.Heal()
 	}},
 	{"minions cut their answers in the middle", func(r *demoRun, rnd *rand.Rand, hold time.Duration) {
-		ids := sortedKeys(r.cluster.Minions)
+		ids := slices.Sorted(maps.Keys(r.cluster.Minions))
 		m := r.cluster.Minions[ids[rnd.IntN(len(ids))]]
 		m.SetTruncate(true)
 		time.Sleep(hold / 2)
@@ -79,15 +80,6 @@
 	}},
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // restart kills an entry and starts a new process for it after hold.
 func (r *demoRun) restart(id string, hold time.Duration) {
 	r.cluster.Process(id).Kill()
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -231,7 +233,7 @@
 		})
 	}()
 	time.Sleep(time.Second) // keys created before their home started would be answered as unknown
-	for _, id := range sortedKeys(x.settings) {
+	for _, id := range slices.Sorted(maps.Keys(x.settings)) {
 		assert.NilError(t, x.Process(id).Stop(context.Background()))
 		assert.NilError(t, x.StartEntry(id))
 		x.waitFor(id+" is ready", func() bool { return x.Process(id).Entry.Ready() })
@@ -275,7 +277,7 @@
 func TestLeavingMinionGetsNothingNew(t *testing.T) {
 	x := startSite(t, smallSite(46))
 	var tot RequestStats
-	id := sortedKeys(x.Minions)[0]
+	id := slices.Sorted(maps.Keys(x.Minions))[0]
 	x.Minions[id].Leave()
 	x.waitFor("the leaving minion refuses a request", func() bool {
 		x.balancer.Request(x.Ledger, &tot, "p", "m", true, 1, 10)
