Give up tasks that crash the minions that start them

Cause: a run that was lost with its minion was put back with no record of why. Copies of speculative tasks were started as soon as a minion fell silent, so a deadly task went on to the next minion before the fate of the last was known, and a new owner began anew.

Change: the progress row says how many minions crashed under a task. Runs that had just begun when their minion fell silent make their tasks suspects. A suspect is next started on trial: on the minion with the least at risk, where nothing else begins until it has survived. A task is given up, and its job shown as failed, when two minions have crashed under it, one of them on trial; or, whatever the circumstances, at the fourth crash. So bystanders of two crashes are spared. While the fate of a silent minion is open, a suspect gets no further copy. A planned stop, a zone that does not answer and a minion that answers again accuse nobody. The end of a lease proves no crash and counts as doubt only.

TestRunOnce now crashes minions as well. checkFailures lets a job fail when two minions have crashed under one of its tasks, as the rule says, and stays as strict otherwise.

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -30,8 +30,19 @@
 	everDone  map[work.TaskID]bool // succeeded, or a member of a gang that did
 	failed    map[work.TaskID]int  // failed runs
 	history   []string             // log of events, for failure messages
+
+	deadly     map[work.TaskID]bool // tasks that crash the minions that start them
+	crashes    map[work.TaskID]int  // minions that crashed under a task
+	lateStarts map[work.TaskID]int  // starts of a deadly task after crashesBeforeLimit crashes
+	begunAt    map[runKey]time.Time
 }
 
+// Limits on the starts of a deadly task.
+const (
+	crashesBeforeLimit = 3
+	maxLateStarts      = 2
+)
+
 type fataler interface {
 	Fatalf(format string, args ...any)
 }
@@ -56,9 +67,11 @@
 	ends       []work.End
 	closedRuns map[runKey]bool // runs that were stopped or have ended here
 	up         bool
-	stuck      bool    // its runs make no progress
-	refusals   int     // number of starts that it will refuse from now on
-	drift      float64 // how much slower its clock runs, as a fraction
+	stuck      bool      // its runs make no progress
+	refusals   int       // number of starts that it will refuse from now on
+	drift      float64   // how much slower its clock runs, as a fraction
+	crashedAt  time.Time // zero while it has not crashed
+	replaced   bool      // another minion has its address
 }
 
 func (b *simMinion) clock() int64 {
@@ -172,9 +185,47 @@
 	b.cluster.checkStart(b, k, size)
 	b.runs[k] = size
 	b.leaseUntil = max(b.leaseUntil, min(s.Until, b.clock()+10_000))
+	b.cluster.begunAt[k] = b.cluster.now
+	if b.cluster.deadly[k.task] {
+		b.cluster.countDeadlyStart(k.task)
+		b.crash()
+	}
 	return work.Accepted, true
 }
 
+// countDeadlyStart checks the limit on the starts of a deadly task.
+func (w *simCluster) countDeadlyStart(t work.TaskID) {
+	if w.crashes[t] < crashesBeforeLimit {
+		return
+	}
+	w.lateStarts[t]++
+	if w.lateStarts[t] > maxLateStarts {
+		w.fail("%s starts again after %d crashes", t, w.crashes[t])
+	}
+}
+
+// crash ends the minion's process without a report.
+func (b *simMinion) crash() {
+	b.cluster.record("%s crashes", b.ID)
+	for k := range b.runs {
+		b.cluster.crashes[k.task]++
+	}
+	b.runs = map[runKey]work.Size{}
+	b.up, b.crashedAt = false, b.cluster.now
+}
+
+// replace lets a new minion take the address of a crashed one.
+func (w *simCluster) replace(b *simMinion) {
+	b.replaced, b.crashedAt = true, time.Time{}
+	n := &simMinion{cluster: w, Minion: b.Minion, drift: b.drift}
+	n.ID = fmt.Sprintf("m%d", len(w.minions))
+	n.Draining = false
+	n.restart()
+	w.minions = append(w.minions, n)
+	w.owners[len(w.owners)-1].st.UpdateMinion(w.now, n.Minion)
+	w.owners[len(w.owners)-1].st.UnlistMinion(w.now, b.ID)
+}
+
 // percent changes over time unless the minion is stuck.
 func (b *simMinion) percent() int {
 	if b.stuck {
@@ -227,6 +278,10 @@
 
 // restart ends this incarnation and begins another under the same ID.
 func (b *simMinion) restart() {
+	for k := range b.runs {
+		b.cluster.crashes[k.task]++
+	}
+	b.crashedAt = time.Time{}
 	b.runs, b.ends, b.closedRuns = map[runKey]work.Size{}, nil, map[runKey]bool{}
 	b.token, b.leaseUntil, b.lastEnd, b.voidedEnds = 0, 0, 0, 0
 	b.startedAt = b.cluster.now
@@ -296,6 +351,7 @@
 	w := &simCluster{
 		t: t, now: epoch, limits: DefaultLimits, rows: map[string]table.Row{}, cancelled: map[string]bool{}, archived: map[string]bool{},
 		done: map[work.TaskID]bool{}, everDone: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
+		deadly: map[work.TaskID]bool{}, crashes: map[work.TaskID]int{}, lateStarts: map[work.TaskID]int{}, begunAt: map[runKey]time.Time{},
 	}
 	for i := range n {
 		b := &simMinion{cluster: w, Minion: work.Minion{
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -26,7 +26,7 @@
 // startCopy requeues the task of a run although the run may continue.
 func (s *State) startCopy(m *minion, r *run, why string) {
 	t := r.task
-	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stopping || !r.isCurrent(m) || r.state == unsent || r.state == cancelled {
+	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stopping || !r.isCurrent(m) || !r.mayHaveBegun() || r.fateOpen && t.held() {
 		return
 	}
 	s.note(Note{What: "copy", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
--- /dev/null
+++ b/internal/shard/crash.go
@@ -0,0 +1,310 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A task may crash the minion that starts it, and all that runs there with it.
+// Being there is no proof, since most runs on a minion that crashes are
+// bystanders. So the tasks of runs that had just begun are suspects: each is
+// started next on a minion where nothing else begins until it has survived, and
+// a task that crashes its minion there as well is given up with its job. Until
+// it is known whether a silent minion has crashed, a suspect is not started
+// again and again.
+
+// Limits of suspicion and trials.
+const (
+	freshWindow    = 500 * time.Millisecond // from its start, in which a run is suspected if its minion crashes
+	trialTimeout   = 2 * time.Second        // for a start on trial whose outcome stays open, so that the minion is not blocked
+	lastingProof   = 10 * time.Second       // after which a lasting run has not crashed its minion
+	minCrashes     = 2                      // a task with fewer is never given up
+	suspectCrashes = 2                      // a task with more is a suspect even if its runs were not fresh
+	maxCrashes     = 4                      // a task with as many, doubtful ones included, is given up even if it never crashed on trial
+	maxDoubts      = 5                      // a task with as many is given up even if nearly all are doubtful
+)
+
+// crashRecord is what is known of crashes of minions under a task. It is part
+// of the progress row.
+type crashRecord struct {
+	Crashes int  `json:"n,omitempty"` // minions that crashed while a run of the task was there
+	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun
+	Suspect bool `json:"s,omitempty"` // its next start is a trial
+	Proven  bool `json:"t,omitempty"` // one of Crashes followed a start on trial
+}
+
+// guilty reports whether the task is given up.
+func (c *crashRecord) guilty() bool {
+	n := c.Crashes + c.Doubts
+	return c.Crashes >= minCrashes && (c.Proven || n >= maxCrashes) || n >= maxDoubts
+}
+
+// needsTrial reports whether the next start of the task is a trial.
+func (t *task) needsTrial() bool { return t.crash.Suspect || t.openFates > 0 }
+
+// held reports whether the task is not started before more is known of the
+// silent minions with fresh runs of it.
+func (t *task) held() bool { return t.openFates > 1 || t.openFates == 1 && t.crash.Suspect }
+
+// savedCrash is the record to persist, nil if it is empty.
+func (t *task) savedCrash() *crashRecord {
+	c := t.crash
+	c.Suspect = t.needsTrial()
+	if c == (crashRecord{}) {
+		return nil
+	}
+	return &c
+}
+
+// mayHaveBegun reports whether the start of the run has been sent.
+func (r *run) mayHaveBegun() bool { return r.state != unsent && r.state != cancelled }
+
+// age is how long the run had lasted at a time, 0 if its start is unknown.
+func (r *run) age(at time.Time) time.Duration {
+	began := r.sentAt
+	if began.IsZero() {
+		began = r.listedAt
+	}
+	if began.IsZero() {
+		return 0
+	}
+	return at.Sub(began)
+}
+
+// openFates marks the fresh runs of a minion that has fallen silent: it may have
+// crashed under one of them. Where a whole zone does not answer it has not.
+func (s *State) openFates(now time.Time, m *minion) {
+	if m.Draining || m.zone.unreachable() {
+		return
+	}
+	for _, r := range m.runs {
+		if r.task != nil && r.mayHaveBegun() && r.age(now) < freshWindow {
+			r.openFate()
+		}
+	}
+}
+
+func (r *run) openFate() {
+	if r.task == nil || r.fateOpen {
+		return
+	}
+	r.fateOpen = true
+	r.task.openFates++
+}
+
+func (r *run) closeFate() {
+	if r.fateOpen {
+		r.fateOpen = false
+		r.task.openFates--
+	}
+}
+
+// closeFates clears the marks of a minion that has not crashed after all.
+func (m *minion) closeFates() {
+	for _, r := range m.runs {
+		r.closeFate()
+	}
+}
+
+// accusation is what the crash of a minion says about one run there.
+type accusation struct {
+	run       *run
+	minion    string
+	confirmed bool // the run had begun, and the minion has crashed
+	fresh     bool // it had begun shortly before
+	onTrial   bool
+	age       time.Duration
+}
+
+// accuseRuns returns the accusations that follow from the crash of a minion. A
+// minion that drains stops as planned.
+func (s *State) accuseRuns(now time.Time, m *minion) []accusation {
+	if m.Draining {
+		return nil
+	}
+	at := m.silentSince
+	if at.IsZero() {
+		at = now
+	}
+	var out []accusation
+	for _, r := range m.runs {
+		switch {
+		case r.task == nil || !r.mayHaveBegun():
+		case r.carried != nil:
+			out = append(out, *r.carried)
+		default:
+			age := r.age(at)
+			out = append(out, accusation{r, m.ID, r.state == live || r.listed, age < freshWindow, r.onTrial, age})
+		}
+	}
+	return out
+}
+
+// doubtRuns returns the accusations that follow when the lease of a silent
+// minion ends: its fresh runs are suspected, but nothing is proven.
+func (s *State) doubtRuns(now time.Time, m *minion) []accusation {
+	as := s.accuseRuns(now, m)
+	as = slices.DeleteFunc(as, func(a accusation) bool {
+		unknown := m.clockAt.IsZero() && !a.confirmed && a.run.task.needsTrial()
+		return !a.run.fateOpen && !unknown
+	})
+	for i := range as {
+		as[i].confirmed = false
+	}
+	return as
+}
+
+// accuse records accusations, once their runs are removed.
+func (s *State) accuse(now time.Time, as []accusation) {
+	for i := range as {
+		s.accuseTask(now, &as[i])
+	}
+}
+
+func (s *State) accuseTask(now time.Time, a *accusation) {
+	t, p := a.run.task, a.run.step
+	if p.job.state.Terminal() || t.phase == Finished {
+		return
+	}
+	s.markChanged(p.job)
+	c := &t.crash
+	if p.Lasting && a.age >= lastingProof {
+		*c = crashRecord{}
+		return
+	}
+	if a.confirmed {
+		c.Crashes++
+	} else {
+		c.Doubts++
+	}
+	c.Suspect = c.Suspect || a.fresh || !a.confirmed || c.Crashes >= suspectCrashes
+	c.Proven = c.Proven || a.confirmed && a.fresh && a.onTrial
+	s.note(Note{What: a.what(), Job: t.id.Job, Task: t.id.String(), Attempt: a.run.key.attempt, Minion: a.minion, Why: a.age.String()})
+	if c.guilty() {
+		s.note(Note{What: "task given up after crashes", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt})
+		s.finishJob(now, p.job, JobFailed)
+	}
+}
+
+// what names the accusation in the log.
+func (a *accusation) what() string {
+	switch {
+	case !a.confirmed:
+		return "minion may have crashed under task"
+	case a.onTrial && a.fresh:
+		return "minion crashed under task on trial"
+	case a.fresh:
+		return "minion crashed under fresh task"
+	}
+	return "minion crashed under task"
+}
+
+// beginTrial puts a run on trial at the minion where it has been placed.
+func (s *State) beginTrial(now time.Time, m *minion, r *run) {
+	r.onTrial = true
+	m.trialAt = now
+	if m.trial == nil {
+		m.trial = r.step
+		s.trials = append(s.trials, m)
+	}
+	s.note(Note{What: "task on trial", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
+}
+
+// endTrials ends the trials whose runs have ended or survived.
+func (s *State) endTrials(now time.Time) {
+	s.trials = slices.DeleteFunc(s.trials, func(m *minion) bool {
+		if s.trialOpen(now, m) && now.Sub(m.trialAt) < trialTimeout {
+			return false
+		}
+		m.trial = nil
+		s.wakeSteps(m)
+		return true
+	})
+}
+
+// trialOpen acquits the runs that have survived, and reports whether there are
+// others.
+func (s *State) trialOpen(now time.Time, m *minion) bool {
+	open := false
+	for _, r := range m.runs {
+		switch {
+		case !r.onTrial:
+		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
+			r.onTrial = false
+			r.task.crash.Suspect = false
+			s.note(Note{What: "task survived its trial", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
+		default:
+			open = true
+		}
+	}
+	return open
+}
+
+// closedTo reports whether a trial keeps the step off the minion. Members of a
+// gang may join each other, since they run together anyway.
+func (m *minion) closedTo(p *step) bool {
+	return m.trial != nil && (m.trial != p || !p.Gang)
+}
+
+// waitingTasks lists the tasks of a step that can be placed, those that need a
+// trial apart.
+func (p *step) waitingTasks() (clean, suspects []*task) {
+	for _, t := range p.tasks {
+		switch {
+		case t.phase != Waiting:
+		case p.Gang:
+			clean = append(clean, t)
+		case t.held():
+		case t.needsTrial():
+			suspects = append(suspects, t)
+		default:
+			clean = append(clean, t)
+		}
+	}
+	return clean, suspects
+}
+
+// planTrials returns a minion for each suspect that fits, and the minions that
+// are left for other tasks. Trials go where they put the least at risk, and
+// where no other run is fresh, so that a crash has one possible cause.
+func planTrials(now time.Time, p *step, scored []*scoredMinion, n int) (plan, rest []*scoredMinion) {
+	if n == 0 {
+		return nil, scored
+	}
+	order := slices.Clone(scored)
+	slices.SortStableFunc(order, func(a, b *scoredMinion) int { return slices.Compare(a.trialRisk(now, p), b.trialRisk(now, p)) })
+	plan = planTasks(p, order, n)
+	rest = slices.DeleteFunc(slices.Clone(scored), func(sm *scoredMinion) bool { return slices.Contains(plan, sm) })
+	return plan, rest
+}
+
+// trialRisk ranks minions for a trial.
+func (sm *scoredMinion) trialRisk(now time.Time, p *step) []int {
+	fresh := 0
+	for _, r := range sm.runs {
+		if r.age(now) < freshWindow {
+			fresh = 1
+		}
+	}
+	others := 0
+	if len(sm.reservations) > 0 && !sm.hasReservation(p) {
+		others = 1
+	}
+	return []int{cmp.Compare(sm.score[0], 1), -int(sm.eligibility), others, fresh, len(sm.runs)}
+}
+
+// postponeCarried leaves accusations about runs that the minion's next
+// incarnation may have until its first report, and returns the others.
+func (s *State) postponeCarried(as []accusation) []accusation {
+	return slices.DeleteFunc(as, func(a accusation) bool {
+		if a.run.state != uncertain {
+			return false
+		}
+		a.run.carried = &a
+		if a.fresh {
+			a.run.openFate()
+		}
+		return true
+	})
+}
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -65,5 +65,7 @@
 	if m.silentSince.IsZero() {
 		m.silentSince = now
 	}
+	accused := s.accuseRuns(now, m)
 	s.dropRuns(now, m, "another minion has its address")
+	s.accuse(now, accused)
 }
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -84,8 +84,29 @@
 					w.pass(13 * time.Second)
 				}
 			},
-			"shed":   func(*rapid.T) { anyBox().refusals = pick("starts", 3) },
-			"cut":    func(*rapid.T) { b := anyBox(); b.up = !b.up },
+			"shed": func(*rapid.T) { anyBox().refusals = pick("starts", 3) },
+			"cut": func(*rapid.T) {
+				if b := anyBox(); b.crashedAt.IsZero() && !b.replaced {
+					b.up = !b.up
+				}
+			},
+			"crash": func(*rapid.T) {
+				if b := anyBox(); b.up && pick("really", 3) == 0 {
+					b.crash()
+				}
+			},
+			"recover": func(*rapid.T) {
+				for _, b := range w.minions {
+					switch {
+					case b.crashedAt.IsZero():
+					case pick("how", 2) == 0:
+						w.replace(b)
+					default:
+						b.up = true
+						w.restart(b, pick("told", 2) == 0)
+					}
+				}
+			},
 			"reborn": func(*rapid.T) { w.restart(anyBox(), pick("told", 2) == 0) },
 			"take":   func(*rapid.T) { w.takeOver() },
 			"freeze": func(*rapid.T) { o := anyOwner(); o.frozen = !o.frozen },
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -42,13 +42,14 @@
 // completeGang places the missing members of a gang, all of them or none, and
 // gives up the gang once its time is over.
 func (v *view) completeGang(p *step, scored []*scoredMinion) {
-	plan := planTasks(p, slices.DeleteFunc(scored, lacksTicket))
+	plan := planTasks(p, slices.DeleteFunc(scored, lacksTicket), p.waiting)
+	missing, _ := p.waitingTasks()
 	switch {
 	case !v.s.repairGang(v.now, p):
 		p.incomplete = false
 		v.s.stopGang(v.now, p)
 	case len(plan) == p.waiting:
 		p.incomplete = false
-		v.start(p, plan)
+		v.start(p, missing, plan)
 	}
 }
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -30,6 +30,7 @@
 		return
 	}
 	delete(m.runs, r.key)
+	r.closeFate()
 	m.used = m.used.Minus(r.size)
 	m.countRun(r, -1)
 	s.wakeSteps(m)
@@ -131,6 +132,7 @@
 // the new incarnation settles that.
 func (s *State) replaceLife(now time.Time, m *minion, w work.Minion) {
 	s.note(Note{What: "reborn", Minion: m.ID})
+	accused := s.accuseRuns(now, m)
 	var carriedOver []*run
 	for _, r := range m.runs {
 		s.remove(m, r)
@@ -152,6 +154,7 @@
 	for _, r := range carriedOver {
 		s.carryOver(m, r)
 	}
+	s.accuse(now, s.postponeCarried(accused))
 }
 
 // carryOver adds a run that the minion's new incarnation may have; its next
@@ -267,6 +270,7 @@
 	}
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
+		s.openFates(now, m)
 		s.note(Note{What: "silent", Minion: l.ID})
 	}
 }
@@ -332,7 +336,9 @@
 			continue
 		}
 		if len(m.runs) > 0 {
+			doubted := s.doubtRuns(now, m)
 			s.dropRuns(now, m, "its lease ended while its minion did not answer")
+			s.accuse(now, doubted)
 		}
 		m.synced = false
 		if !m.listed {
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -30,7 +30,9 @@
 	}
 	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}}
 	for _, b := range w.minions {
-		o.st.UpdateMinion(w.now, b.Minion)
+		if b.crashedAt.IsZero() && !b.replaced {
+			o.st.UpdateMinion(w.now, b.Minion)
+		}
 	}
 	saved, bad := ReadProgress(slices.Collect(maps.Values(w.rows)))
 	if len(bad) > 0 {
@@ -91,13 +93,26 @@
 	o.batch = &b
 }
 
+// crashedTwice reports whether two minions have crashed under a task of the job.
+func (w *simCluster) crashedTwice(job string) bool {
+	for t, n := range w.crashes {
+		if t.Job == job && n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkFailures checks that a job fails only when a task, or a gang, has failed
-// often enough.
+// often enough or minions have crashed under it.
 func (w *simCluster) checkFailures(st *State) {
 	for _, j := range st.jobs {
 		if j.state != JobFailed {
 			continue
 		}
+		if w.crashedTwice(j.ID) {
+			continue
+		}
 		most, steps := 0, map[string]int{}
 		for t, n := range w.failed {
 			if t.Job != j.ID {
@@ -198,6 +213,10 @@
 	if !ok {
 		return
 	}
+	if b.replaced {
+		o.st.HandleReplaced(o.cluster.now, m.Incarnation)
+		return
+	}
 	rep, ok := b.handleRenewal(fmt.Sprint("owner ", o.st.Term), n, o.acked[m.Incarnation])
 	if !ok {
 		o.st.HandleNoReply(o.cluster.now, m.Incarnation)
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -23,13 +23,14 @@
 
 // savedTask is the encoding of a task in a progress row.
 type savedTask struct {
-	Phase        Phase  `json:"p,omitempty"`
-	Attempt      int    `json:"a,omitempty"`
-	Failures     int    `json:"f,omitempty"`
-	Minion       string `json:"m,omitempty"`
-	Born         int64  `json:"b,omitempty"`
-	Saved        string `json:"c,omitempty"`
-	OpenAttempts []int  `json:"o,omitempty"`
+	Phase        Phase        `json:"p,omitempty"`
+	Attempt      int          `json:"a,omitempty"`
+	Failures     int          `json:"f,omitempty"`
+	Minion       string       `json:"m,omitempty"`
+	Born         int64        `json:"b,omitempty"`
+	Saved        string       `json:"c,omitempty"`
+	OpenAttempts []int        `json:"o,omitempty"`
+	Crash        *crashRecord `json:"x,omitempty"`
 }
 
 type savedRound struct {
@@ -70,7 +71,7 @@
 		var ts []savedTask
 		if p.unfinished > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts})
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash()})
 			}
 		}
 		out.Steps = append(out.Steps, ts)
@@ -113,6 +114,9 @@
 				if t.Phase < Waiting || t.Phase > Finished {
 					return fmt.Errorf("step %d with a task in phase %d", i, t.Phase)
 				}
+				if t.Crash != nil && (t.Crash.Crashes < 0 || t.Crash.Doubts < 0) {
+					return fmt.Errorf("step %d with a task with %d crashes, %d doubtful", i, t.Crash.Crashes, t.Crash.Doubts)
+				}
 			}
 		}
 	}
@@ -180,6 +184,9 @@
 
 func (s *State) loadTask(p *step, t *task, in savedTask) {
 	t.attempt, t.failures, t.checkpoint, t.openAttempts = in.Attempt, in.Failures, in.Saved, in.OpenAttempts
+	if in.Crash != nil {
+		t.crash = *in.Crash
+	}
 	switch in.Phase {
 	case Finished:
 		t.phase = Finished
@@ -198,6 +205,7 @@
 			m.add(r)
 			return
 		}
+		r.carried = &accusation{run: r, minion: m.ID, fresh: true}
 		s.carryOver(m, r) // its start may have reached the next incarnation of the minion
 	}
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -21,6 +21,7 @@
 		s.evacuate(now)
 		s.startCopies()
 	}
+	s.endTrials(now)
 	s.dropForgotten(now)
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
@@ -62,22 +63,26 @@
 	if p.Gang && p.OneRack {
 		scored = sameRack(p, scored)
 	}
-	plan := planTasks(p, scored)
+	clean, suspects := p.waitingTasks()
+	trials, scored := planTrials(v.now, p, scored, len(suspects))
+	plan := planTasks(p, scored, len(clean))
 	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, lacksTicket) || v.s.PlacementPaused) {
 		if v.reserveRoom(p, plan); !p.hasReservations {
 			v.queryMore(c)
 		}
 		return
 	}
-	if len(plan) < p.waiting {
+	if len(trials)+len(plan) < len(suspects)+len(clean) {
 		v.queryMore(c)
 	}
-	v.renewTickets(p, plan)
+	all := slices.Concat(trials, plan)
+	v.renewTickets(p, all)
 	if v.s.PlacementPaused {
-		v.holdForTickets(p, plan)
+		v.holdForTickets(p, all)
 		return
 	}
-	v.start(p, plan)
+	v.start(p, suspects, trials)
+	v.start(p, clean, plan)
 	if p.waiting > 0 && v.mayReserve(p) {
 		v.reserveRoom(p, nil)
 	}
@@ -117,11 +122,11 @@
 	return out
 }
 
-// planTasks returns a minion for each task that fits.
-func planTasks(p *step, scored []*scoredMinion) []*scoredMinion {
+// planTasks returns a minion for each of n tasks, as far as they fit.
+func planTasks(p *step, scored []*scoredMinion, n int) []*scoredMinion {
 	var plan []*scoredMinion
 	for _, sm := range scored {
-		for len(plan) < p.waiting && sm.takeRoom(p) {
+		for len(plan) < n && sm.takeRoom(p) {
 			plan = append(plan, sm)
 		}
 	}
@@ -142,7 +147,7 @@
 			c := *o
 			trial = append(trial, &c)
 		}
-		if len(planTasks(p, trial)) == p.waiting {
+		if len(planTasks(p, trial, p.waiting)) == p.waiting {
 			return racks[sm.Rack()]
 		}
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -28,6 +28,7 @@
 	m.zone.answered()
 	if !m.silentSince.IsZero() {
 		m.silentSince = time.Time{}
+		m.closeFates()
 		m.token++ // orders sent before the silence must not be executed any more
 		s.note(Note{What: "answers", Minion: m.ID})
 		s.wakeSteps(m)
@@ -64,7 +65,10 @@
 		if r.state == uncertain || r.state == sent {
 			r.state = live
 		}
-		r.listed = true
+		if !r.listed {
+			r.listed, r.listedAt, r.carried = true, now, nil
+			r.closeFate()
+		}
 		if r.step != nil {
 			s.markBegun(r.step.job)
 		}
@@ -121,6 +125,9 @@
 		if r.state == live || r.state == uncertain && n.Token > r.fenceToken(s) {
 			s.remove(m, r)
 			s.requeueLost(now, r, "its minion does not list it")
+			if r.carried != nil {
+				s.accuseTask(now, r.carried)
+			}
 		}
 	}
 }
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -19,8 +19,8 @@
 	return attempt + next
 }
 
-// start places tasks of the step according to the plan.
-func (v *view) start(p *step, plan []*scoredMinion) {
+// start places waiting tasks of the step, in order, according to the plan.
+func (v *view) start(p *step, ts []*task, plan []*scoredMinion) {
 	next := 0
 	attempt := 0
 	if p.Gang {
@@ -34,10 +34,8 @@
 			v.holdForTickets(p, []*scoredMinion{sm})
 			continue
 		}
-		for p.tasks[next].phase != Waiting {
-			next++
-		}
-		t := p.tasks[next]
+		t := ts[next]
+		next++
 		if !p.Gang {
 			attempt = t.attempt + 1
 		}
@@ -52,12 +50,16 @@
 	j := p.job
 	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
 	p.waiting--
-	m.add(&run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now})
+	r := &run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now}
+	m.add(r)
 	s.markChanged(j)
 	if j.state == Queued {
 		j.state = Active
 	}
 	s.note(Note{What: "placed", Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	if t.needsTrial() {
+		s.beginTrial(v.now, m, r)
+	}
 	saved := ""
 	if p.Checkpoints {
 		saved = p.checkpoint(t)
@@ -104,7 +106,10 @@
 		s.requeueLost(now, r, why)
 		return false
 	}
-	r.state = sent
+	r.state, r.sentAt = sent, now
+	if r.onTrial {
+		m.trialAt = now
+	}
 	o.Minion = m.Minion
 	o.Start.Token = m.token
 	o.Start.Until = m.lease(now, s.Limits)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -70,6 +70,8 @@
 	incarnation  work.Incarnation // where the task is placed; only while Placed
 	checkpoint   string           // newest checkpoint
 	openAttempts []int            // attempts left running for a copy whose end has not been reported
+	crash        crashRecord
+	openFates    int // runs with fateOpen
 }
 
 // step is one step of one round.
@@ -153,8 +155,13 @@
 	stopping    bool      // it is to end
 	stopSentAt  time.Time // when the last stop was sent
 	placedAt    time.Time
-	percent     int       // progress as last reported
-	progressAt  time.Time // when percent last changed
+	sentAt      time.Time   // when its start was sent; zero if a previous owner sent it
+	listedAt    time.Time   // when a report first listed it
+	onTrial     bool        // it has to survive before its task is no suspect any more
+	fateOpen    bool        // it was fresh when its minion fell silent
+	carried     *accusation // holds if the next incarnation of its minion does not list it
+	percent     int         // progress as last reported
+	progressAt  time.Time   // when percent last changed
 }
 
 // minion is the known state of one incarnation of a minion.
@@ -183,6 +190,8 @@
 	heldRoom       work.Size     // room held for starts that wait for tickets
 	eligibleSteps  []*step       // steps that may run here; some may have ended
 	zone           *zone         // maintained by State.zoneOf
+	trial          *step         // step with runs on trial here; nothing else is started meanwhile
+	trialAt        time.Time     // when the last of them was placed or sent
 }
 
 // State is the state of a shard. Create it with New.
@@ -209,6 +218,7 @@
 	newIncarnations []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
 	minions         map[string]*minion
 	zones           map[string]*zone
+	trials          []*minion                 // minions with a trial
 	sortedMinions   []*minion                 // by ID; nil when minions has changed
 	termStart       time.Time                 // when the term began
 	renewalSeq      int64                     // sequence number of the last renewal
