--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -68,6 +68,13 @@
 	{shard.CopyQueued, "job task attempt minion why", "a second run of a speculative task waits, because the minion of the first does not answer; the first may continue", "`minion silent`, `zone unreachable`"},
 	{shard.UnexpectedRun, "job task attempt minion", "a minion has a run that its owner did not order or gave up; it is stopped", "the minion, if it repeats: it executes orders late"},
 
+	{shard.CrashUnderRun, "job task attempt minion why", "a run was there when its minion crashed; why is how long it had lasted", "other runs on that minion: one of them may have crashed it"},
+	{shard.CrashAfterStart, "job task attempt minion why", "a run had just begun when its minion crashed; the next start of its task is a trial", ""},
+	{shard.CrashOnTrial, "job task attempt minion why", "a minion crashed under a suspect that had just begun, with nothing else beginning beside it", "what the task runs"},
+	{shard.CrashSuspected, "job task attempt minion why", "whether the run had begun, or its minion has crashed, is unknown", "the minion's lines before it"},
+	{shard.TrialBegun, "job task attempt minion", "a suspect is placed where nothing else begins meanwhile", ""},
+	{shard.TrialSurvived, "job task attempt minion", "the minion has not crashed; the task is no suspect any more", ""},
+	{shard.TaskGivenUp, "job task attempt", "a task has crashed the minions that started it; its job fails", "what the task runs; the crashes before it"},
 	{shard.MinionAdded, "minion why", "a minion's row appeared; why is its availability zone", ""},
 	{shard.MinionUnlisted, "minion", "a minion's row was deleted; it may still run and answer", ""},
 	{shard.MinionDraining, "minion", "a minion drains and gets no new tasks", ""},
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -27,6 +27,17 @@
 	UnexpectedRun   Event = "unexpected run found" // a minion has a run that its owner did not order or gave up
 )
 
+// Events of tasks under which minions crash.
+const (
+	CrashUnderRun   Event = "minion crashed under run"    // a run was there when its minion crashed
+	CrashAfterStart Event = "minion crashed after start"  // a run had just begun when its minion crashed; its task is a suspect
+	CrashOnTrial    Event = "minion crashed under trial"  // a suspect had just begun, with nothing else beginning beside it
+	CrashSuspected  Event = "minion may have crashed"     // whether the run had begun, or the minion has crashed, is unknown
+	TrialBegun      Event = "trial begun"                 // a suspect is placed where nothing else begins meanwhile
+	TrialSurvived   Event = "trial survived"              // its minion has not crashed; the task is no suspect any more
+	TaskGivenUp     Event = "task given up after crashes" // the job fails
+)
+
 // Events of minions.
 const (
 	MinionAdded     Event = "minion row added"     // a row of a minion appeared
