Do not close a connection between entries during a call

What callers saw: a request that another entry serves and that runs for longer than 15 s could be answered unknown ("lost", with a key "home") though nothing had failed. A request may run for 30 s by default.

Cause: a connection was closed as idle 15 s after a call on it had last begun, whether or not that call had ended. A call that began just as the connection was found idle was cut in the same way.

Change: a connection counts its calls. It is idle only 15 s after the last one ended, and one that is closed as idle takes no further call; the check and the beginning of a call exclude each other.

Found by reading, while looking for further causes of TestRollingRestart's lost request; that it happened to a caller is not known.

Evidence: TestConnectionInUseIsNotIdle failed before the change ("use of closed network connection", 2 of 2 runs) and passes with it; the package passes 3 times with -race.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -60,12 +60,43 @@
 }
 
 type conn struct {
-	once     sync.Once
-	ready    chan struct{} // closed when rpc or err is set
-	rpc      *rpc.Client
-	err      error
-	lastUsed atomic.Int64 // Unix milliseconds of the last call
-	dead     atomic.Bool
+	once  sync.Once
+	ready chan struct{} // closed when rpc or err is set
+	rpc   *rpc.Client
+	err   error
+	dead  atomic.Bool
+
+	mu       sync.Mutex
+	calls    int       // in progress
+	lastUsed time.Time // end of the last call; zero if there was none
+	retired  bool      // closed as idle: no call may begin
+}
+
+// begin notes the begin of a call. It returns false if k cannot be used any more.
+func (k *conn) begin() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.retired || k.dead.Load() {
+		return false
+	}
+	k.calls++
+	return true
+}
+
+// end notes the end of a call.
+func (k *conn) end(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.calls--
+	k.lastUsed = now
+}
+
+// retire keeps calls from beginning if k is idle, and reports whether it is.
+func (k *conn) retire(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = k.calls == 0 && now.Sub(k.lastUsed) > idleTimeout
+	return k.retired
 }
 
 // monitoredConn sets a deadline for every write and records read errors.
@@ -89,7 +120,8 @@
 	return c.Conn.Write(b)
 }
 
-// getConn returns an open connection to addr, dialling if necessary.
+// getConn returns an open connection to addr, dialling if necessary. The caller
+// calls end after use.
 func (c *Client) getConn(ctx context.Context, addr string, class ConnClass) (*conn, error) {
 	c.mu.Lock()
 	if c.conns[addr] == nil {
@@ -101,8 +133,8 @@
 		i = 1 + c.nextTraffic%trafficConns
 	}
 	k := c.conns[addr][i]
-	if k == nil || k.dead.Load() {
-		k = &conn{ready: make(chan struct{})}
+	if k == nil || !k.begin() {
+		k = &conn{ready: make(chan struct{}), calls: 1}
 		c.conns[addr][i] = k
 	}
 	c.mu.Unlock()
@@ -110,13 +142,13 @@
 	select {
 	case <-k.ready:
 	case <-ctx.Done():
+		k.end(time.Now())
 		return nil, errors.Mark(fmt.Errorf("dial peer %s: %w", addr, ctx.Err()), ErrNotSent)
 	}
 	if k.err != nil {
 		k.dead.Store(true)
 		return nil, k.err
 	}
-	k.lastUsed.Store(time.Now().UnixMilli())
 	return k, nil
 }
 
@@ -148,7 +180,7 @@
 	defer t.Stop()
 	defer k.close()
 	for range t.C {
-		if time.Now().UnixMilli()-k.lastUsed.Load() > idleTimeout.Milliseconds() {
+		if k.retire(time.Now()) {
 			return
 		}
 		call := k.rpc.Go("Peer.Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
@@ -181,6 +213,7 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", method, err)
 	}
+	defer func() { k.end(time.Now()) }()
 	result := reflect.New(reflect.TypeOf(reply).Elem())
 	call := k.rpc.Go("Peer."+method, args, result.Interface(), make(chan *rpc.Call, 1))
 	select {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -167,3 +167,28 @@
 	assert.Equal(t, dials.Load(), int64(2))
 	assert.NilError(t, <-late)
 }
+
+// A connection was closed as idle in the middle of a call, which then had an
+// unknown outcome, if nothing else had used it since the call began.
+func TestConnectionInUseIsNotIdle(t *testing.T) {
+	addr, _ := serve(t)
+	c := New(transport.DialFrom(""), &transport.ByteCounter{})
+	defer c.Close()
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
+	c.mu.Lock()
+	k := c.conns[addr][0]
+	c.mu.Unlock()
+	late := make(chan error, 1)
+	go func() {
+		late <- c.Call(context.Background(), addr, Control, "Late", 2*pingInterval+pingInterval/2, new(string))
+	}()
+	time.Sleep(pingInterval / 4)
+	k.mu.Lock()
+	k.lastUsed = time.Now().Add(-2 * idleTimeout) // as if the call had begun that long ago
+	k.mu.Unlock()
+	assert.NilError(t, <-late)
+	assert.Assert(t, !k.dead.Load())
+	assert.Assert(t, !k.retire(time.Now()))
+	assert.Assert(t, k.retire(time.Now().Add(2*idleTimeout)))
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)), "a retired connection is replaced")
+}
