Name what the single letters of internal/server stand for

A handler of a minion was r, an order x, an incarnation or an owner row l, what is known of an owner v, a status sh (of an older name, shown), the RPC service c, dependencies p. They are h, order, inc, row, watch or w, st, p and deps. Letters that are customary (s, o, r for a row of a table, e, q, j, ctx) stay.

--- a/internal/server/advice.go
+++ b/internal/server/advice.go
@@ -59,9 +59,9 @@
 		return nil
 	}
 	var out []string
-	for _, v := range c.Services {
-		if !v.Standby {
-			out = append(out, v.Name)
+	for _, svc := range c.Services {
+		if !svc.Standby {
+			out = append(out, svc.Name)
 		}
 	}
 	sort.Strings(out)
@@ -116,28 +116,28 @@
 
 // requestAdvice sends a request through an entry that has none from this owner
 // in progress.
-func (o *owner) requestAdvice(a shard.AdviceQuery) {
+func (o *owner) requestAdvice(query shard.AdviceQuery) {
 	addr := ""
-	for _, x := range o.advice.addrs {
-		if !o.advice.inFlight[x] {
-			addr = x
+	for _, candidate := range o.advice.addrs {
+		if !o.advice.inFlight[candidate] {
+			addr = candidate
 			break
 		}
 	}
 	if addr == "" {
-		o.state.HandleAdvice(monotonicNow(), monotonicNow(), a, nil, 0, errors.New("all entries have an advice request in progress"))
+		o.state.HandleAdvice(monotonicNow(), monotonicNow(), query, nil, 0, errors.New("all entries have an advice request in progress"))
 		return
 	}
 	o.advice.inFlight[addr] = true
 	go func() {
-		out, err := o.callAdvise(addr, a)
+		reply, err := o.callAdvise(addr, query)
 		given := monotonicNow()
 		o.post(func(now time.Time) {
 			delete(o.advice.inFlight, addr)
 			if err != nil {
 				o.advice.remove(addr) // a later list includes it once it responds
 			}
-			o.state.HandleAdvice(now, given, a, out.Tickets, out.Valid, err)
+			o.state.HandleAdvice(now, given, query, reply.Tickets, reply.Valid, err)
 		})
 	}()
 }
@@ -146,10 +146,10 @@
 const adviseRPCMargin = 700 * time.Millisecond
 
 // callAdvise sends a request through the entry at addr.
-func (o *owner) callAdvise(addr string, a shard.AdviceQuery) (out AdviseReply, err error) {
-	ctx, cancel := context.WithTimeout(o.ctx, a.Cost+adviseRPCMargin)
+func (o *owner) callAdvise(addr string, query shard.AdviceQuery) (out AdviseReply, err error) {
+	ctx, cancel := context.WithTimeout(o.ctx, query.Cost+adviseRPCMargin)
 	defer cancel()
-	args := AdviseArgs{a.Step.StepID(), a.IDs}
+	args := AdviseArgs{query.Step.StepID(), query.IDs}
 	if addr == o.s.Settings.PeerAddr {
 		err = (&peerService{o.s}).Advise(args, &out)
 	} else {
--- a/internal/server/carry.go
+++ b/internal/server/carry.go
@@ -22,12 +22,12 @@
 
 // newDispatcher returns the dispatcher for an owner's calls to minions.
 func (s *Server) newDispatcher(o *owner) *carry.Dispatcher {
-	cs := &carrierCache{o: o}
+	cache := &carrierCache{o: o}
 	return &carry.Dispatcher{
 		Direct:        &carry.DirectCaller{MinionClient: s.Minions, Now: monotonicNow},
 		Transport:     carryTransport{s},
 		SessionPrefix: fmt.Sprintf("%s.%s.%d", s.instanceID, o.service, o.term),
-		Carriers:      cs.inZone,
+		Carriers:      cache.inZone,
 		OnCarrierLost: func(addr, why string) {
 			s.Log.Info("carrier abandoned", "service", o.service, "term", o.term, "carrier", addr, "why", why)
 		},
@@ -90,12 +90,12 @@
 type carryTransport struct{ s *Server }
 
 // SendBatch implements carry.Transport.
-func (p carryTransport) SendBatch(ctx context.Context, addr string, b carry.Batch) error {
-	return p.s.peers.Call(ctx, addr, peer.Traffic, "Carry", b, &struct{}{})
+func (t carryTransport) SendBatch(ctx context.Context, addr string, b carry.Batch) error {
+	return t.s.peers.Call(ctx, addr, peer.Traffic, "Carry", b, &struct{}{})
 }
 
 // FetchResults implements carry.Transport.
-func (p carryTransport) FetchResults(ctx context.Context, addr, session string) (a carry.FetchReply, err error) {
-	err = p.s.peers.Call(ctx, addr, peer.Traffic, "Carried", session, &a)
-	return a, err
+func (t carryTransport) FetchResults(ctx context.Context, addr, session string) (reply carry.FetchReply, err error) {
+	err = t.s.peers.Call(ctx, addr, peer.Traffic, "Carried", session, &reply)
+	return reply, err
 }
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -102,15 +102,15 @@
 		local(o)
 		return
 	}
-	l, ok := s.ownerRow(service)
-	if !ok || l.Addr == "" {
+	row, ok := s.ownerRow(service)
+	if !ok || row.Addr == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), ownerCallTimeout)
 	defer cancel()
 	var owns bool
-	if err := s.callEntry(ctx, l.Addr, method, args, &owns); err != nil || !owns {
-		s.Log.Debug("owner not notified", "method", method, "owner", l.Name, "owns", owns, "why", fmt.Sprint(err))
+	if err := s.callEntry(ctx, row.Addr, method, args, &owns); err != nil || !owns {
+		s.Log.Debug("owner not notified", "method", method, "owner", row.Name, "owns", owns, "why", fmt.Sprint(err))
 	}
 }
 
--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -93,16 +93,16 @@
 // applyEffects does what may be done once a batch is durable.
 func (o *owner) applyEffects(b shard.Batch) {
 	now := monotonicNow()
-	for _, x := range b.Starts {
-		r := o.handlers[x.Minion.Incarnation]
-		if o.handingOver || !o.state.PrepareStart(now, &x) || r == nil {
+	for _, start := range b.Starts {
+		h := o.handlers[start.Minion.Incarnation]
+		if o.handingOver || !o.state.PrepareStart(now, &start) || h == nil {
 			continue
 		}
-		r.sendStart(x)
+		h.sendStart(start)
 	}
-	for l, n := range b.AckedEnds {
-		if r := o.handlers[l]; r != nil {
-			r.acknowledge(n)
+	for inc, end := range b.AckedEnds {
+		if h := o.handlers[inc]; h != nil {
+			h.acknowledge(end)
 		}
 	}
 	o.updateJobs(b.Statuses)
--- a/internal/server/lookup.go
+++ b/internal/server/lookup.go
@@ -21,13 +21,13 @@
 		out.Shown, out.Known = o.lookUpJob(id)
 		return out, nil
 	}
-	l, ok := s.ownerRow(service)
-	if !ok || l.Addr == "" {
+	row, ok := s.ownerRow(service)
+	if !ok || row.Addr == "" {
 		return out, errors.New("no owner")
 	}
-	c, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
-	err = s.callEntry(c, l.Addr, "Look", LookArgs{service, id}, &out)
+	err = s.callEntry(ctx, row.Addr, "Look", LookArgs{service, id}, &out)
 	return out, err
 }
 
@@ -38,23 +38,23 @@
 		s.replyState(w, q, out.Shown)
 		return
 	}
-	sh, found, err := s.readState(ctx, id)
+	st, found, err := s.readState(ctx, id)
 	switch {
 	case err != nil:
 		s.storeFailed(w, id, err)
 	case !found:
 		failNoSuchJob(w)
 	default:
-		s.replyState(w, q, sh)
+		s.replyState(w, q, st)
 	}
 }
 
-func (s *Server) replyState(w http.ResponseWriter, q *work.Queue, sh shard.JobStatus) {
-	if sh.Queue != q.Key() {
+func (s *Server) replyState(w http.ResponseWriter, q *work.Queue, st shard.JobStatus) {
+	if st.Queue != q.Key() {
 		failNoSuchJob(w)
 		return
 	}
-	web.Reply(w, http.StatusOK, s.Codec.EncodeState(string(sh.State)))
+	web.Reply(w, http.StatusOK, s.Codec.EncodeState(string(st.State)))
 }
 
 // readJob reads a job's row and its version, or returns nil if there is none.
@@ -75,38 +75,38 @@
 }
 
 // readState reads a job's state from the store.
-func (s *Server) readState(ctx context.Context, id string) (sh shard.JobStatus, found bool, err error) {
+func (s *Server) readState(ctx context.Context, id string) (st shard.JobStatus, found bool, err error) {
 	j, _, err := s.readJob(ctx, id)
 	switch {
 	case err != nil:
-		return sh, false, err
+		return st, false, err
 	case j == nil:
 		return s.readOutcome(ctx, id)
 	}
 	k := shard.ProgressKey(j.Service, id)
 	r, err := s.relayStore.Read(ctx, k.Table, k.Part, id, id+"\x00")
 	if err != nil {
-		return sh, false, err
+		return st, false, err
 	}
 	rows := r.Rows
 	if len(rows) == 0 {
 		from, to := shard.BundleRange()
 		if r, err = s.relayStore.Read(ctx, k.Table, k.Part, from, to); err != nil {
-			return sh, false, err
+			return st, false, err
 		}
 		rows = r.Rows
 	}
-	sh = shard.JobStatus{ID: id, Queue: j.Queue, State: shard.Queued}
+	st = shard.JobStatus{ID: id, Queue: j.Queue, State: shard.Queued}
 	saved, _ := shard.ReadProgress(rows)
 	if row := saved.Row(id); row != nil {
-		sh.State, err = shard.ParseJobState(row)
-		return sh, err == nil, err
+		st.State, err = shard.ParseJobState(row)
+		return st, err == nil, err
 	}
 	// It has not begun, or it was archived between the two reads.
 	if out, found, err := s.readOutcome(ctx, id); err != nil || found {
 		return out, found, err
 	}
-	return sh, true, nil
+	return st, true, nil
 }
 
 // pendingJobs responds with the number of jobs of a queue that have not started.
@@ -137,12 +137,12 @@
 	if o := s.localOwner(q.Service); o != nil {
 		return o.pendingJobs(q.Key())
 	}
-	l, ok := s.waitForOwner(ctx, q.Service)
+	row, ok := s.waitForOwner(ctx, q.Service)
 	if !ok {
 		return 0, false
 	}
 	var out PendingReply
-	if err := s.callEntry(ctx, l.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
+	if err := s.callEntry(ctx, row.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
 		s.Log.Debug("pending jobs not counted", "why", err.Error())
 	}
 	return out.N, out.Owns
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -32,131 +32,131 @@
 // startHandlers starts a handler for each new incarnation of a minion.
 func (o *owner) startHandlers() {
 	defer func() { o.minionCount.Store(int64(len(o.handlers))) }()
-	for _, l := range o.state.TakeNewIncarnations() {
-		if o.handlers[l] != nil {
+	for _, inc := range o.state.TakeNewIncarnations() {
+		if o.handlers[inc] != nil {
 			continue
 		}
-		r := &minionHandler{o: o, incarnation: l, acksChanged: make(chan struct{}, 1)}
-		o.handlers[l] = r
-		o.s.spawn(r.run)
+		h := &minionHandler{o: o, incarnation: inc, acksChanged: make(chan struct{}, 1)}
+		o.handlers[inc] = h
+		o.s.spawn(h.run)
 	}
 }
 
 // run renews the leases of the runs on the minion and reports the runs that
 // ended.
-func (r *minionHandler) run() {
-	for r.o.ctx.Err() == nil {
-		n, ok := r.nextRenewal()
+func (h *minionHandler) run() {
+	for h.o.ctx.Err() == nil {
+		n, ok := h.nextRenewal()
 		if !ok {
 			return
 		}
-		r.renew(n)
+		h.renew(n)
 	}
 }
 
 // nextRenewal asks the control goroutine for the next renewal. ok is false once
 // the handler is to stop.
-func (r *minionHandler) nextRenewal() (shard.Renewal, bool) {
+func (h *minionHandler) nextRenewal() (shard.Renewal, bool) {
 	type answer struct {
 		n  shard.Renewal
 		ok bool
 	}
 	ch := make(chan answer, 1)
-	r.o.post(func(now time.Time) {
-		n, ok := r.o.state.NextRenewal(now, r.incarnation)
+	h.o.post(func(now time.Time) {
+		n, ok := h.o.state.NextRenewal(now, h.incarnation)
 		if !ok {
-			delete(r.o.handlers, r.incarnation)
+			delete(h.o.handlers, h.incarnation)
 		}
 		ch <- answer{n, ok}
 	})
 	select {
 	case a := <-ch:
 		return a.n, a.ok
-	case <-r.o.ctx.Done():
+	case <-h.o.ctx.Done():
 		return shard.Renewal{}, false
 	}
 }
 
-func (r *minionHandler) renew(n shard.Renewal) {
+func (h *minionHandler) renew(n shard.Renewal) {
 	wait := time.Duration(0)
 	if n.Wait {
 		wait = renewWait
 	}
-	ctx, cancel := context.WithTimeout(r.o.ctx, wait+renewTimeout)
-	ended := r.reportIfLate(wait)
-	rep, fenced, err := r.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, r.acked.Load(), wait)
+	ctx, cancel := context.WithTimeout(h.o.ctx, wait+renewTimeout)
+	ended := h.reportIfLate(wait)
+	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, h.acked.Load(), wait)
 	ended()
 	cancel()
 	if err != nil {
-		r.o.s.Log.Debug("renewal failed", "minion", r.incarnation.ID, "fenced", fenced, "why", err.Error())
-		r.o.post(func(now time.Time) {
+		h.o.s.Log.Debug("renewal failed", "minion", h.incarnation.ID, "fenced", fenced, "why", err.Error())
+		h.o.post(func(now time.Time) {
 			if errors.Is(err, work.ErrWrongMinion) {
-				r.o.state.HandleReplaced(now, r.incarnation)
+				h.o.state.HandleReplaced(now, h.incarnation)
 				return
 			}
-			r.o.state.HandleNoReply(now, r.incarnation)
+			h.o.state.HandleNoReply(now, h.incarnation)
 		})
-		sleep(r.o.ctx, silentRetryDelay)
+		sleep(h.o.ctx, silentRetryDelay)
 		return
 	}
-	r.o.post(func(now time.Time) { r.o.state.HandleReport(now, n, rep) })
+	h.o.post(func(now time.Time) { h.o.state.HandleReport(now, n, rep) })
 	if len(rep.Ended) > 0 {
-		r.awaitAck(rep.Ended[len(rep.Ended)-1].N)
+		h.awaitAck(rep.Ended[len(rep.Ended)-1].N)
 	}
 }
 
 // awaitAck waits until ends up to last are durable, but at most maxAckWait
 // because leases have to be renewed in time.
-func (r *minionHandler) awaitAck(last int64) {
+func (h *minionHandler) awaitAck(last int64) {
 	t := time.NewTimer(maxAckWait)
 	defer t.Stop()
-	for r.acked.Load() < last {
+	for h.acked.Load() < last {
 		select {
-		case <-r.acksChanged:
+		case <-h.acksChanged:
 		case <-t.C:
 			return
-		case <-r.o.ctx.Done():
+		case <-h.o.ctx.Done():
 			return
 		}
 	}
 }
 
-func (r *minionHandler) acknowledge(n int64) {
-	r.acked.Store(max(r.acked.Load(), n))
+func (h *minionHandler) acknowledge(n int64) {
+	h.acked.Store(max(h.acked.Load(), n))
 	select {
-	case r.acksChanged <- struct{}{}:
+	case h.acksChanged <- struct{}{}:
 	default:
 	}
 }
 
 // sendStart sends a start and reports the outcome to the control goroutine.
-func (r *minionHandler) sendStart(x shard.StartOrder) {
+func (h *minionHandler) sendStart(order shard.StartOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
 		defer cancel()
-		defer r.reportIfLate(0)()
-		why, err := r.o.minionCalls.Start(ctx, &x.Minion, x.Start)
-		r.o.post(func(now time.Time) { r.o.state.HandleStartReply(now, x, why, err) })
+		defer h.reportIfLate(0)()
+		why, err := h.o.minionCalls.Start(ctx, &order.Minion, order.Start)
+		h.o.post(func(now time.Time) { h.o.state.HandleStartReply(now, order, why, err) })
 	}()
 }
 
 // reportIfLate reports to the shard if a call takes longer than lateCallDelay
 // beyond its long-poll wait. The returned function must be called when the call
 // has ended.
-func (r *minionHandler) reportIfLate(wait time.Duration) (ended func()) {
+func (h *minionHandler) reportIfLate(wait time.Duration) (ended func()) {
 	t := time.AfterFunc(wait+lateCallDelay, func() {
-		r.o.post(func(now time.Time) { r.o.state.HandleSlowReply(now, r.incarnation) })
+		h.o.post(func(now time.Time) { h.o.state.HandleSlowReply(now, h.incarnation) })
 	})
 	return func() { t.Stop() }
 }
 
 // sendStop sends a stop; its effect shows in later reports.
-func (r *minionHandler) sendStop(x shard.StopOrder) {
+func (h *minionHandler) sendStop(order shard.StopOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(r.o.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
 		defer cancel()
-		if err := r.o.minionCalls.Stop(ctx, &x.Minion, x.Task, x.Attempt, x.Token); err != nil {
-			r.o.s.Log.Debug("stop not delivered", "task", x.Task.String(), "minion", r.incarnation.ID, "why", err.Error())
+		if err := h.o.minionCalls.Stop(ctx, &order.Minion, order.Task, order.Attempt, order.Token); err != nil {
+			h.o.s.Log.Debug("stop not delivered", "task", order.Task.String(), "minion", h.incarnation.ID, "why", err.Error())
 		}
 	}()
 }
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -55,9 +55,9 @@
 	pendingByQueue map[string]int // number of jobs that have not started, by queue
 }
 
-func newOwner(ctx context.Context, s *Server, service string, l OwnerRow, seq int64) *owner {
+func newOwner(ctx context.Context, s *Server, service string, row OwnerRow, seq int64) *owner {
 	o := &owner{
-		s: s, service: service, term: l.Term, posted: make(chan func(time.Time), 4096), ownerVersion: l.version, seqVersion: seq,
+		s: s, service: service, term: row.Term, posted: make(chan func(time.Time), 4096), ownerVersion: row.version, seqVersion: seq,
 		handlers: map[work.Incarnation]*minionHandler{}, advice: adviceRequests{inFlight: map[string]bool{}}, done: make(chan struct{}),
 		jobs: map[string]shard.JobStatus{}, pendingByQueue: map[string]int{},
 	}
@@ -67,7 +67,7 @@
 	limits := shard.DefaultLimits
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
-	o.state = shard.New(service, l.Term, monotonicNow(), limits)
+	o.state = shard.New(service, row.Term, monotonicNow(), limits)
 	return o
 }
 
@@ -141,13 +141,13 @@
 	}
 	orders := o.state.TakeActions()
 	o.updateJobs(orders.Statuses)
-	for _, x := range orders.Stops {
-		if r := o.handlers[x.Minion.Incarnation]; r != nil {
-			r.sendStop(x)
+	for _, stop := range orders.Stops {
+		if h := o.handlers[stop.Minion.Incarnation]; h != nil {
+			h.sendStop(stop)
 		}
 	}
-	for _, a := range orders.Queries {
-		o.requestAdvice(a)
+	for _, query := range orders.Queries {
+		o.requestAdvice(query)
 	}
 	o.startHandlers()
 	o.logNotes()
@@ -180,32 +180,32 @@
 	o.state.Notes = o.state.Notes[:0]
 }
 
-func (o *owner) updateJobs(shown []shard.JobStatus) {
+func (o *owner) updateJobs(statuses []shard.JobStatus) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, sh := range shown {
-		old, had := o.jobs[sh.ID]
+	for _, st := range statuses {
+		old, had := o.jobs[st.ID]
 		if had && isPending(old) {
 			o.pendingByQueue[old.Queue]--
 		}
-		if sh.State == "" {
-			delete(o.jobs, sh.ID)
+		if st.State == "" {
+			delete(o.jobs, st.ID)
 			continue
 		}
-		o.jobs[sh.ID] = sh
-		if isPending(sh) {
-			o.pendingByQueue[sh.Queue]++
+		o.jobs[st.ID] = st
+		if isPending(st) {
+			o.pendingByQueue[st.Queue]++
 		}
 	}
 }
 
-func isPending(sh shard.JobStatus) bool { return !sh.Begun && !sh.State.Terminal() }
+func isPending(st shard.JobStatus) bool { return !st.Begun && !st.State.Terminal() }
 
 func (o *owner) lookUpJob(id string) (shard.JobStatus, bool) {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	sh, ok := o.jobs[id]
-	return sh, ok
+	st, ok := o.jobs[id]
+	return st, ok
 }
 
 // pendingJobs returns the number of jobs of a queue that have not started; ok
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -25,15 +25,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
-		l, err := decodeOwnerRow(r)
+		row, err := decodeOwnerRow(r)
 		if err != nil {
 			s.Log.Error("owner row invalid", "service", r.Part, "why", err.Error())
 			continue
 		}
-		if l.version > s.ownerRows[r.Part].version {
-			s.ownerRows[r.Part] = l
+		if row.version > s.ownerRows[r.Part].version {
+			s.ownerRows[r.Part] = row
 		}
-		if o := s.localOwners[r.Part]; o != nil && l.Term > o.term {
+		if o := s.localOwners[r.Part]; o != nil && row.Term > o.term {
 			o.depose("another entry claimed the shard")
 		}
 	}
@@ -64,19 +64,19 @@
 }
 
 func decodeOwnerRow(r table.Row) (OwnerRow, error) {
-	var l OwnerRow
-	if err := json.Unmarshal(r.Value, &l); err != nil {
-		return l, fmt.Errorf("decode: %w", err)
+	var row OwnerRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return row, fmt.Errorf("decode: %w", err)
 	}
-	l.version = r.Version
-	return l, nil
+	row.version = r.Version
+	return row, nil
 }
 
 // ownerNames returns the names of all entries that own a shard; s.mu is held.
 func (s *Server) ownerNames() map[string]bool {
 	names := map[string]bool{}
-	for _, l := range s.ownerRows {
-		names[l.Name] = true
+	for _, row := range s.ownerRows {
+		names[row.Name] = true
 	}
 	return names
 }
@@ -84,18 +84,18 @@
 func (s *Server) ownerRow(service string) (OwnerRow, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l, ok := s.ownerRows[service]
-	return l, ok
+	row, ok := s.ownerRows[service]
+	return row, ok
 }
 
 // waitForOwner returns the owner row of a shard. If there is no owner, as
 // during a change of owners, it waits up to maxOwnerWait for one.
 func (s *Server) waitForOwner(ctx context.Context, service string) (OwnerRow, bool) {
 	for end := monotonicNow().Add(maxOwnerWait); ; {
-		l, ok := s.ownerRow(service)
+		row, ok := s.ownerRow(service)
 		left := end.Sub(monotonicNow())
-		if ok = ok && l.Addr != ""; ok || left <= 0 || ctx.Err() != nil {
-			return l, ok
+		if ok = ok && row.Addr != ""; ok || left <= 0 || ctx.Err() != nil {
+			return row, ok
 		}
 		s.awaitOwnerChange(ctx, left)
 	}
@@ -107,10 +107,10 @@
 
 // setOwnerRow records an owner row written by this entry, before it is seen in
 // the feed.
-func (s *Server) setOwnerRow(service string, l OwnerRow) {
+func (s *Server) setOwnerRow(service string, row OwnerRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownerRows[service] = l
+	s.ownerRows[service] = row
 }
 
 // replaceOwnerRow replaces the owner row unless it or the seq row has changed.
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -50,10 +50,10 @@
 	watched := map[string]bool{}
 	for ctx.Err() == nil {
 		if c := s.cfg.Load(); c != nil {
-			for _, v := range c.Services {
-				if !watched[v.Name] {
-					watched[v.Name] = true
-					s.spawn(func() { s.watchOwner(ctx, v.Name) })
+			for _, svc := range c.Services {
+				if !watched[svc.Name] {
+					watched[svc.Name] = true
+					s.spawn(func() { s.watchOwner(ctx, svc.Name) })
 				}
 			}
 		}
@@ -63,21 +63,21 @@
 
 // claimRank returns how many entries precede this one in claiming a shard from
 // its present owner.
-func (s *Server) claimRank(now time.Time, service string, l OwnerRow) int {
+func (s *Server) claimRank(now time.Time, service string, row OwnerRow) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	me := Entry{Name: s.Settings.ID, Zone: s.Settings.Zone, Strength: s.Settings.Strength()}
-	lostZone := s.entries[l.Name].Zone
-	t := 0
+	lostZone := s.entries[row.Name].Zone
+	ahead := 0
 	for n, e := range s.entries {
-		if n != me.Name && n != l.Name && !e.Leaving && !s.avoided(now, e.Addr) && e.claimsBefore(me, service, lostZone) {
-			t++
+		if n != me.Name && n != row.Name && !e.Leaving && !s.avoided(now, e.Addr) && e.claimsBefore(me, service, lostZone) {
+			ahead++
 		}
 	}
 	if len(s.localOwners) > 0 {
-		t += ownerRankPenalty
+		ahead += ownerRankPenalty
 	}
-	return t
+	return ahead
 }
 
 // claimsBefore reports whether e claims a shard before f. Entries of higher
@@ -102,8 +102,8 @@
 }
 
 // interval returns how long to wait before the owner is looked at again.
-func (v *ownerWatch) interval() time.Duration {
-	if v.silentSince.IsZero() {
+func (w *ownerWatch) interval() time.Duration {
+	if w.silentSince.IsZero() {
 		return watchInterval
 	}
 	return silentInterval
@@ -111,9 +111,9 @@
 
 // pingInterval returns the time between two calls to the owner. The entries that
 // claim the shard first call it often, the others often only while it is silent.
-func (v *ownerWatch) pingInterval(rank int) time.Duration {
+func (w *ownerWatch) pingInterval(rank int) time.Duration {
 	switch {
-	case !v.silentSince.IsZero():
+	case !w.silentSince.IsZero():
 		return 0
 	case rank < firstClaimants:
 		return pingInterval
@@ -123,40 +123,40 @@
 
 // watchOwner claims the shard of a service whenever its owner is lost.
 func (s *Server) watchOwner(ctx context.Context, service string) {
-	var v ownerWatch
+	var watch ownerWatch
 	for ctx.Err() == nil {
-		s.awaitOwnerChange(ctx, v.interval())
+		s.awaitOwnerChange(ctx, watch.interval())
 		if s.stopping.Load() || s.localOwner(service) != nil || !s.canClaim() {
-			v = ownerWatch{}
+			watch = ownerWatch{}
 			continue
 		}
 		now := monotonicNow()
-		l, _ := s.ownerRow(service)
+		row, _ := s.ownerRow(service)
 		mayOwnMore := s.ownsShard()
-		rank := s.claimRank(now, service, l)
+		rank := s.claimRank(now, service, row)
 		stagger := time.Duration(rank) * claimStagger
 		switch {
-		case l.Name == s.Settings.ID:
-			s.claim(ctx, service, l, mayOwnMore, "the previous process on this VM owned it")
-		case l.Name == "":
-			if v.unownedSince.IsZero() {
-				v.unownedSince = now
+		case row.Name == s.Settings.ID:
+			s.claim(ctx, service, row, mayOwnMore, "the previous process on this VM owned it")
+		case row.Name == "":
+			if watch.unownedSince.IsZero() {
+				watch.unownedSince = now
 			}
-			switch l.Next {
+			switch row.Next {
 			case "":
 			case s.Settings.ID:
 				stagger, mayOwnMore = 0, true
 			default:
 				stagger += successorHeadStart
 			}
-			if now.Sub(v.unownedSince) >= stagger {
-				s.claim(ctx, service, l, mayOwnMore, "it had no owner")
+			if now.Sub(watch.unownedSince) >= stagger {
+				s.claim(ctx, service, row, mayOwnMore, "it had no owner")
 			}
 		default:
-			v.unownedSince = time.Time{}
-			if now.Sub(v.lastPing) >= v.pingInterval(rank) && s.ownerLost(ctx, service, l, &v, stagger) {
-				s.claim(ctx, service, l, mayOwnMore, "its owner was silent")
-				v = ownerWatch{}
+			watch.unownedSince = time.Time{}
+			if now.Sub(watch.lastPing) >= watch.pingInterval(rank) && s.ownerLost(ctx, service, row, &watch, stagger) {
+				s.claim(ctx, service, row, mayOwnMore, "its owner was silent")
+				watch = ownerWatch{}
 			}
 		}
 	}
@@ -175,12 +175,12 @@
 
 // ownerLost reports whether an owner has neither responded nor written for its
 // timeout, extended by stagger.
-func (s *Server) ownerLost(ctx context.Context, service string, l OwnerRow, v *ownerWatch, stagger time.Duration) bool {
+func (s *Server) ownerLost(ctx context.Context, service string, row OwnerRow, watch *ownerWatch, stagger time.Duration) bool {
 	now := monotonicNow()
-	v.lastPing = now
-	ok, closed := s.pingOwner(ctx, service, l)
+	watch.lastPing = now
+	ok, closed := s.pingOwner(ctx, service, row)
 	if ok {
-		v.silentSince = time.Time{}
+		watch.silentSince = time.Time{}
 		return false
 	}
 	seq, err := s.readSeqVersion(ctx, service)
@@ -188,11 +188,11 @@
 		s.Log.Debug("cannot read the version of the owner's last write", "service", service, "why", err.Error())
 		return false
 	}
-	if v.silentSince.IsZero() || seq != v.seqVersion {
-		v.silentSince, v.seqVersion = now, seq
+	if watch.silentSince.IsZero() || seq != watch.seqVersion {
+		watch.silentSince, watch.seqVersion = now, seq
 		return false
 	}
-	silent := monotonicNow().Sub(v.silentSince)
+	silent := monotonicNow().Sub(watch.silentSince)
 	if closed {
 		return silent >= closedPortTimeout+stagger
 	}
@@ -201,20 +201,20 @@
 
 // pingOwner reports whether an owner responds and makes progress, and if the
 // call failed, whether its port refused the connection.
-func (s *Server) pingOwner(ctx context.Context, service string, l OwnerRow) (ok, closed bool) {
-	c, cancel := context.WithTimeout(ctx, pingTimeout)
+func (s *Server) pingOwner(ctx context.Context, service string, row OwnerRow) (ok, closed bool) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var out AliveReply
-	err := s.peers.Call(c, l.Addr, peer.Control, "Alive", service, &out)
+	err := s.peers.Call(ctx, row.Addr, peer.Control, "Alive", service, &out)
 	return err == nil && out.Owns && out.Age < maxWriteAge, errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // readSeqVersion reads the version of the seq row, which changes with every
 // write of the owner.
 func (s *Server) readSeqVersion(ctx context.Context, service string) (int64, error) {
-	c, cancel := context.WithTimeout(ctx, seqReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, seqReadTimeout)
 	defer cancel()
-	r, err := s.relayStore.ReadDirect(c, seqTable, service)
+	r, err := s.relayStore.ReadDirect(ctx, seqTable, service)
 	if err != nil {
 		return 0, err
 	}
@@ -234,15 +234,15 @@
 // claim tries to make this entry the owner of a shard. mayOwnMore allows the
 // claim although this entry owns another shard: its delay included
 // ownerRankPenalty, or a handover named it.
-func (s *Server) claim(ctx context.Context, service string, l OwnerRow, mayOwnMore bool, why string) {
+func (s *Server) claim(ctx context.Context, service string, known OwnerRow, mayOwnMore bool, why string) {
 	s.claimMu.Lock() // one claim at a time, so that a new owner lets other entries claim the next shard
 	defer s.claimMu.Unlock()
 	if s.ownsShard() && !mayOwnMore {
 		return // the delay was computed before this entry became an owner
 	}
-	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	stored, err := s.relayStore.Read(c, entryTable, service, "", "")
+	stored, err := s.relayStore.Read(claimCtx, entryTable, service, "", "")
 	if err != nil {
 		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
@@ -254,11 +254,11 @@
 			return
 		}
 	}
-	if current.version != l.version && current.Life != s.instanceID {
+	if current.version != known.version && current.Life != s.instanceID {
 		s.applyOwnerRows(stored.Rows, false)
 		return
 	}
-	seq, err := s.readSeqVersion(c, service)
+	seq, err := s.readSeqVersion(claimCtx, service)
 	if err != nil {
 		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
@@ -269,7 +269,7 @@
 		return
 	}
 	next := OwnerRow{Name: s.Settings.ID, Addr: s.Settings.PeerAddr, Life: s.instanceID, Term: current.Term + 1}
-	res, err := s.replaceOwnerRow(c, service, current.version, seq, next)
+	res, err := s.replaceOwnerRow(claimCtx, service, current.version, seq, next)
 	if err != nil || !res.Done {
 		s.Log.Info("shard claim lost", "service", service, "term", next.Term, "why", fmt.Sprint(err))
 		return
@@ -281,8 +281,8 @@
 }
 
 // startOwner starts making decisions for a shard.
-func (s *Server) startOwner(ctx context.Context, service string, l OwnerRow, seq int64) {
-	o := newOwner(ctx, s, service, l, seq)
+func (s *Server) startOwner(ctx context.Context, service string, row OwnerRow, seq int64) {
+	o := newOwner(ctx, s, service, row, seq)
 	s.mu.Lock()
 	s.localOwners[service] = o
 	s.Settings.tuneGC(len(s.localOwners))
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -88,11 +88,11 @@
 }
 
 // Ping responds without doing anything.
-func (c *peerService) Ping(struct{}, *struct{}) error { return nil }
+func (p *peerService) Ping(struct{}, *struct{}) error { return nil }
 
 // Alive reports whether this entry owns the shard of a service.
-func (c *peerService) Alive(service string, out *AliveReply) error {
-	if o := c.s.localOwner(service); o != nil {
+func (p *peerService) Alive(service string, out *AliveReply) error {
+	if o := p.s.localOwner(service); o != nil {
 		*out = AliveReply{true, monotonicNow().Sub(o.lastWrite())}
 	}
 	return nil
@@ -100,8 +100,8 @@
 
 // Submit notifies the owner of an accepted job. The reply tells whether this
 // entry is the owner.
-func (c *peerService) Submit(a SubmitArgs, owns *bool) error {
-	if o := c.s.localOwner(a.Job.Service); o != nil {
+func (p *peerService) Submit(a SubmitArgs, owns *bool) error {
+	if o := p.s.localOwner(a.Job.Service); o != nil {
 		*owns = true
 		o.submit(a)
 	}
@@ -109,8 +109,8 @@
 }
 
 // Cancel notifies the owner of an accepted cancellation.
-func (c *peerService) Cancel(a CancelArgs, owns *bool) error {
-	if o := c.s.localOwner(a.Service); o != nil {
+func (p *peerService) Cancel(a CancelArgs, owns *bool) error {
+	if o := p.s.localOwner(a.Service); o != nil {
 		*owns = true
 		o.cancelJob(a.ID)
 	}
@@ -118,8 +118,8 @@
 }
 
 // Look returns the state of a job from the owner's memory.
-func (c *peerService) Look(a LookArgs, out *LookReply) error {
-	if o := c.s.localOwner(a.Service); o != nil {
+func (p *peerService) Look(a LookArgs, out *LookReply) error {
+	if o := p.s.localOwner(a.Service); o != nil {
 		out.Owns = true
 		out.Shown, out.Known = o.lookUpJob(a.ID)
 	}
@@ -127,8 +127,8 @@
 }
 
 // Pending returns the number of jobs of a queue that have not started.
-func (c *peerService) Pending(a PendingArgs, out *PendingReply) error {
-	if o := c.s.localOwner(a.Service); o != nil {
+func (p *peerService) Pending(a PendingArgs, out *PendingReply) error {
+	if o := p.s.localOwner(a.Service); o != nil {
 		out.N, out.Owns = o.pendingJobs(a.Queue)
 	}
 	return nil
@@ -139,42 +139,42 @@
 
 // Advise sends a request to the placement service on behalf of an owner. The
 // service handles one request at a time per VM.
-func (c *peerService) Advise(a AdviseArgs, out *AdviseReply) error {
-	if !c.s.adviceMu.TryLock() {
+func (p *peerService) Advise(a AdviseArgs, out *AdviseReply) error {
+	if !p.s.adviceMu.TryLock() {
 		out.Error = "this entry asks already, for another shard"
 		return nil
 	}
-	defer c.s.adviceMu.Unlock()
+	defer p.s.adviceMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), adviseTimeout)
 	defer cancel()
 	var err error
-	if out.Tickets, out.Valid, err = c.s.Placement.Ask(ctx, a.Step, a.IDs); err != nil {
+	if out.Tickets, out.Valid, err = p.s.Placement.Ask(ctx, a.Step, a.IDs); err != nil {
 		out.Error = err.Error()
 	}
 	return nil
 }
 
 // NoStore reports that another entry of the zone can no longer reach the store.
-func (c *peerService) NoStore(struct{}, *struct{}) error {
-	go c.s.relayStore.Check(context.Background())
+func (p *peerService) NoStore(struct{}, *struct{}) error {
+	go p.s.relayStore.Check(context.Background())
 	return nil
 }
 
 // Carry makes a batch of calls to minions for an owner.
-func (c *peerService) Carry(b carry.Batch, _ *struct{}) error {
-	c.s.carrier.RunBatch(b)
+func (p *peerService) Carry(b carry.Batch, _ *struct{}) error {
+	p.s.carrier.RunBatch(b)
 	return nil
 }
 
 // Carried returns results of such calls.
-func (c *peerService) Carried(session string, out *carry.FetchReply) error {
-	*out = c.s.carrier.FetchResults(session)
+func (p *peerService) Carried(session string, out *carry.FetchReply) error {
+	*out = p.s.carrier.FetchResults(session)
 	return nil
 }
 
 // Relay executes a transaction for an entry that cannot reach the store.
-func (c *peerService) Relay(tx table.Tx, out *RelayReply) error {
-	res, err := c.s.relayStore.DoFor(context.Background(), tx)
+func (p *peerService) Relay(tx table.Tx, out *RelayReply) error {
+	res, err := p.s.relayStore.DoFor(context.Background(), tx)
 	out.Result = res
 	if err != nil {
 		out.Error, out.Refused = err.Error(), errors.Is(err, table.ErrNotApplied)
@@ -183,8 +183,8 @@
 }
 
 // Read executes a read for an entry that gets no response from the store.
-func (c *peerService) Read(f relay.ReadRequest, out *relay.ReadResult) error {
-	got, err := c.s.relayStore.ReadFor(context.Background(), f)
+func (p *peerService) Read(f relay.ReadRequest, out *relay.ReadResult) error {
+	got, err := p.s.relayStore.ReadFor(context.Background(), f)
 	*out = got
 	if err != nil {
 		out.Error = err.Error()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -93,14 +93,14 @@
 }
 
 // New returns an entry that listens on its addresses but does not serve yet.
-func New(set Settings, p Dependencies) (*Server, error) {
+func New(set Settings, deps Dependencies) (*Server, error) {
 	s := &Server{
-		Settings: set, Dependencies: p, instanceID: uuid.NewString()[:8],
+		Settings: set, Dependencies: deps, instanceID: uuid.NewString()[:8],
 		entries: map[string]Entry{}, failures: map[string]callFailures{},
 		ownerRows: map[string]OwnerRow{}, localOwners: map[string]*owner{},
 	}
-	s.relayStore = &relay.Store{Direct: p.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
-	s.carrier = carry.NewCarrier(p.Minions, s.instanceID, monotonicNow)
+	s.relayStore = &relay.Store{Direct: deps.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
+	s.carrier = carry.NewCarrier(deps.Minions, s.instanceID, monotonicNow)
 	s.peers = peer.New(transport.DialFrom(""), &transport.ByteCounter{})
 	var err error
 	if s.peerListener, err = net.Listen("tcp", set.PeerAddr); err != nil {
