Soak: gangs, jobs that crash minions, capacity that shrinks, faults in series

Rows of minions that are silent are removed after three heartbeats.

The soak has two services, eight minions, gangs among its jobs, capacity changes among its faults, and some faults strike several times in a row. A deadly job must be shown as failed unless fewer than two minions crashed under its tasks; another may be only if two or more did.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -37,6 +37,11 @@
 	faultRNG         *rand.Rand      // selects the affected transactions
 }
 
+const (
+	fullCapacity = 4000                    // of a minion, in thousandths of a core
+	rowExpiry    = 4500 * time.Millisecond // three heartbeats
+)
+
 // entry is one entry process.
 type entry struct {
 	name       string
@@ -60,14 +65,14 @@
 }
 
 func newCluster(opt options, seed int64) (*cluster, error) {
-	s := &cluster{opt: opt, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger()}
+	s := &cluster{opt: opt, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
 	s.store.InjectFaults(s.transactionFault)
 	store, err := serveOn(standin.Store{Rows: s.store})
 	if err != nil {
 		return nil, err
 	}
 	for i := range opt.Minions {
-		m := s.ledger.AddMinion(fmt.Sprintf("i-%08d", i), 4000)
+		m := s.ledger.AddMinion(fmt.Sprintf("i-%08d", i), fullCapacity)
 		addr, err := serveOn(m)
 		if err != nil {
 			return nil, err
@@ -100,6 +105,9 @@
 // transactionFault selects the fault of a transaction. Transactions of the
 // operator and the minions, which this process issues itself, always succeed.
 func (s *cluster) transactionFault(tx table.Tx) tabletest.Fault {
+	if len(tx.Delete) > 0 && tx.Delete[0].Table == standin.MinionTable {
+		return tabletest.NoFault
+	}
 	if len(tx.Put) > 0 && (tx.Put[0].Table == standin.ConfigTable || tx.Put[0].Table == standin.MinionTable) {
 		return tabletest.NoFault
 	}
@@ -124,17 +132,35 @@
 	}
 }
 
+func (s *cluster) deleteRow(tab, name string) {
+	tx := table.Tx{Delete: []table.Key{{Table: tab, Name: name}}}
+	if _, err := s.store.Do(context.Background(), tx); err != nil {
+		fmt.Fprintln(os.Stderr, "soak: delete row", name, err)
+	}
+}
+
 func (s *cluster) writeConfig() {
 	s.version++
 	s.putRow(standin.ConfigTable, standin.ConfigRow, standin.Config(s.version))
 }
 
 // refreshMinionRows rewrites the registration row of every minion periodically
-// until ctx ends.
+// until ctx ends, and removes the rows that nobody has written for rowExpiry.
 func (s *cluster) refreshMinionRows(ctx context.Context) {
+	written := map[string]time.Time{}
 	for n := 1; ctx.Err() == nil; n++ {
 		for i, m := range s.minions {
-			s.putRow(standin.MinionTable, m.ID, m.Row(standin.Service, s.minionProxies[i].addr(), n))
+			service := standin.Services[i%len(standin.Services)]
+			if id, value, up := m.Row(service, s.minionProxies[i].addr(), n); up {
+				s.putRow(standin.MinionTable, id, value)
+				written[id] = time.Now()
+			}
+		}
+		for id, at := range written {
+			if time.Since(at) > rowExpiry {
+				s.deleteRow(standin.MinionTable, id)
+				delete(written, id)
+			}
 		}
 		time.Sleep(400 * time.Millisecond)
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,7 +6,9 @@
 // stopped and told to reload their settings; connections to the store and to
 // minions are delayed, reset, blackholed or blocked in one direction; the store
 // rejects transactions, loses responses, applies writes late and discards its
-// history; minions crash; configurations change.
+// history; minions crash and their capacity shrinks and grows; configurations
+// change. Some faults come in series. With --deadly, some jobs crash each minion
+// that starts them.
 package main
 
 import (
@@ -22,7 +24,8 @@
 	Seeds   int    `long:"seeds" default:"1" description:"number of seeds"`
 	Seconds int    `long:"seconds" default:"15" description:"duration of load and faults, in seconds"`
 	Entries int    `long:"entries" default:"4" description:"number of entries"`
-	Minions int    `long:"minions" default:"6" description:"number of minions"`
+	Minions int    `long:"minions" default:"8" description:"number of minions"`
+	Deadly  bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
 	Dir     string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
 }
 
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -22,13 +22,15 @@
 	unknown    int
 	cancelled  int
 	starts     int
+	deadly     int // accepted jobs that crash minions
+	crashes    int // the most minions that crashed under one task
 	faults     []string
 	violations []string
 }
 
 func (r *result) summary() string {
-	return fmt.Sprintf("seed %d: %d accepted, %d rejected, %d unknown, %d cancelled; %d starts; faults: %s; broken promises: %d",
-		r.seed, r.accepted, r.rejected, r.unknown, r.cancelled, r.starts, strings.Join(r.faults, ", "), len(r.violations))
+	return fmt.Sprintf("seed %d: %d accepted, %d rejected, %d unknown, %d cancelled; %d starts; %d deadly, up to %d minions crashed under a task; faults: %s; broken promises: %d",
+		r.seed, r.accepted, r.rejected, r.unknown, r.cancelled, r.starts, r.deadly, r.crashes, strings.Join(r.faults, ", "), len(r.violations))
 }
 
 // outcome is the state of a job as known to the client.
@@ -47,20 +49,35 @@
 	http    *http.Client
 
 	mu   sync.Mutex
-	jobs map[string]outcome
+	jobs map[string]*job
+}
+
+// job is a submitted job and what the client knows of it.
+type job struct {
+	standin.Job
+	service string
+	outcome outcome
 }
 
 const (
 	callTimeout    = 4 * time.Second
 	submitInterval = 60 * time.Millisecond
-	settleTimeout  = 40 * time.Second // for accepted jobs to complete after the load has ended
+	faultKinds     = 11
+	seriesInterval = 150 * time.Millisecond // between faults of the same kind
+	shrinkTime     = 6 * time.Second        // least time that capacity is gone; longer than it counts
+	deadlyInterval = 48                     // jobs from one that is deadly to the next
+	crashTime      = 200                    // ms that a deadly task runs at least, so that it crashes before it ends
+	lastingCPU     = 250                    // thousandths of a core of a task that lasts and isn't deadly
+	minCrashes     = 2                      // a task under which so many minions have crashed may be given up
+	settleTimeout  = 40 * time.Second       // for accepted jobs to complete after the load has ended
 )
 
-// call sends one request to an entry. Status 0 means that no response arrived.
-func (c *client) call(e *entry, method, id, body string) (int, string) {
+// call sends one request about a job to an entry. Status 0 means that no response
+// arrived.
+func (c *client) call(e *entry, method, service, id, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callerAddr+standin.Prefix+id, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callerAddr+standin.Prefix(service)+id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -78,10 +95,10 @@
 }
 
 // submit submits a job and retries at other entries, as clients do.
-func (c *client) submit(id, body string, first, tries int) {
+func (c *client) submit(id string, j *job, first, tries int) {
 	result := rejected
 	for i := range tries {
-		code, _ := c.call(c.cluster.entries[(first+i)%len(c.cluster.entries)], http.MethodPost, id, body)
+		code, _ := c.call(c.cluster.entries[(first+i)%len(c.cluster.entries)], http.MethodPost, j.service, id, j.JSON())
 		if code == http.StatusOK {
 			result = accepted
 			break
@@ -93,20 +110,21 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[id] = result
+	j.outcome = result
+	c.jobs[id] = j
 }
 
 // cancel cancels an accepted job.
-func (c *client) cancel(id string, e *entry) {
-	code, _ := c.call(e, http.MethodDelete, id, "")
+func (c *client) cancel(id string, j *job, e *entry) {
+	code, _ := c.call(e, http.MethodDelete, j.service, id, "")
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.jobs[id] != accepted:
+	case j.outcome != accepted:
 	case code == http.StatusOK:
-		c.jobs[id] = cancelled
+		j.outcome = cancelled
 	default:
-		c.jobs[id] = unknown // the cancellation may or may not have taken effect
+		j.outcome = unknown // the cancellation may or may not have taken effect
 	}
 }
 
@@ -135,7 +153,7 @@
 			e.shutDown()
 		}
 	}()
-	c := &client{cluster: s, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, jobs: map[string]outcome{}}
+	c := &client{cluster: s, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, jobs: map[string]*job{}}
 	time.Sleep(time.Second)
 	res := &result{seed: seed}
 	s.runLoad(c, res)
@@ -148,37 +166,73 @@
 	end := time.Now().Add(time.Duration(s.opt.Seconds) * time.Second)
 	var wg sync.WaitGroup
 	next := time.Now().Add(time.Second)
+	kind, left := 0, 0
 	for n := 0; time.Now().Before(end); n++ {
 		id := fmt.Sprintf("%016x", n+1)
-		body := standin.Job(1+s.rng.Intn(2), 1+s.rng.Intn(4), 20+s.rng.Intn(400), 500+500*s.rng.Intn(3))
+		j := s.nextJob(n)
 		first, cancelAfter := s.rng.Intn(len(s.entries)), s.rng.Intn(10) == 0
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.submit(id, body, first, 4)
+			c.submit(id, j, first, 4)
 			if cancelAfter {
-				c.cancel(id, s.entries[first])
+				c.cancel(id, j, s.entries[first])
 			}
 		}()
 		if time.Now().After(next) {
-			name, length := s.injectFault()
+			if left == 0 {
+				kind, left = s.rng.Intn(faultKinds), 1
+				if s.rng.Intn(4) == 0 {
+					left += 1 + s.rng.Intn(3)
+				}
+			}
+			left--
+			name, length := s.injectFault(kind)
 			res.faults = append(res.faults, name)
 			next = time.Now().Add(length / 2) // consecutive faults overlap
+			if left > 0 {
+				next = time.Now().Add(seriesInterval)
+			}
 		}
 		time.Sleep(submitInterval)
 	}
 	wg.Wait()
 }
 
-// injectFault injects a random fault that ends by itself, and returns its name
-// and duration.
-func (s *cluster) injectFault() (string, time.Duration) {
+// nextJob returns job n. With --deadly, every deadlyInterval-th job is deadly:
+// plain ones, gangs and ones that last, with some or all of their tasks. As many
+// others last.
+func (s *cluster) nextJob(n int) *job {
+	j := &job{service: standin.Services[(n+n/deadlyInterval)%len(standin.Services)]}
+	j.Job = standin.Job{Steps: 1 + s.rng.Intn(2), Tasks: 1 + s.rng.Intn(4), Millis: 20 + s.rng.Intn(400), CPU: 500 + 500*s.rng.Intn(3)}
+	j.Gang = s.rng.Intn(8) == 0
+	if !s.opt.Deadly {
+		return j
+	}
+	switch n % deadlyInterval {
+	case deadlyInterval / 4:
+		kind := n / deadlyInterval % 3
+		j.Gang, j.Lasting = kind == 1, kind == 2
+		if j.Lasting {
+			j.Steps = 1
+		}
+		j.Deadly = 1 + s.rng.Intn(j.Tasks)
+		j.Millis += crashTime
+	case deadlyInterval / 2:
+		j.Gang, j.Lasting, j.Steps, j.CPU = false, true, 1, lastingCPU
+	}
+	return j
+}
+
+// injectFault injects a fault of a kind below faultKinds that ends by itself, and
+// returns its name and duration. Where it strikes is random.
+func (s *cluster) injectFault(kind int) (string, time.Duration) {
 	length := time.Duration(300+s.rng.Intn(2500)) * time.Millisecond
 	e := s.entries[s.rng.Intn(len(s.entries))]
 	i := s.rng.Intn(len(s.minions))
 	proxyFault := proxyMode(1 + s.rng.Intn(int(modeCount)-1))
 	after := func(f func()) { time.AfterFunc(length, f) }
-	switch s.rng.Intn(10) {
+	switch kind {
 	case 0:
 		e.signal(syscall.SIGKILL)
 		return "kill " + e.name, length
@@ -208,6 +262,11 @@
 	case 8:
 		s.store.TrimHistory()
 		return "history forgotten", length
+	case 9:
+		cpu := int64(fullCapacity * s.rng.Intn(4) / 4)
+		s.minions[i].SetCapacity(cpu)
+		time.AfterFunc(length+shrinkTime, func() { s.minions[i].SetCapacity(fullCapacity) })
+		return fmt.Sprintf("minion %d shrinks to %d", i, cpu), length
 	}
 	f := []tabletest.Fault{tabletest.CallRejected, tabletest.ReplyLost, tabletest.RequestLost, tabletest.RequestDelayed}[s.rng.Intn(4)]
 	odds := []float64{0.3, 1}[s.rng.Intn(2)]
@@ -216,28 +275,33 @@
 	return fmt.Sprintf("store fate %d for %.0f %%", f, 100*odds), length
 }
 
-// verify waits for all accepted jobs to complete and records every violated
+// verify waits for all accepted jobs to be settled and records every violated
 // guarantee.
 func (s *cluster) verify(c *client, res *result) {
-	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && !c.allCompleted(); {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && !c.allSettled(); {
 		time.Sleep(200 * time.Millisecond)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	broken, started := s.ledger.Report()
+	crashes, running := s.ledger.Crashes(), s.ledger.Running()
 	res.violations = broken
-	for id, out := range c.jobs {
+	for id, j := range c.jobs {
 		res.starts += started[id]
-		state := c.jobState(id)
-		switch out {
+		res.crashes = max(res.crashes, crashes[id])
+		state := c.jobState(id, j)
+		switch j.outcome {
 		case accepted:
 			res.accepted++
-			if !strings.Contains(state, "completed") {
-				res.violations = append(res.violations, fmt.Sprintf("job %s was accepted and is %q", id, state))
+			if j.Deadly > 0 {
+				res.deadly++
+			}
+			if !j.isSettled(state, crashes[id], running[id]) && (j.Deadly == 0 || crashes[id] >= minCrashes || !j.isUnfinished(state)) {
+				res.violations = append(res.violations, fmt.Sprintf("job %s %+v was accepted and is %q, %d minions crashed under a task", id, j.Job, state, crashes[id]))
 			}
 		case cancelled:
 			res.cancelled++
-			if !strings.Contains(state, "canceled") && !strings.Contains(state, "completed") {
+			if !strings.Contains(state, "canceled") && !j.isSettled(state, crashes[id], running[id]) {
 				res.violations = append(res.violations, fmt.Sprintf("job %s was cancelled and is %q", id, state))
 			}
 		case rejected:
@@ -251,20 +315,39 @@
 	}
 }
 
-func (c *client) jobState(id string) string {
+// isSettled reports whether a job that was accepted has come to where it must: it
+// is completed, all its tasks last, or it has failed since it can't be done.
+func (j *job) isSettled(state string, crashes, running int) bool {
+	switch {
+	case strings.Contains(state, "failed"):
+		return crashes >= minCrashes
+	case j.Deadly > 0:
+		return false
+	case j.Lasting:
+		return strings.Contains(state, "active") && running == j.Tasks
+	}
+	return strings.Contains(state, "completed")
+}
+
+func (j *job) isUnfinished(state string) bool {
+	return strings.Contains(state, "queued") || strings.Contains(state, "active")
+}
+
+func (c *client) jobState(id string, j *job) string {
 	code, body := 0, ""
 	for i := 0; i < len(c.cluster.entries) && code != http.StatusOK && code != http.StatusGone; i++ {
-		code, body = c.call(c.cluster.entries[i], http.MethodGet, id, "")
+		code, body = c.call(c.cluster.entries[i], http.MethodGet, j.service, id, "")
 	}
 	return body
 }
 
-// allCompleted reports whether every accepted job has completed.
-func (c *client) allCompleted() bool {
+// allSettled reports whether every accepted job is settled.
+func (c *client) allSettled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, out := range c.jobs {
-		if out == accepted && !strings.Contains(c.jobState(id), "completed") {
+	crashes, running := c.cluster.ledger.Crashes(), c.cluster.ledger.Running()
+	for id, j := range c.jobs {
+		if j.outcome == accepted && !j.isSettled(c.jobState(id, j), crashes[id], running[id]) {
 			return false
 		}
 	}
