Hold copies of suspects also while starts are carried out late

Cause: two minions with late replies make their zone count as unreachable, and each such doubt cleared what was known of the zone's silent minions. Copies from minions that are only doubted were not limited at all. A run whose start was carried out late was judged by the time at which the start was sent.

Change: a copy opens the fate of a fresh run whether its minion is silent or doubted; only a report of that minion closes it. The age of a run counts from the reply or report that first showed that it has begun.

--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -9,7 +9,7 @@
 
 // startCopies requeues tasks for a copy whose runs are on minions that do not
 // answer.
-func (s *State) startCopies() {
+func (s *State) startCopies(now time.Time) {
 	if !s.Policy.SpeculativeCopies {
 		return
 	}
@@ -18,15 +18,18 @@
 			continue
 		}
 		for _, r := range m.runs {
-			s.startCopy(m, r, "its minion does not answer")
+			s.startCopy(now, m, r, "its minion does not answer")
 		}
 	}
 }
 
 // startCopy requeues the task of a run although the run may continue.
-func (s *State) startCopy(m *minion, r *run, why string) {
+func (s *State) startCopy(now time.Time, m *minion, r *run, why string) {
 	t := r.task
-	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stopping || !r.isCurrent(m) || !r.mayHaveBegun() || r.fateOpen && t.held() {
+	if t == nil || !r.step.Speculative || r.step.Gang || r.step.Lasting || r.stopping || !r.isCurrent(m) || !r.mayHaveBegun() {
+		return
+	}
+	if m.openFate(now, r); t.held() {
 		return
 	}
 	s.note(Note{What: "copy", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -60,33 +60,32 @@
 // mayHaveBegun reports whether the start of the run has been sent.
 func (r *run) mayHaveBegun() bool { return r.state != unsent && r.state != cancelled }
 
-// age is how long the run had lasted at a time, 0 if its start is unknown.
-func (r *run) age(at time.Time) time.Duration {
-	began := r.sentAt
-	if began.IsZero() {
-		began = r.listedAt
+// confirm records that the run has certainly begun.
+func (r *run) confirm(now time.Time) {
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
 	}
-	if began.IsZero() {
+}
+
+// age is how long the run had certainly lasted at a time. Its start may have
+// been carried out late, so only the time since its confirmation counts.
+func (r *run) age(at time.Time) time.Duration {
+	if r.confirmedAt.IsZero() {
 		return 0
 	}
-	return at.Sub(began)
+	return at.Sub(r.confirmedAt)
 }
 
 // openFates marks the fresh runs of a minion that has fallen silent: it may have
-// crashed under one of them. Where a whole zone does not answer it has not.
-func (s *State) openFates(now time.Time, m *minion) {
-	if m.Draining || m.zone.unreachable() {
-		return
-	}
+// crashed under one of them.
+func (m *minion) openFates(now time.Time) {
 	for _, r := range m.runs {
-		if r.task != nil && r.mayHaveBegun() && r.age(now) < freshWindow {
-			r.openFate()
-		}
+		m.openFate(now, r)
 	}
 }
 
-func (r *run) openFate() {
-	if r.task == nil || r.fateOpen {
+func (m *minion) openFate(now time.Time, r *run) {
+	if r.task == nil || r.fateOpen || m.Draining || !r.mayHaveBegun() || r.age(now) >= freshWindow {
 		return
 	}
 	r.fateOpen = true
@@ -100,7 +99,7 @@
 	}
 }
 
-// closeFates clears the marks of a minion that has not crashed after all.
+// closeFates clears the marks of a minion that has not crashed.
 func (m *minion) closeFates() {
 	for _, r := range m.runs {
 		r.closeFate()
@@ -135,7 +134,7 @@
 			out = append(out, *r.carried)
 		default:
 			age := r.age(at)
-			out = append(out, accusation{r, m.ID, r.state == live || r.listed, age < freshWindow, r.onTrial, age})
+			out = append(out, accusation{r, m.ID, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
 		}
 	}
 	return out
@@ -302,9 +301,6 @@
 			return false
 		}
 		a.run.carried = &a
-		if a.fresh {
-			a.run.openFate()
-		}
 		return true
 	})
 }
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -259,3 +259,27 @@
 		}
 	})
 }
+
+// While starts are carried out late, zone after zone seems not to answer.
+func TestDeadlyTaskIsNotCopiedFromDoubtToDoubt(t *testing.T) {
+	w, o := newOwnedCluster(t, 12)
+	for i, b := range w.minions {
+		b.Zone = fmt.Sprint("z", i%4)
+		o.st.UpdateMinion(w.now, b.Minion)
+	}
+	w.cycle()
+	w.submitDeadly("a", speculativeTasks(1, 1000))
+	for range 4 {
+		o.step()
+		o.commit(true)
+		assert.Assert(t, len(w.inFlight) <= 2, "started again with two fates open")
+		late := w.inFlight[len(w.inFlight)-1].to
+		for _, b := range w.minions {
+			if b.Zone == late.Zone {
+				o.st.HandleSlowReply(w.now, b.Incarnation)
+			}
+		}
+	}
+	w.live(20*time.Second, replaced)
+	assert.Equal(t, w.state("a"), JobFailed)
+}
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -161,6 +161,7 @@
 // report settles it.
 func (s *State) carryOver(m *minion, r *run) {
 	r.state, r.renewalMark, r.token = uncertain, max(s.renewalSeq, 1), m.token-1
+	r.confirmedAt = time.Time{}
 	m.hasCarriedRuns = true
 	m.add(r)
 	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
@@ -270,7 +271,7 @@
 	}
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
-		s.openFates(now, m)
+		m.openFates(now)
 		s.note(Note{What: "silent", Minion: l.ID})
 	}
 }
@@ -302,6 +303,7 @@
 		if r.state == sent {
 			r.state = live
 		}
+		r.confirm(now)
 		if r.step != nil {
 			s.markBegun(r.step.job)
 		}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -19,7 +19,7 @@
 		s.checkedAt = now
 		s.expire(now)
 		s.evacuate(now)
-		s.startCopies()
+		s.startCopies(now)
 	}
 	s.endTrials(now)
 	s.dropForgotten(now)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -28,11 +28,11 @@
 	m.zone.answered()
 	if !m.silentSince.IsZero() {
 		m.silentSince = time.Time{}
-		m.closeFates()
 		m.token++ // orders sent before the silence must not be executed any more
 		s.note(Note{What: "answers", Minion: m.ID})
 		s.wakeSteps(m)
 	}
+	m.closeFates()
 	for _, e := range rep.Ended {
 		if e.N > m.lastEnd {
 			s.handleEnd(now, m, e)
@@ -65,10 +65,8 @@
 		if r.state == uncertain || r.state == sent {
 			r.state = live
 		}
-		if !r.listed {
-			r.listed, r.listedAt, r.carried = true, now, nil
-			r.closeFate()
-		}
+		r.listed, r.carried = true, nil
+		r.confirm(now)
 		if r.step != nil {
 			s.markBegun(r.step.job)
 		}
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -106,7 +106,7 @@
 		s.requeueLost(now, r, why)
 		return false
 	}
-	r.state, r.sentAt = sent, now
+	r.state = sent
 	if r.onTrial {
 		m.trialAt = now
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -155,10 +155,9 @@
 	stopping    bool      // it is to end
 	stopSentAt  time.Time // when the last stop was sent
 	placedAt    time.Time
-	sentAt      time.Time   // when its start was sent; zero if a previous owner sent it
-	listedAt    time.Time   // when a report first listed it
+	confirmedAt time.Time   // when a reply or a report first showed that it has begun
 	onTrial     bool        // it has to survive before its task is no suspect any more
-	fateOpen    bool        // it was fresh when its minion fell silent
+	fateOpen    bool        // it was fresh when its minion fell silent or was doubted
 	carried     *accusation // holds if the next incarnation of its minion does not list it
 	percent     int         // progress as last reported
 	progressAt  time.Time   // when percent last changed
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -51,11 +51,6 @@
 	z.slowMinions[l.ID] = true
 	if !was && z.unreachable() {
 		s.checkedAt = time.Time{}
-		for _, m := range s.minions {
-			if m.zone == z {
-				m.closeFates()
-			}
-		}
 		s.note(Note{What: "doubted", Minion: l.ID, Why: "no answers from " + z.name})
 	}
 }
