Log crashes under tasks in full and list the messages

TestEventsAreDocumented failed since the attribution of crashes: its messages were not in the table of events. Two messages instead of four tell certain crashes from possible ones, and say how long the run had lasted and whether it was on trial.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -172,31 +173,30 @@
 		*c = crashRecord{}
 		return
 	}
+	n := Note{What: "minion may have crashed under task"}
 	if a.confirmed {
+		n = Note{What: "minion crashed under task"}
 		c.Crashes++
 	} else {
 		c.Doubts++
 	}
+	n.Job, n.Task, n.Attempt, n.Minion, n.Why = t.id.Job, t.id.String(), a.run.key.attempt, a.minion, a.why()
+	s.note(n)
 	c.Suspect = c.Suspect || a.fresh || !a.confirmed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.confirmed && a.fresh && a.onTrial
-	s.note(Note{What: a.what(), Job: t.id.Job, Task: t.id.String(), Attempt: a.run.key.attempt, Minion: a.minion, Why: a.age.String()})
 	if c.guilty() {
-		s.note(Note{What: "task given up after crashes", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt})
+		s.note(Note{What: "task given up after crashes", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
 		s.finishJob(now, p.job, JobFailed)
 	}
 }
 
-// what names the accusation in the log.
-func (a *accusation) what() string {
-	switch {
-	case !a.confirmed:
-		return "minion may have crashed under task"
-	case a.onTrial && a.fresh:
-		return "minion crashed under task on trial"
-	case a.fresh:
-		return "minion crashed under fresh task"
+// why describes the accusation in the log.
+func (a *accusation) why() string {
+	at := a.age.Round(time.Millisecond).String() + " after it had begun"
+	if a.onTrial {
+		return "on trial, " + at
 	}
-	return "minion crashed under task"
+	return at
 }
 
 // beginTrial puts a run on trial at the minion where it has been placed.
