Send no start to a minion that has shrunk

Cause: a start is decided while its minion has room and sent once its row is durable. A shrink of the minion's capacity in between was taken over, but the starts that had been decided before were still sent, and brought a minion that does not guard its capacity over it.

Change: before a start is sent, all that is placed on its minion, including runs that are being stopped, has to fit in the capacity that the minion last stated. Otherwise the task waits again. A minion that grows wakes the waiting steps as before.

Evidence: TestStartIsNotSentToAMinionThatHasShrunk failed before ("exceeds the room of m0"). TestRunOnce now resizes minions; 3000 checks of it and of TestDeadlyTasksStarveNobody passed.

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -387,6 +387,28 @@
 	}
 }
 
+// resize changes the room of a minion and notifies the newest owner. Starts in
+// flight arrive before that.
+func (w *simCluster) resize(b *simMinion, cpu int64) {
+	var kept, orders []pendingOrder
+	for _, f := range w.inFlight {
+		if f.to == b {
+			orders = append(orders, f)
+		} else {
+			kept = append(kept, f)
+		}
+	}
+	w.inFlight = kept
+	for _, f := range orders {
+		f.deliver()
+	}
+	b.Capacity.CPU = cpu
+	w.record("%s has %d of cpu", b.ID, cpu)
+	if b.crashedAt.IsZero() && !b.replaced {
+		w.owners[len(w.owners)-1].st.UpdateMinion(w.now, b.Minion)
+	}
+}
+
 func (w *simCluster) deliver(n int) {
 	for range n {
 		f := w.inFlight[0]
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -107,6 +107,11 @@
 					}
 				}
 			},
+			"resize": func(*rapid.T) {
+				if pick("really", 3) == 0 {
+					w.resize(anyBox(), int64(1000*(1+pick("cpu", 6))))
+				}
+			},
 			"reborn": func(*rapid.T) { w.restart(anyBox(), pick("told", 2) == 0) },
 			"take":   func(*rapid.T) { w.takeOver() },
 			"freeze": func(*rapid.T) { o := anyOwner(); o.frozen = !o.frozen },
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -54,6 +54,38 @@
 	assert.Equal(t, w.state("a"), Completed)
 }
 
+func TestStartIsNotSentToAMinionThatHasShrunk(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	w.submit(newJob("a", tasks(2, 2000)))
+	o.step()
+	w.resize(w.minions[0], 3000)
+	o.commit(true)
+	w.deliver(len(w.inFlight))
+	assert.Equal(t, w.running(), 1)
+	w.cycle()
+	assert.Equal(t, w.running(), 1)
+	w.resize(w.minions[0], 4000)
+	w.cycle()
+	assert.Equal(t, w.running(), 2)
+}
+
+func TestRunsThatAreStoppedCountAfterAShrink(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	w.submit(newJob("a", tasks(3, 1000)))
+	w.cycle()
+	w.resize(w.minions[0], 2000)
+	w.submit(newJob("b", tasks(1, 1000)))
+	w.cancelled["a"] = true
+	o.st.Cancel(w.now, "a")
+	o.step()
+	o.commit(true)
+	assert.Equal(t, w.running(), 3)
+	assert.Equal(t, len(w.inFlight), 3, "three stops and no start")
+	w.deliver(3)
+	w.cycle()
+	assert.Equal(t, w.running(), 1)
+}
+
 func TestStartWithoutAnswerIsSettledByAToken(t *testing.T) {
 	for _, ran := range []bool{true, false} {
 		w, o := newOwnedCluster(t, 2)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -84,6 +84,8 @@
 		return "stopped before it was sent"
 	case m.clockAt.IsZero() || !m.silentSince.IsZero():
 		return "its minion stopped answering before it was sent"
+	case !m.Capacity.CanFit(m.used):
+		return "its minion has less room than before"
 	case o.Start.Ticket != "" && now.After(o.ticketExpires):
 		return "its ticket expired before it was sent"
 	}
