--- a/internal/server/events_test.go
+++ b/internal/server/events_test.go
@@ -15,7 +15,7 @@
 
 var (
 	logCallPattern  = regexp.MustCompile(`(?:Log\.|log\.)(?:Info|Warn|Error)\("([^"(]+)"`)
-	noteCallPattern = regexp.MustCompile(`(?:Note\{What: |n\.What = )([^,}\n]+)`)
+	noteCallPattern = regexp.MustCompile(`Note\{What: ([^,}\n]+)`)
 	constantPattern = regexp.MustCompile(`(\w+)\s+Event = "([^"]+)"`)
 )
 
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -60,33 +61,32 @@
 // mayHaveBegun reports whether the start of the run has been sent.
 func (r *run) mayHaveBegun() bool { return r.state != unsent && r.state != cancelled }
 
-// age is how long the run had lasted at a time, 0 if its start is unknown.
-func (r *run) age(at time.Time) time.Duration {
-	began := r.sentAt
-	if began.IsZero() {
-		began = r.listedAt
+// confirm records that the run has certainly begun.
+func (r *run) confirm(now time.Time) {
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
 	}
-	if began.IsZero() {
+}
+
+// age is how long the run had certainly lasted at a time. Its start may have
+// been carried out late, so only the time since its confirmation counts.
+func (r *run) age(at time.Time) time.Duration {
+	if r.confirmedAt.IsZero() {
 		return 0
 	}
-	return at.Sub(began)
+	return at.Sub(r.confirmedAt)
 }
 
 // openFates marks the fresh runs of a minion that has fallen silent: it may have
-// crashed under one of them. Where a whole zone does not answer it has not.
-func (s *State) openFates(now time.Time, m *minion) {
-	if m.Draining || m.zone.unreachable() {
-		return
-	}
+// crashed under one of them.
+func (m *minion) openFates(now time.Time) {
 	for _, r := range m.runs {
-		if r.task != nil && r.mayHaveBegun() && r.age(now) < freshWindow {
-			r.openFate()
-		}
+		m.openFate(now, r)
 	}
 }
 
-func (r *run) openFate() {
-	if r.task == nil || r.fateOpen {
+func (m *minion) openFate(now time.Time, r *run) {
+	if r.task == nil || r.fateOpen || m.Draining || !r.mayHaveBegun() || r.age(now) >= freshWindow {
 		return
 	}
 	r.fateOpen = true
@@ -100,7 +100,7 @@
 	}
 }
 
-// closeFates clears the marks of a minion that has not crashed after all.
+// closeFates clears the marks of a minion that has not crashed.
 func (m *minion) closeFates() {
 	for _, r := range m.runs {
 		r.closeFate()
@@ -135,7 +135,7 @@
 			out = append(out, *r.carried)
 		default:
 			age := r.age(at)
-			out = append(out, accusation{r, m.ID, r.state == live || r.listed, age < freshWindow, r.onTrial, age})
+			out = append(out, accusation{r, m.ID, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
 		}
 	}
 	return out
@@ -173,33 +173,30 @@
 		*c = crashRecord{}
 		return
 	}
+	n := Note{What: CrashSuspected}
 	if a.confirmed {
+		n = Note{What: CrashUnderRun}
 		c.Crashes++
 	} else {
 		c.Doubts++
 	}
+	n.Job, n.Task, n.Attempt, n.Minion, n.Why = t.id.Job, t.id.String(), a.run.key.attempt, a.minion, a.why()
+	s.note(n)
 	c.Suspect = c.Suspect || a.fresh || !a.confirmed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.confirmed && a.fresh && a.onTrial
-	s.note(a.note())
 	if c.guilty() {
-		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt})
+		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
 		s.finishJob(now, p.job, JobFailed)
 	}
 }
 
-// note returns the note of the accusation for the log.
-func (a *accusation) note() Note {
-	k := a.run.key
-	n := Note{What: CrashUnderRun, Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: a.minion, Why: a.age.String()}
-	switch {
-	case !a.confirmed:
-		n.What = CrashSuspected
-	case a.onTrial && a.fresh:
-		n.What = CrashOnTrial
-	case a.fresh:
-		n.What = CrashAfterStart
+// why describes the accusation in the log.
+func (a *accusation) why() string {
+	at := a.age.Round(time.Millisecond).String() + " after it had begun"
+	if a.onTrial {
+		return "on trial, " + at
 	}
-	return n
+	return at
 }
 
 // beginTrial puts a run on trial at the minion where it has been placed.
@@ -304,9 +301,6 @@
 			return false
 		}
 		a.run.carried = &a
-		if a.fresh {
-			a.run.openFate()
-		}
 		return true
 	})
 }
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -29,13 +29,11 @@
 
 // Events of tasks under which minions crash.
 const (
-	CrashUnderRun   Event = "minion crashed under run"    // a run was there when its minion crashed
-	CrashAfterStart Event = "minion crashed after start"  // a run had just begun when its minion crashed; its task is a suspect
-	CrashOnTrial    Event = "minion crashed under trial"  // a suspect had just begun, with nothing else beginning beside it
-	CrashSuspected  Event = "minion may have crashed"     // whether the run had begun, or the minion has crashed, is unknown
-	TrialBegun      Event = "trial begun"                 // a suspect is placed where nothing else begins meanwhile
-	TrialSurvived   Event = "trial survived"              // its minion has not crashed; the task is no suspect any more
-	TaskGivenUp     Event = "task given up after crashes" // the job fails
+	CrashUnderRun  Event = "minion crashed under task"          // a run was there when its minion crashed
+	CrashSuspected Event = "minion may have crashed under task" // whether the run had begun, or the minion has crashed, is unknown
+	TrialBegun     Event = "trial begun"                        // a suspect is placed where nothing else begins meanwhile
+	TrialSurvived  Event = "trial survived"                     // its minion has not crashed; the task is no suspect any more
+	TaskGivenUp    Event = "task given up after crashes"        // the job fails
 )
 
 // Events of minions.
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -85,6 +85,8 @@
 		return "stopped before it was sent"
 	case m.clockAt.IsZero() || !m.silentSince.IsZero():
 		return "its minion stopped answering before it was sent"
+	case !m.Capacity.CanFit(m.used):
+		return "its minion has less room than before"
 	case o.Start.Ticket != "" && now.After(o.ticketExpires):
 		return "its ticket expired before it was sent"
 	}
@@ -107,7 +109,7 @@
 		s.requeueLost(now, r, why)
 		return false
 	}
-	r.state, r.sentAt = sent, now
+	r.state = sent
 	if r.onTrial {
 		m.trialAt = now
 	}
