Tell apart the calls that an ended connection never sent

What callers saw: a request could be answered unknown ("lost", with a key "home") though nothing of it had left the entry that accepted it.

Cause: a call is given a connection and then sends its request. If the connection ends in between, package rpc refuses the call with "connection is shut down". That error may also mean that the call was sent and the connection ended before the response, so it was not marked ErrNotSent.

Change: the client has a codec of its own, which notes for each call whether writing it began. A failed call of which nothing was written is marked ErrNotSent, so it is tried elsewhere. What is on the wire stays the same.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -80,3 +80,49 @@
 	c.closed = true
 	return c.rwc.Close()
 }
+
+// sentArgs are the arguments of a call. sent is set once any of the call may have
+// been written to the connection.
+type sentArgs struct {
+	args any
+	sent *atomic.Bool
+}
+
+// clientCodec is the client codec of a connection. It works like the default gob
+// codec of package rpc, but also sets sentArgs.sent.
+type clientCodec struct {
+	rwc io.ReadWriteCloser
+	dec *gob.Decoder
+	enc *gob.Encoder
+	buf *bufio.Writer
+}
+
+func newClientCodec(c net.Conn) *clientCodec {
+	buf := bufio.NewWriter(c)
+	return &clientCodec{rwc: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf}
+}
+
+// WriteRequest implements rpc.ClientCodec. Package rpc does not call it for a call
+// on a connection that has ended.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if a, ok := body.(sentArgs); ok {
+		a.sent.Store(true)
+		body = a.args
+	}
+	if err := c.enc.Encode(r); err != nil {
+		return err
+	}
+	if err := c.enc.Encode(body); err != nil {
+		return err
+	}
+	return c.buf.Flush()
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.dec.Decode(r) }
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error { return c.rwc.Close() }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -165,7 +165,7 @@
 	if class == Control {
 		nc = c.controlBytes.Conn(nc)
 	}
-	k.rpc = rpc.NewClient(monitoredConn{nc, &k.dead})
+	k.rpc = rpc.NewClientWithCodec(newClientCodec(monitoredConn{nc, &k.dead}))
 	if k.dead.Load() {
 		k.close()
 		return
@@ -215,7 +215,8 @@
 	}
 	defer func() { k.end(time.Now()) }()
 	result := reflect.New(reflect.TypeOf(reply).Elem())
-	call := k.rpc.Go("Peer."+method, args, result.Interface(), make(chan *rpc.Call, 1))
+	var sent atomic.Bool
+	call := k.rpc.Go("Peer."+method, sentArgs{args, &sent}, result.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -225,7 +226,11 @@
 		k.dead.Store(true)
 	}
 	if call.Error != nil {
-		return fmt.Errorf("call %s at %s: %w", method, addr, call.Error)
+		err = fmt.Errorf("call %s at %s: %w", method, addr, call.Error)
+		if !sent.Load() {
+			err = errors.Mark(err, ErrNotSent)
+		}
+		return err
 	}
 	reflect.ValueOf(reply).Elem().Set(result.Elem())
 	return nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -192,3 +192,25 @@
 	assert.Assert(t, k.retire(time.Now().Add(2*idleTimeout)))
 	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)), "a retired connection is replaced")
 }
+
+// A call whose connection ended just before the call was sent was reported as
+// one that may have run.
+func TestCallOnAnEndedConnectionIsNotSent(t *testing.T) {
+	addr, e := serve(t)
+	c := New(transport.DialFrom(""), &transport.ByteCounter{})
+	defer c.Close()
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
+	c.mu.Lock()
+	k := c.conns[addr][0]
+	_ = k.rpc.Close()
+	// Another conn, which is not marked dead: as if the connection ended while the
+	// next call begins.
+	ended := &conn{ready: k.ready, rpc: k.rpc}
+	ended.once.Do(func() {})
+	c.conns[addr][0] = ended
+	c.mu.Unlock()
+	err := c.Call(context.Background(), addr, Control, "Say", "y", new(string))
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	assert.Equal(t, e.n.Load(), int64(1))
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)))
+}
