Settle whether a minion has crashed after its leases have ended

Cause: the end of a lease proves no crash, so it counted as doubt only, and the minion was forgotten before it could show what had become of it. Only the fifth doubt gave the task up. Class: evidence that comes after its record is closed.

Change: what the end of a lease says of runs that had begun stays open for up to ten seconds. If another process answers in the minion's place the doubt becomes a crash, if the minion itself answers it is dropped. A task with such an open doubt beside another reason to suspect it waits for the outcome; so does a gang with such a member.

Evidence: TestDeadlyTaskIsGivenUpAlthoughLeasesEndBeforeTheirMinionsAreBack failed before (5 minions crashed, at most 3 wanted).

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -24,6 +24,7 @@
 	suspectCrashes = 2                      // a task with more is a suspect even if its runs were not fresh
 	maxCrashes     = 4                      // a task with as many, doubtful ones included, is given up even if it never crashed on trial
 	maxDoubts      = 5                      // a task with as many is given up even if nearly all are doubtful
+	fateTimeout    = 10 * time.Second       // from its silence, in which a minion is expected to show whether it has crashed
 )
 
 // crashRecord is what is known of crashes of minions under a task. It is part
@@ -45,8 +46,15 @@
 func (t *task) needsTrial() bool { return t.crash.Suspect || t.openFates > 0 }
 
 // held reports whether the task is not started before more is known of the
-// silent minions with fresh runs of it.
-func (t *task) held() bool { return t.openFates > 1 || t.openFates == 1 && t.crash.Suspect }
+// silent minions with fresh runs of it. It is not if there is one such minion
+// and no other reason to suspect the task.
+func (t *task) held() bool {
+	open := t.openFates + t.unsettled
+	if open == 1 && t.unsettled == 1 && t.crash.Crashes+t.crash.Doubts == 1 {
+		return false
+	}
+	return open > 1 || open == 1 && t.crash.Suspect
+}
 
 // savedCrash is the record to persist, nil if it is empty.
 func (t *task) savedCrash() *crashRecord {
@@ -111,7 +119,8 @@
 type accusation struct {
 	run       *run
 	minion    string
-	confirmed bool // the run had begun, and the minion has crashed
+	begun     bool // the run had begun
+	confirmed bool // it had, and the minion has crashed
 	fresh     bool // it had begun shortly before
 	onTrial   bool
 	age       time.Duration
@@ -134,8 +143,8 @@
 		case r.carried != nil:
 			out = append(out, *r.carried)
 		default:
-			age := r.age(at)
-			out = append(out, accusation{r, m.ID, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
+			age, begun := r.age(at), !r.confirmedAt.IsZero()
+			out = append(out, accusation{r, m.ID, begun, begun, age < freshWindow, r.onTrial, age})
 		}
 	}
 	return out
@@ -155,6 +164,45 @@
 	return as
 }
 
+// keepUnsettled keeps the accusations that follow from the end of a lease until
+// the minion shows whether it has crashed.
+func (m *minion) keepUnsettled(as []accusation) {
+	for _, a := range as {
+		if a.begun {
+			a.run.task.unsettled++
+			m.unsettled = append(m.unsettled, a)
+		}
+	}
+}
+
+// settle records what became of a minion whose lease had ended: it has crashed,
+// or it answers again.
+func (s *State) settle(now time.Time, m *minion, crashed bool) {
+	as := m.dropUnsettled()
+	for i := range as {
+		a := &as[i]
+		if a.run.step.job.state.Terminal() || a.run.task.phase == Finished {
+			continue
+		}
+		a.run.task.crash.Doubts--
+		s.markChanged(a.run.step.job)
+		if crashed && !m.Draining {
+			a.confirmed = true
+			s.accuseTask(now, a)
+		}
+	}
+}
+
+// dropUnsettled returns the unsettled accusations and gives up waiting for more.
+func (m *minion) dropUnsettled() []accusation {
+	as := m.unsettled
+	m.unsettled = nil
+	for _, a := range as {
+		a.run.task.unsettled--
+	}
+	return as
+}
+
 // accuse records accusations, once their runs are removed.
 func (s *State) accuse(now time.Time, as []accusation) {
 	for i := range as {
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -177,6 +177,31 @@
 	assert.Equal(t, w.crashes[work.TaskID{Job: "a"}], 2)
 }
 
+// Leases may end before a crashed minion is back.
+func TestDeadlyTaskIsGivenUpAlthoughLeasesEndBeforeTheirMinionsAreBack(t *testing.T) {
+	for name, p := range stepKinds() {
+		for _, how := range []revival{reborn, replaced} {
+			t.Run(fmt.Sprint(name, how), func(t *testing.T) {
+				w := newSimCluster(t, 8)
+				w.limits.Lease = crashDuration / 2
+				o := w.takeOver()
+				w.cycle()
+				w.submitDeadly("a", p)
+				for range 30 {
+					w.live(time.Second, how)
+					for _, b := range w.minions {
+						if !b.up {
+							o.st.UnlistMinion(w.now, b.ID)
+						}
+					}
+				}
+				assert.Equal(t, w.state("a"), JobFailed)
+				assert.Assert(t, w.crashes[work.TaskID{Job: "a"}] <= 3, "minions crashed: %v", w.crashes)
+			})
+		}
+	}
+}
+
 // suspects submits jobs of one task each that are suspects.
 func (w *simCluster) suspects(n int) {
 	st := w.owners[len(w.owners)-1].st
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -67,5 +67,6 @@
 	}
 	accused := s.accuseRuns(now, m)
 	s.dropRuns(now, m, "another minion has its address")
+	s.settle(now, m, true)
 	s.accuse(now, accused)
 }
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -133,6 +133,7 @@
 func (s *State) replaceLife(now time.Time, m *minion, w work.Minion) {
 	s.note(Note{What: MinionRestarted, Minion: m.ID})
 	accused := s.accuseRuns(now, m)
+	s.settle(now, m, true)
 	var carriedOver []*run
 	for _, r := range m.runs {
 		s.remove(m, r)
@@ -341,9 +342,13 @@
 			doubted := s.doubtRuns(now, m)
 			s.dropRuns(now, m, "its lease ended while its minion did not answer")
 			s.accuse(now, doubted)
+			m.keepUnsettled(doubted)
 		}
 		m.synced = false
-		if !m.listed {
+		if now.Sub(m.silentSince) >= fateTimeout {
+			m.dropUnsettled()
+		}
+		if !m.listed && len(m.unsettled) == 0 {
 			delete(s.minions, id)
 			m.leaveZone()
 			s.cancelReservations(m)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -60,6 +60,9 @@
 		v.completeGang(p, scored)
 		return
 	}
+	if p.Gang && slices.ContainsFunc(p.tasks, (*task).held) {
+		return
+	}
 	if p.Gang && p.OneRack {
 		scored = sameRack(p, scored)
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -33,6 +33,7 @@
 		s.wakeSteps(m)
 	}
 	m.closeFates()
+	s.settle(now, m, false)
 	for _, e := range rep.Ended {
 		if e.N > m.lastEnd {
 			s.handleEnd(now, m, e)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -72,6 +72,7 @@
 	openAttempts []int            // attempts left running for a copy whose end has not been reported
 	crash        crashRecord
 	openFates    int // runs with fateOpen
+	unsettled    int // of its accusations, those in minion.unsettled
 }
 
 // step is one step of one round.
@@ -192,6 +193,7 @@
 	eligibleSteps  []*step       // steps that may run here; some may have ended
 	zone           *zone         // maintained by State.zoneOf
 	trial          *step         // step with runs on trial here; nothing else is started meanwhile
+	unsettled      []accusation  // of runs whose lease has ended; whether the minion has crashed is unknown
 	trialAt        time.Time     // when the last of them was placed or sent
 }
 
