Give the turn at queries to steps that use it

What callers saw: nothing known for certain; an accepted job is not completed though minions have room (LOST) is what this fault shows.

Cause: the turn at queries goes to the step that has waited longest. If all minions have been named in queries about that step it issues none, keeps the turn, and the next in line that could use it waits on. Class: a reserve held by one that cannot use it.

Evidence: found by reading. TestStepWithoutFurtherQueriesDoesNotTakeTheTurnOfOthers failed before (0 != 1 running) and passes.

--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -29,6 +29,7 @@
 	for _, c := range s.longestWaitFirst(now, s.due(now, wall)) {
 		if c.due || s.queryCapacity.allows(c.deferredCost) {
 			v.place(c)
+			s.passTurn(now, c.step)
 		}
 	}
 	v.queryAhead()
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -104,6 +104,7 @@
 	missesObjective bool              // it will miss its objective
 	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
 	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
+	noTurnBefore    time.Time         // it is not given the turn at queries before this time, because it had nothing to query about
 }
 
 // round is one occurrence of a job's steps.
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -37,7 +37,7 @@
 	}
 	oldest := -1
 	for i, c := range cs {
-		if c.job.Advice == nil || c.advice.inFlight > 0 || now.Sub(c.waitsSince) < longWait {
+		if now.Sub(c.waitsSince) < longWait || !c.takesTurn(now) {
 			continue
 		}
 		if oldest < 0 || c.waitsSince.Before(cs[oldest].waitsSince) {
@@ -54,6 +54,20 @@
 	return cs
 }
 
+// takesTurn reports whether the step may have something to query about.
+func (p *step) takesTurn(now time.Time) bool {
+	a := &p.advice
+	return p.job.Advice != nil && a.inFlight == 0 && !now.Before(a.nextQuery) && !now.Before(a.retryAfter) && !now.Before(p.noTurnBefore)
+}
+
+// passTurn lets other steps have the turn if the step did not use it although a
+// query could be issued.
+func (s *State) passTurn(now time.Time, p *step) {
+	if p == s.turnOf && s.queryCapacity.Total > 0 && p.deferredCost == 0 {
+		p.noTurnBefore = now.Add(longWait)
+	}
+}
+
 // waitState is what decides whether the waiting tasks of a step can be placed or
 // a query for them be issued.
 type waitState struct {
--- a/internal/shard/waiting_test.go
+++ b/internal/shard/waiting_test.go
@@ -162,3 +162,29 @@
 	}
 	assert.Equal(t, w.running(), 2)
 }
+
+// A step that has been queried about everywhere and may run nowhere waits
+// longest, but needs no query.
+func TestStepWithoutFurtherQueriesDoesNotTakeTheTurnOfOthers(t *testing.T) {
+	q := newQueryingOwner(t, 2)
+	w := q.cluster
+	nowhere := advisedJob("nowhere", tasks(1, 3000))
+	q.hopeless[nowhere.ID] = true
+	w.submit(nowhere)
+	q.run(time.Second)
+	st := tasks(1, 3000)
+	st.Label = "r1"
+	w.submit(advisedJob("late", st))
+	q.run(10 * time.Second)
+	q.addMinion("n0")
+	w.minion("n0").Labels = []string{"r1"}
+	q.st.UpdateMinion(w.now, w.minion("n0").Minion)
+	q.allowed["n0"] = true
+	for i := range 100 {
+		j := advisedJob(fmt.Sprint("urgent", i), tasks(1, 1000))
+		q.hopeless[j.ID] = true
+		w.submit(j)
+		q.run(50 * time.Millisecond)
+	}
+	assert.Equal(t, w.running(), 1)
+}
