shard: keep the age of jobs when the owner changes

Callers saw: after the owner of a shard is lost, jobs that are late already go before those that can still be in time, and jobs that are near their objective wait as if they had all of it.

Cause: a new owner took each job that it read for one that had just arrived. The time of acceptance is in the job's row, but nothing in the shard read it. Class: state that decisions depend on and that ends with the owner.

Change: Load computes the time of acceptance on the owner's clock. A job from the future, by clocks that differ, counts as new. Jobs that an entry notifies of count from their arrival, as before.

Evidence: TestSuccessorTakesOldJobsForNew, before the change: "queued != active: it can be in time, a cannot".

--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -397,7 +397,7 @@
 			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
 			continue
 		}
-		if err := o.state.Load(now, j, saved.Row(j.ID)); err != nil {
+		if err := o.state.Load(now, time.Now(), j, saved.Row(j.ID)); err != nil {
 			o.s.Log.Error("row of a job", "job", r.Name, "why", err.Error())
 		}
 	}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		hasRow[j.ID] = true
-		if err := o.st.Load(w.now, j, saved.Row(j.ID)); err != nil {
+		if err := o.st.Load(w.now, w.now, j, saved.Row(j.ID)); err != nil {
 			w.fail("load job: %v", err)
 		}
 		if w.cancelled[j.ID] {
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -121,10 +121,10 @@
 
 // Load adds a job as a previous owner left it; row is nil if it had not begun. A
 // job with an invalid row is rejected, because what it has already done is
-// unknown.
-func (s *State) Load(now time.Time, j *work.Job, row []byte) error {
+// unknown. wall is the time of day.
+func (s *State) Load(now, wall time.Time, j *work.Job, row []byte) error {
 	if row == nil {
-		s.Submit(now, j)
+		s.Submit(acceptedAt(now, wall, j), j)
 		return nil
 	}
 	var p progress
@@ -134,7 +134,7 @@
 	if err := p.check(j); err != nil {
 		return fmt.Errorf("progress of %s: %w", j.ID, err)
 	}
-	s.Submit(now, j)
+	s.Submit(acceptedAt(now, wall, j), j)
 	n := s.jobs[j.ID]
 	n.state, n.begun = p.State, p.Begun
 	if n.state.Terminal() {
@@ -156,6 +156,16 @@
 	return nil
 }
 
+// acceptedAt is when the job was accepted, on the owner's clock. The clocks of
+// the entries differ, so a job may seem to come from the future.
+func acceptedAt(now, wall time.Time, j *work.Job) time.Time {
+	if j.Accepted == 0 {
+		return now
+	}
+	age := wall.Sub(time.UnixMilli(j.Accepted))
+	return now.Add(-max(age, 0))
+}
+
 func (s *State) loadRound(j *job, in savedRound) *round {
 	r := s.newRound(j, in.K)
 	for i, ts := range in.Steps {
--- a/internal/shard/policy_test.go
+++ b/internal/shard/policy_test.go
@@ -192,3 +192,29 @@
 	}
 	return b.String()
 }
+
+// A new owner has to know which of the jobs it finds are too late already: with
+// all of them taken for new, those that could be in time wait behind the others.
+func TestSuccessorTakesOldJobsForNew(t *testing.T) {
+	w, _ := newOwnedCluster(t, 1)
+	submit := func(id string, step work.Step) {
+		j := newJob(id, step)
+		j.Accepted = w.now.UnixMilli()
+		w.submit(j)
+	}
+	submit("busy", tasks(1, 4000))
+	w.cycle()
+	submit("a", tasks(1, 4000))
+	for range 20 {
+		w.pass(time.Second)
+		w.cycle()
+	}
+	submit("b", tasks(1, 4000))
+	w.takeOver()
+	w.cycle()
+	w.finishAll()
+	w.cycle()
+	assert.Equal(t, w.state("busy"), Completed)
+	assert.Equal(t, w.state("b"), Active, "it can be in time, a cannot")
+	assert.Equal(t, w.state("a"), Queued)
+}
