--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -28,13 +28,25 @@
 	v.pruneReservations()
 	for _, c := range s.longestWaitFirst(now, s.due(now, wall)) {
 		if c.due || s.queryCapacity.allows(c.deferredCost) {
-			v.place(c)
+			v.placeOrYield(c)
 			s.passTurn(now, c.step)
 		}
 	}
 	v.queryAhead()
 }
 
+// placeOrYield places tasks of a step, unless it leaves its room to others.
+func (v *view) placeOrYield(c candidate) {
+	c.valued = c.tier == timely || c.tier == late
+	if !v.yields(c) {
+		v.place(c)
+		return
+	}
+	c.markChecked(v.now)
+	v.s.releaseTicketHolds(c.step)
+	v.releaseReservations(c.step)
+}
+
 // view is the state of the minions during one decision.
 type view struct {
 	s            *State
@@ -43,6 +55,7 @@
 	ms           []*minion
 	reservedRoom float64                   // room reserved by waiting steps, by roomWeight
 	totalRoom    float64                   // all room, by roomWeight
+	usedRoom     float64                   // room in use or unusable when the decision began, by roomWeight
 	largest      work.Size                 // greatest room of any minion, by dimension
 	endCache     map[*minion][]expectedEnd // computed on first use
 	zones        []*zoneRoom               // computed on first use
