Count the crash of a minion once for each task

Cause: the original and the copy of a speculative task may come to the same minion, when the first copy's minion has fallen silent as well. The crash of that minion was counted once for each of the two runs, one of them on trial, so the task was given up.

Change: a crash is counted once for each task, for its newest run. The tests' cluster counts in the same way; before, it counted two crashes as well and would have allowed the failure.

Evidence: found by reading. TestOneCrashIsCountedOnceForEachTask failed before ("a failed after 0 failures of a task") and passes; the package passes without -race.

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -207,13 +207,22 @@
 // crash ends the minion's process without a report.
 func (b *simMinion) crash() {
 	b.cluster.record("%s crashes", b.ID)
-	for k := range b.runs {
-		b.cluster.crashes[k.task]++
-	}
+	b.countCrash()
 	b.runs = map[runKey]work.Size{}
 	b.up, b.crashedAt = false, b.cluster.now
 }
 
+// countCrash counts the crash once for each task with runs there.
+func (b *simMinion) countCrash() {
+	tasks := map[work.TaskID]bool{}
+	for k := range b.runs {
+		tasks[k.task] = true
+	}
+	for t := range tasks {
+		b.cluster.crashes[t]++
+	}
+}
+
 // replace lets a new minion take the address of a crashed one.
 func (w *simCluster) replace(b *simMinion) {
 	b.replaced, b.crashedAt = true, time.Time{}
@@ -278,9 +287,7 @@
 
 // restart ends this incarnation and begins another under the same ID.
 func (b *simMinion) restart() {
-	for k := range b.runs {
-		b.cluster.crashes[k.task]++
-	}
+	b.countCrash()
 	b.crashedAt = time.Time{}
 	b.runs, b.ends, b.closedRuns = map[runKey]work.Size{}, nil, map[runKey]bool{}
 	b.token, b.leaseUntil, b.lastEnd, b.voidedEnds = 0, 0, 0, 0
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -138,7 +138,19 @@
 			out = append(out, accusation{r, m.ID, r.state == live || r.listed, age < freshWindow, r.onTrial, age})
 		}
 	}
-	return out
+	return onePerTask(out)
+}
+
+// onePerTask keeps one accusation for each task, that about its newest run: a
+// copy may have come to the minion of the original.
+func onePerTask(as []accusation) []accusation {
+	slices.SortFunc(as, func(a, b accusation) int { return cmp.Compare(b.run.key.attempt, a.run.key.attempt) })
+	seen := map[*task]bool{}
+	return slices.DeleteFunc(as, func(a accusation) bool {
+		was := seen[a.run.task]
+		seen[a.run.task] = true
+		return was
+	})
 }
 
 // doubtRuns returns the accusations that follow when the lease of a silent
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -177,6 +177,29 @@
 	assert.Equal(t, w.crashes[work.TaskID{Job: "a"}], 2)
 }
 
+// Both runs of a task may have come to one minion.
+func TestOneCrashIsCountedOnceForEachTask(t *testing.T) {
+	w, _ := newOwnedCluster(t, 2)
+	w.submit(newJob("a", speculativeTasks(1, 1000)))
+	w.cycle()
+	first, second := w.minions[0], w.minions[1]
+	if len(first.runs) == 0 {
+		first, second = second, first
+	}
+	first.up = false
+	w.cycle()
+	w.cycle()
+	assert.Equal(t, w.running(), 2)
+	first.up, second.up = true, false
+	for range 4 {
+		w.cycle()
+	}
+	assert.Equal(t, len(first.runs), 2)
+	first.crash()
+	w.live(3*crashDuration, replaced)
+	assert.Assert(t, w.state("a") != JobFailed, "minions crashed: %v", w.crashes)
+}
+
 // suspects submits jobs of one task each that are suspects.
 func (w *simCluster) suspects(n int) {
 	st := w.owners[len(w.owners)-1].st
