Forget doubts about a task that survives a trial

What callers saw: nothing known for certain; a job shown as failed though no minion has crashed under its task (LOST, "shown as failed without cause").

Cause: the end of a silent minion's lease counts as a doubt if a run there had just begun, and five doubts give a task up. Nothing took a doubt back, so a service whose minions are cut off just after its start, five times in its life and with sound runs between, was failed.

Change: a survived trial takes the doubts back. Confirmed crashes stay.

Evidence: found by reading. TestCutsAloneAreNoCrashes failed before ("a failed after 0 failures of a task", after 56 s of ten cuts) and passes. Five such cuts on end, without a sound run between, still give the task up.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -29,7 +29,7 @@
 // of the progress row.
 type crashRecord struct {
 	Crashes int  `json:"n,omitempty"` // minions that crashed while a run of the task was there
-	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun
+	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun, since the last survived trial
 	Suspect bool `json:"s,omitempty"` // its next start is a trial
 	Proven  bool `json:"t,omitempty"` // one of Crashes followed a start on trial
 }
@@ -246,7 +246,8 @@
 		case !r.onTrial:
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
-			r.task.crash.Suspect = false
+			r.task.crash.Suspect, r.task.crash.Doubts = false, 0
+			s.markChanged(r.step.job)
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -200,6 +200,37 @@
 	assert.Assert(t, w.state("a") != JobFailed, "minions crashed: %v", w.crashes)
 }
 
+// A service whose minions are cut off now and then, just after its start or later.
+func TestCutsAloneAreNoCrashes(t *testing.T) {
+	w, o := newOwnedCluster(t, 2)
+	p := tasks(1, 1000)
+	p.Lasting = true
+	w.submit(newJob("a", p))
+	attempt := 0
+	cutNext := func(after time.Duration) {
+		for range 1000 {
+			w.live(simTick, replaced)
+			for _, b := range w.minions {
+				for k := range b.runs {
+					if k.attempt > attempt {
+						attempt = k.attempt
+						w.live(after, replaced)
+						for _, x := range w.minions {
+							x.up = x != b
+						}
+						return
+					}
+				}
+			}
+		}
+	}
+	for range 2 * maxDoubts {
+		cutNext(0)
+		cutNext(2 * time.Second)
+	}
+	assert.Equal(t, w.state("a"), Active, "%+v", o.st.jobs["a"].rounds[0].steps[0].tasks[0].crash)
+}
+
 // suspects submits jobs of one task each that are suspects.
 func (w *simCluster) suspects(n int) {
 	st := w.owners[len(w.owners)-1].st
