--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -31,7 +31,7 @@
 // of the progress row.
 type crashRecord struct {
 	Crashes int  `json:"n,omitempty"` // minions that crashed while a run of the task was there
-	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun
+	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun, since the last survived trial
 	Suspect bool `json:"s,omitempty"` // its next start is a trial
 	Proven  bool `json:"t,omitempty"` // one of Crashes followed a start on trial
 }
@@ -147,7 +147,19 @@
 			out = append(out, accusation{r, m.ID, begun, begun, age < freshWindow, r.onTrial, age})
 		}
 	}
-	return out
+	return onePerTask(out)
+}
+
+// onePerTask keeps one accusation for each task, that about its newest run: a
+// copy may have come to the minion of the original.
+func onePerTask(as []accusation) []accusation {
+	slices.SortFunc(as, func(a, b accusation) int { return cmp.Compare(b.run.key.attempt, a.run.key.attempt) })
+	seen := map[*task]bool{}
+	return slices.DeleteFunc(as, func(a accusation) bool {
+		was := seen[a.run.task]
+		seen[a.run.task] = true
+		return was
+	})
 }
 
 // doubtRuns returns the accusations that follow when the lease of a silent
@@ -184,7 +196,8 @@
 		if a.run.step.job.state.Terminal() || a.run.task.phase == Finished {
 			continue
 		}
-		a.run.task.crash.Doubts--
+		c := &a.run.task.crash
+		c.Doubts = max(c.Doubts-1, 0) // none is left if the task has survived a trial since
 		s.markChanged(a.run.step.job)
 		if crashed && !m.Draining {
 			a.confirmed = true
@@ -279,7 +292,8 @@
 		case !r.onTrial:
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
-			r.task.crash.Suspect = false
+			r.task.crash.Suspect, r.task.crash.Doubts = false, 0
+			s.markChanged(r.step.job)
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
