Count crashes whose starts got no reply, and not starts that never left

Cause: a minion that crashes may break the connection before it replies to the start ("EOF"). Such a crash was only doubtful and never counted as one on trial. Starts that the owner could not even send were counted the same way.

Change: a start that certainly did not leave accuses nobody, one whose reply is still pending makes a suspect only. A crash on trial counts as one without a reply as well, and three crashes, one certain and one on trial, are enough. Tasks that no reply ever confirmed are given up at the fourth crash.

Evidence: TestDeadlyTaskWithoutRepliesIsGivenUp failed before (five crashes, four are the limit).

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -35,6 +35,8 @@
 	crashes    map[work.TaskID]int  // minions that crashed under a task
 	lateStarts map[work.TaskID]int  // starts of a deadly task after crashesBeforeLimit crashes
 	begunAt    map[runKey]time.Time
+
+	repliesLost bool // a minion that crashes under a start does not reply to it
 }
 
 // Limits on the starts of a deadly task.
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -20,10 +20,16 @@
 	freshWindow    = 500 * time.Millisecond // from its start, in which a run is suspected if its minion crashes
 	trialTimeout   = 2 * time.Second        // for a start on trial whose outcome stays open, so that the minion is not blocked
 	lastingProof   = 10 * time.Second       // after which a lasting run has not crashed its minion
-	minCrashes     = 2                      // a task with fewer is never given up
-	suspectCrashes = 2                      // a task with more is a suspect even if its runs were not fresh
-	maxCrashes     = 4                      // a task with as many, doubtful ones included, is given up even if it never crashed on trial
-	maxDoubts      = 5                      // a task with as many is given up even if nearly all are doubtful
+	suspectCrashes = 2                      // a task with as many is a suspect even if its runs were not fresh
+)
+
+// How many crashes are enough to give a task up. The fourth leaves it fewer
+// starts than it may have, for those that a previous owner could not record.
+const (
+	provenCrashes   = 2 // certain ones, one of them on trial
+	provenDoubtful  = 3 // one of them certain and one on trial
+	unprovenCrashes = 4 // one of them certain or on trial
+	maxDoubts       = 5 // none of them certain
 )
 
 // crashRecord is what is known of crashes of minions under a task. It is part
@@ -32,13 +38,19 @@
 	Crashes int  `json:"n,omitempty"` // minions that crashed while a run of the task was there
 	Doubts  int  `json:"d,omitempty"` // minions that may have crashed, or on which the run may not have begun
 	Suspect bool `json:"s,omitempty"` // its next start is a trial
-	Proven  bool `json:"t,omitempty"` // one of Crashes followed a start on trial
+	Proven  bool `json:"t,omitempty"` // one of the crashes followed a start on trial
 }
 
 // guilty reports whether the task is given up.
 func (c *crashRecord) guilty() bool {
 	n := c.Crashes + c.Doubts
-	return c.Crashes >= minCrashes && (c.Proven || n >= maxCrashes) || n >= maxDoubts
+	switch {
+	case c.Crashes == 0:
+		return n >= maxDoubts || n >= unprovenCrashes && c.Proven
+	case c.Proven:
+		return c.Crashes >= provenCrashes || n >= provenDoubtful
+	}
+	return n >= unprovenCrashes
 }
 
 // needsTrial reports whether the next start of the task is a trial.
@@ -86,7 +98,7 @@
 }
 
 func (m *minion) openFate(now time.Time, r *run) {
-	if r.task == nil || r.fateOpen || m.Draining || !r.mayHaveBegun() || r.age(now) >= freshWindow {
+	if r.task == nil || r.fateOpen || m.Draining || !r.mayHaveBegun() || r.unreached || r.age(now) >= freshWindow {
 		return
 	}
 	r.fateOpen = true
@@ -111,7 +123,9 @@
 type accusation struct {
 	run       *run
 	minion    string
-	confirmed bool // the run had begun, and the minion has crashed
+	inFlight  bool // its start had no reply yet
+	crashed   bool // it is certain that the minion has crashed
+	confirmed bool // as well as that the run had begun
 	fresh     bool // it had begun shortly before
 	onTrial   bool
 	age       time.Duration
@@ -130,12 +144,12 @@
 	var out []accusation
 	for _, r := range m.runs {
 		switch {
-		case r.task == nil || !r.mayHaveBegun():
+		case r.task == nil || !r.mayHaveBegun() || r.unreached:
 		case r.carried != nil:
 			out = append(out, *r.carried)
 		default:
 			age := r.age(at)
-			out = append(out, accusation{r, m.ID, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
+			out = append(out, accusation{r, m.ID, r.state == sent, true, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
 		}
 	}
 	return out
@@ -150,7 +164,7 @@
 		return !a.run.fateOpen && !unknown
 	})
 	for i := range as {
-		as[i].confirmed = false
+		as[i].crashed, as[i].confirmed = false, false
 	}
 	return as
 }
@@ -174,16 +188,17 @@
 		return
 	}
 	n := Note{What: "minion may have crashed under task"}
-	if a.confirmed {
+	switch {
+	case a.confirmed:
 		n = Note{What: "minion crashed under task"}
 		c.Crashes++
-	} else {
+	case !a.inFlight:
 		c.Doubts++
 	}
 	n.Job, n.Task, n.Attempt, n.Minion, n.Why = t.id.Job, t.id.String(), a.run.key.attempt, a.minion, a.why()
 	s.note(n)
 	c.Suspect = c.Suspect || a.fresh || !a.confirmed || c.Crashes >= suspectCrashes
-	c.Proven = c.Proven || a.confirmed && a.fresh && a.onTrial
+	c.Proven = c.Proven || a.crashed && !a.inFlight && a.fresh && a.onTrial
 	if c.guilty() {
 		s.note(Note{What: "task given up after crashes", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
 		s.finishJob(now, p.job, JobFailed)
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+func TestDeadlyTaskWithoutRepliesIsGivenUp(t *testing.T) {
+	for name, p := range stepKinds() {
+		for _, how := range []revival{reborn, replaced} {
+			for _, owners := range []int{0, 3} {
+				t.Run(fmt.Sprint(name, how, owners), func(t *testing.T) {
+					w, _ := newOwnedCluster(t, 6)
+					w.repliesLost = true
+					w.submitDeadly("a", p)
+					for range owners {
+						w.live(crashDuration+10*simTick, how)
+						w.takeOver()
+					}
+					w.live(20*time.Second, how)
+					assert.Equal(t, w.state("a"), JobFailed)
+					if owners == 0 {
+						assert.Assert(t, w.crashes[work.TaskID{Job: "a"}] <= unprovenCrashes, "minions crashed: %v", w.crashes)
+					}
+				})
+			}
+		}
+	}
+}
+
 func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
 	w, _ := newOwnedCluster(t, 4)
 	p := tasks(1, 1000)
@@ -232,6 +255,7 @@
 		w := newSimCluster(rt, 6)
 		w.takeOver()
 		w.cycle()
+		w.repliesLost = rapid.Bool().Draw(rt, "lost")
 		how := revival(rapid.IntRange(0, 2).Draw(rt, "revival"))
 		kinds := []string{"plain", "speculative", "gang", "lasting"}
 		for i := range rapid.IntRange(1, 12).Draw(rt, "jobs") {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/table"
 	"jasminestep/internal/work"
 )
 
@@ -293,6 +296,7 @@
 	}
 	switch {
 	case err != nil:
+		r.unreached = errors.Is(err, table.ErrNotApplied)
 		if r.state == sent {
 			r.state = uncertain
 		}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -186,7 +186,15 @@
 	size := o.st.minions[x.Minion.ID].runs[runKey{x.Start.Task, x.Start.Attempt}].size
 	b := o.cluster.minion(x.Minion.ID)
 	o.cluster.inFlight = append(o.cluster.inFlight, pendingOrder{b, x.Start.Token, func() {
+		if !b.crashedAt.IsZero() {
+			o.st.HandleStartReply(o.cluster.now, x, work.Other, table.ErrNotApplied)
+			return
+		}
 		why, ok := b.start(x.Minion.Incarnation, x.Start, size)
+		if !b.crashedAt.IsZero() && o.cluster.repliesLost {
+			o.loseReply(x)
+			return
+		}
 		if ok && b.Born == x.Minion.Born {
 			o.st.HandleStartReply(o.cluster.now, x, why, nil)
 			return
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -156,6 +156,7 @@
 	stopSentAt  time.Time // when the last stop was sent
 	placedAt    time.Time
 	confirmedAt time.Time   // when a reply or a report first showed that it has begun
+	unreached   bool        // its start certainly did not reach the minion
 	onTrial     bool        // it has to survive before its task is no suspect any more
 	fateOpen    bool        // it was fresh when its minion fell silent or was doubted
 	carried     *accusation // holds if the next incarnation of its minion does not list it
