--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -144,3 +144,73 @@
 	assert.NilError(t, c.Call(ctx, addr, Control, "Say", "y", new(string)))
 	assert.Equal(t, e.n.Load(), int64(2))
 }
+
+// After Forget, no call may use a connection to the process that listened at the
+// address before; calls in progress go on.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	addr, _ := serve(t)
+	var dials atomic.Int64
+	c := New(func(ctx context.Context, network, to string) (net.Conn, error) {
+		dials.Add(1)
+		return transport.DialFrom("")(ctx, network, to)
+	}, &transport.ByteCounter{})
+	defer c.Close()
+	late := make(chan error, 1)
+	go func() {
+		late <- c.Call(context.Background(), addr, Control, "Late", 300*time.Millisecond, new(string))
+	}()
+	for dials.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Forget(addr)
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
+	assert.Equal(t, dials.Load(), int64(2))
+	assert.NilError(t, <-late)
+}
+
+// A connection was closed as idle in the middle of a call, which then had an
+// unknown outcome, if nothing else had used it since the call began.
+func TestConnectionInUseIsNotIdle(t *testing.T) {
+	addr, _ := serve(t)
+	c := New(transport.DialFrom(""), &transport.ByteCounter{})
+	defer c.Close()
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
+	c.mu.Lock()
+	k := c.conns[addr][0]
+	c.mu.Unlock()
+	late := make(chan error, 1)
+	go func() {
+		late <- c.Call(context.Background(), addr, Control, "Late", 2*pingInterval+pingInterval/2, new(string))
+	}()
+	time.Sleep(pingInterval / 4)
+	k.mu.Lock()
+	k.lastUsed = time.Now().Add(-2 * idleTimeout) // as if the call had begun that long ago
+	k.mu.Unlock()
+	assert.NilError(t, <-late)
+	assert.Assert(t, !k.dead.Load())
+	assert.Assert(t, !k.retire(time.Now()))
+	assert.Assert(t, k.retire(time.Now().Add(2*idleTimeout)))
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)), "a retired connection is replaced")
+}
+
+// A call whose connection ended just before the call was sent was reported as
+// one that may have run.
+func TestCallOnAnEndedConnectionIsNotSent(t *testing.T) {
+	addr, e := serve(t)
+	c := New(transport.DialFrom(""), &transport.ByteCounter{})
+	defer c.Close()
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "x", new(string)))
+	c.mu.Lock()
+	k := c.conns[addr][0]
+	_ = k.rpc.Close()
+	// Another conn, which is not marked dead: as if the connection ended while the
+	// next call begins.
+	ended := &conn{ready: k.ready, rpc: k.rpc}
+	ended.once.Do(func() {})
+	c.conns[addr][0] = ended
+	c.mu.Unlock()
+	err := c.Call(context.Background(), addr, Control, "Say", "y", new(string))
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	assert.Equal(t, e.n.Load(), int64(1))
+	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)))
+}
--- a/internal/server/archive.go
+++ b/internal/server/archive.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,12 +30,6 @@
 	At    int64          `json:"at"` // when the job was archived, Unix milliseconds
 }
 
-func outcomeKey(id string) table.Key {
-	k := jobKey(id)
-	k.Table = outcomeTable
-	return k
-}
-
 // archiveQueue holds the ended jobs that are not archived yet. The zero value is
 // empty.
 type archiveQueue struct {
@@ -93,7 +86,7 @@
 			continue
 		}
 		if err := o.archiveBatch(jobs); err != nil {
-			o.s.Log.Error("jobs not archived", "service", o.service, "jobs", len(jobs), "why", err.Error())
+			o.s.Log.Error("jobs cannot be archived", "service", o.service, "jobs", len(jobs), "why", err.Error())
 			return
 		}
 	}
@@ -163,7 +156,7 @@
 	for _, row := range r.Rows {
 		out, err := decodeOutcome(row)
 		if err != nil {
-			o.s.Log.Error("row of a job", "job", row.Name, "why", err.Error())
+			o.s.Log.Error("outcome row invalid", "job", row.Name, "why", err.Error())
 			continue
 		}
 		if out.At < limit.UnixMilli() && len(tx.Delete) < maxRowsPerTx {
@@ -210,6 +203,3 @@
 	}
 	return out
 }
-
-// partName names a part of jobTable and outcomeTable.
-func partName(i int) string { return "p" + strconv.Itoa(i) }
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -20,26 +20,20 @@
 	version int64 // of the row in the store
 }
 
-func ownerKey(service string) table.Key {
-	return table.Key{Table: entryTable, Part: service, Name: "owner"}
-}
-
-func seqKey(service string) table.Key { return table.Key{Table: seqTable, Part: service, Name: "seq"} }
-
 // applyOwnerRows applies owner rows; whole means that rows are all there are.
 func (s *Server) applyOwnerRows(rows []table.Row, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
-		l, err := decodeOwnerRow(r)
+		row, err := decodeOwnerRow(r)
 		if err != nil {
-			s.Log.Error("owner row", "service", r.Part, "why", err.Error())
+			s.Log.Error("owner row invalid", "service", r.Part, "why", err.Error())
 			continue
 		}
-		if l.version > s.ownerRows[r.Part].version {
-			s.ownerRows[r.Part] = l
+		if row.version > s.ownerRows[r.Part].version {
+			s.ownerRows[r.Part] = row
 		}
-		if o := s.localOwners[r.Part]; o != nil && l.Term > o.term {
+		if o := s.localOwners[r.Part]; o != nil && row.Term > o.term {
 			o.depose("another entry claimed the shard")
 		}
 	}
@@ -69,51 +63,39 @@
 	}
 }
 
-// successor returns the name of the entry that should claim a shard released by
-// this one: the one of highest strength that responds and owns no shard.
-func (s *Server) successor(now time.Time, service string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	owns := map[string]bool{}
-	for _, l := range s.ownerRows {
-		owns[l.Name] = true
-	}
-	best := Entry{}
-	for _, e := range s.entries {
-		if e.Name == s.Settings.ID || owns[e.Name] || e.Leaving || s.avoided(now, e.Addr) {
-			continue
-		}
-		if best.Name == "" || e.claimsBefore(best, service, s.Settings.Zone) {
-			best = e
-		}
+func decodeOwnerRow(r table.Row) (OwnerRow, error) {
+	var row OwnerRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return row, fmt.Errorf("decode: %w", err)
 	}
-	return best.Name
+	row.version = r.Version
+	return row, nil
 }
 
-func decodeOwnerRow(r table.Row) (OwnerRow, error) {
-	var l OwnerRow
-	if err := json.Unmarshal(r.Value, &l); err != nil {
-		return l, fmt.Errorf("decode: %w", err)
+// ownerNames returns the names of all entries that own a shard; s.mu is held.
+func (s *Server) ownerNames() map[string]bool {
+	names := map[string]bool{}
+	for _, row := range s.ownerRows {
+		names[row.Name] = true
 	}
-	l.version = r.Version
-	return l, nil
+	return names
 }
 
 func (s *Server) ownerRow(service string) (OwnerRow, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l, ok := s.ownerRows[service]
-	return l, ok
+	row, ok := s.ownerRows[service]
+	return row, ok
 }
 
 // waitForOwner returns the owner row of a shard. If there is no owner, as
 // during a change of owners, it waits up to maxOwnerWait for one.
 func (s *Server) waitForOwner(ctx context.Context, service string) (OwnerRow, bool) {
 	for end := monotonicNow().Add(maxOwnerWait); ; {
-		l, ok := s.ownerRow(service)
+		row, ok := s.ownerRow(service)
 		left := end.Sub(monotonicNow())
-		if ok = ok && l.Addr != ""; ok || left <= 0 || ctx.Err() != nil {
-			return l, ok
+		if ok = ok && row.Addr != ""; ok || left <= 0 || ctx.Err() != nil {
+			return row, ok
 		}
 		s.awaitOwnerChange(ctx, left)
 	}
@@ -125,10 +107,10 @@
 
 // setOwnerRow records an owner row written by this entry, before it is seen in
 // the feed.
-func (s *Server) setOwnerRow(service string, l OwnerRow) {
+func (s *Server) setOwnerRow(service string, row OwnerRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownerRows[service] = l
+	s.ownerRows[service] = row
 }
 
 // replaceOwnerRow replaces the owner row unless it or the seq row has changed.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,23 +92,15 @@
 	ownersChanged chan struct{} // closed at the next change of an owner row
 }
 
-// Tables written by entries.
-const (
-	entryTable   = "entry" // rows of entries, and in the part of each service its owner row
-	seqTable     = "seq"
-	jobTable     = "job"
-	outcomeTable = "outcome" // outcomes of archived jobs, in the parts of jobTable
-)
-
 // New returns an entry that listens on its addresses but does not serve yet.
-func New(set Settings, p Dependencies) (*Server, error) {
+func New(set Settings, deps Dependencies) (*Server, error) {
 	s := &Server{
-		Settings: set, Dependencies: p, instanceID: uuid.NewString()[:8],
+		Settings: set, Dependencies: deps, instanceID: uuid.NewString()[:8],
 		entries: map[string]Entry{}, failures: map[string]callFailures{},
 		ownerRows: map[string]OwnerRow{}, localOwners: map[string]*owner{},
 	}
-	s.relayStore = &relay.Store{Direct: p.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
-	s.carrier = carry.NewCarrier(p.Minions, s.instanceID, monotonicNow)
+	s.relayStore = &relay.Store{Direct: deps.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
+	s.carrier = carry.NewCarrier(deps.Minions, s.instanceID, monotonicNow)
 	s.peers = peer.New(transport.DialFrom(""), &transport.ByteCounter{})
 	var err error
 	if s.peerListener, err = net.Listen("tcp", set.PeerAddr); err != nil {
@@ -152,7 +144,7 @@
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), apply: s.applyEntryTable}.run(ctx, -1)
 	})
 	s.spawn(func() { s.watchServices(ctx) })
-	s.Log.Info("start", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
+	s.Log.Info("entry started", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
 }
 
 func (s *Server) spawn(f func()) {
@@ -181,10 +173,10 @@
 		}
 		up = err == nil
 		if up {
-			s.Log.Info("regained", "what", name)
+			s.Log.Info("feed regained", "what", name)
 			return
 		}
-		s.Log.Warn("lost", "what", name, "why", err.Error())
+		s.Log.Warn("feed lost", "what", name, "why", err.Error())
 	}
 }
 
@@ -196,7 +188,7 @@
 		}
 		c, err := s.Codec.DecodeConfig(r.Value)
 		if err != nil {
-			s.Log.Error("configuration", "why", err.Error())
+			s.Log.Error("configuration row invalid", "why", err.Error())
 			continue
 		}
 		old := s.cfg.Load()
@@ -204,7 +196,7 @@
 			continue
 		}
 		s.cfg.Store(c)
-		s.Log.Info("configuration", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
+		s.Log.Info("configuration applied", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
 	}
 }
 
@@ -231,7 +223,7 @@
 // the load balancer sends clients elsewhere, and completes requests in
 // progress.
 func (s *Server) Stop() {
-	s.Log.Info("stop")
+	s.Log.Info("entry stopping")
 	s.stopping.Store(true)
 	s.carrier.StartDraining()
 	grace, cancel := context.WithTimeout(context.Background(), time.Duration(s.Settings.Grace)*time.Millisecond-shutdownMargin)
@@ -240,10 +232,10 @@
 	s.handOverAll()
 	sleep(grace, readinessNotice)
 	if err := s.clientServer.Stop(grace); err != nil {
-		s.Log.Warn("stop", "why", err.Error())
+		s.Log.Warn("requests unfinished at stop", "why", err.Error())
 	}
 	s.cancel()
-	s.Log.Info("end")
+	s.Log.Info("entry stopped")
 }
 
 // Kill stops the entry without handing over shards or completing requests.
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
 // advice is the state of the placement queries about one step.
 type advice struct {
 	inFlight   int               // queries without an answer
-	queried    map[string]bool   // minions that queries have named
-	eligible   map[string]ticket // minions that may run the step
+	queried    map[string]bool   // minions that queries have named; those that are gone are dropped when the set of minions changes
+	eligible   map[string]ticket // those of them that may run the step
 	sorted     []*minion         // eligible, sorted by ID, as of epoch
 	epoch      int64
 	unsorted   bool      // sorted lacks some of eligible
@@ -42,6 +43,14 @@
 	}
 }
 
+// pruneAdvice drops what queries have told about minions that are gone. If one
+// of them returns it is queried again.
+func (s *State) pruneAdvice(a *advice) {
+	gone := func(id string) bool { return s.minions[id] == nil }
+	maps.DeleteFunc(a.eligible, func(id string, _ ticket) bool { return gone(id) })
+	maps.DeleteFunc(a.queried, func(id string, _ bool) bool { return gone(id) })
+}
+
 // ticketMargin is subtracted from the stated validity of a ticket.
 const ticketMargin = 150 * time.Millisecond
 
@@ -91,7 +100,13 @@
 		p.deferredCost = cost
 		return false
 	}
-	s.note(Note{What: "ask", Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
+	switch {
+	case p == s.turnOf:
+		s.turnOf, s.contendedQueries = nil, 0
+	case s.queryCapacity.Slow == 0:
+		s.contendedQueries++
+	}
+	s.note(Note{What: PlacementQueried, Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
 	p.advice.inFlight++
 	if p.advice.queried == nil {
 		p.advice.eligible, p.advice.queried = map[string]ticket{}, map[string]bool{}
@@ -230,10 +245,10 @@
 			}
 		}
 		p.advice.retryAfter = now.Add(queryRetryDelay)
-		s.note(Note{What: "unadvised", Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
+		s.note(Note{What: PlacementQueryFailed, Job: a.Step.Job, Task: a.Step.StepID(), Why: err.Error()})
 		return
 	}
-	s.note(Note{What: "advised", Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
+	s.note(Note{What: PlacementAnswered, Job: a.Step.Job, Task: a.Step.StepID(), Why: fmt.Sprintf("%d of %d minions are allowed", len(tickets), len(a.IDs))})
 	known := len(p.advice.eligible)
 	if !a.renewal {
 		s.observeShare(p.job.Queue, len(a.IDs), len(tickets))
@@ -270,7 +285,7 @@
 		if v.s.queryCapacity.Total == 0 {
 			return
 		}
-		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(p.advice.eligible) > 0 || v.now.Before(p.advice.nextQuery) {
+		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(v.s.eligibleMinions(p)) > 0 || v.now.Before(p.advice.nextQuery) {
 			continue
 		}
 		if p.startsSoon() {
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -32,7 +32,7 @@
 	if m.openFate(now, r); t.held() {
 		return
 	}
-	s.note(Note{What: "copy", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
+	s.note(Note{What: CopyQueued, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
 	r.step.job.hasCopies = true
 	t.openAttempts = append(t.openAttempts, t.attempt)
 	s.requeue(r.step, t)
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -21,6 +21,7 @@
 	trialTimeout   = 2 * time.Second        // for a start on trial whose outcome stays open, so that the minion is not blocked
 	lastingProof   = 10 * time.Second       // after which a lasting run has not crashed its minion
 	suspectCrashes = 2                      // a task with as many is a suspect even if its runs were not fresh
+	fateTimeout    = 10 * time.Second       // from its silence, in which a minion is expected to show whether it has crashed
 )
 
 // How many crashes are enough to give a task up. The fourth leaves it fewer
@@ -57,8 +58,15 @@
 func (t *task) needsTrial() bool { return t.crash.Suspect || t.openFates > 0 }
 
 // held reports whether the task is not started before more is known of the
-// silent minions with fresh runs of it.
-func (t *task) held() bool { return t.openFates > 1 || t.openFates == 1 && t.crash.Suspect }
+// silent minions with fresh runs of it. It is not if there is one such minion
+// and no other reason to suspect the task.
+func (t *task) held() bool {
+	open := t.openFates + t.unsettled
+	if open == 1 && t.unsettled == 1 && t.crash.Crashes+t.crash.Doubts == 1 {
+		return false
+	}
+	return open > 1 || open == 1 && t.crash.Suspect
+}
 
 // savedCrash is the record to persist, nil if it is empty.
 func (t *task) savedCrash() *crashRecord {
@@ -121,14 +129,14 @@
 
 // accusation is what the crash of a minion says about one run there.
 type accusation struct {
-	run       *run
-	minion    string
-	inFlight  bool // its start had no reply yet
-	crashed   bool // it is certain that the minion has crashed
-	confirmed bool // as well as that the run had begun
-	fresh     bool // it had begun shortly before
-	onTrial   bool
-	age       time.Duration
+	run      *run
+	minion   string
+	inFlight bool // its start had no reply yet
+	begun    bool // it had certainly begun
+	crashed  bool // it is certain that the minion has crashed
+	fresh    bool // it had begun shortly before
+	onTrial  bool
+	age      time.Duration
 }
 
 // accuseRuns returns the accusations that follow from the crash of a minion. A
@@ -148,8 +156,8 @@
 		case r.carried != nil:
 			out = append(out, *r.carried)
 		default:
-			age := r.age(at)
-			out = append(out, accusation{r, m.ID, r.state == sent, true, !r.confirmedAt.IsZero(), age < freshWindow, r.onTrial, age})
+			age, begun := r.age(at), !r.confirmedAt.IsZero()
+			out = append(out, accusation{r, m.ID, r.state == sent, begun, true, age < freshWindow, r.onTrial, age})
 		}
 	}
 	return out
@@ -160,11 +168,50 @@
 func (s *State) doubtRuns(now time.Time, m *minion) []accusation {
 	as := s.accuseRuns(now, m)
 	as = slices.DeleteFunc(as, func(a accusation) bool {
-		unknown := m.clockAt.IsZero() && !a.confirmed && a.run.task.needsTrial()
+		unknown := m.clockAt.IsZero() && !a.begun && a.run.task.needsTrial()
 		return !a.run.fateOpen && !unknown
 	})
 	for i := range as {
-		as[i].crashed, as[i].confirmed = false, false
+		as[i].crashed = false
+	}
+	return as
+}
+
+// keepUnsettled keeps the accusations that follow from the end of a lease until
+// the minion shows whether it has crashed.
+func (m *minion) keepUnsettled(as []accusation) {
+	for _, a := range as {
+		if a.begun {
+			a.run.task.unsettled++
+			m.unsettled = append(m.unsettled, a)
+		}
+	}
+}
+
+// settle records what became of a minion whose lease had ended: it has crashed,
+// or it answers again.
+func (s *State) settle(now time.Time, m *minion, crashed bool) {
+	as := m.dropUnsettled()
+	for i := range as {
+		a := &as[i]
+		if a.run.step.job.state.Terminal() || a.run.task.phase == Finished {
+			continue
+		}
+		a.run.task.crash.Doubts--
+		s.markChanged(a.run.step.job)
+		if crashed && !m.Draining {
+			a.crashed = true
+			s.accuseTask(now, a)
+		}
+	}
+}
+
+// dropUnsettled returns the unsettled accusations and gives up waiting for more.
+func (m *minion) dropUnsettled() []accusation {
+	as := m.unsettled
+	m.unsettled = nil
+	for _, a := range as {
+		a.run.task.unsettled--
 	}
 	return as
 }
@@ -187,20 +234,20 @@
 		*c = crashRecord{}
 		return
 	}
-	n := Note{What: "minion may have crashed under task"}
+	n := Note{What: CrashSuspected}
 	switch {
-	case a.confirmed:
-		n = Note{What: "minion crashed under task"}
+	case a.begun && a.crashed:
+		n = Note{What: CrashUnderRun}
 		c.Crashes++
 	case !a.inFlight:
 		c.Doubts++
 	}
 	n.Job, n.Task, n.Attempt, n.Minion, n.Why = t.id.Job, t.id.String(), a.run.key.attempt, a.minion, a.why()
 	s.note(n)
-	c.Suspect = c.Suspect || a.fresh || !a.confirmed || c.Crashes >= suspectCrashes
+	c.Suspect = c.Suspect || a.fresh || !a.begun || !a.crashed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.crashed && !a.inFlight && a.fresh && a.onTrial
 	if c.guilty() {
-		s.note(Note{What: "task given up after crashes", Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
+		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
 		s.finishJob(now, p.job, JobFailed)
 	}
 }
@@ -222,7 +269,7 @@
 		m.trial = r.step
 		s.trials = append(s.trials, m)
 	}
-	s.note(Note{What: "task on trial", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
+	s.note(Note{What: TrialBegun, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 }
 
 // endTrials ends the trials whose runs have ended or survived.
@@ -247,7 +294,7 @@
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
 			r.task.crash.Suspect = false
-			s.note(Note{What: "task survived its trial", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
+			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
 		}
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -32,7 +32,7 @@
 	}
 	d := min(minPause<<min(m.failures-failuresBeforePause, 3), maxPause)
 	m.pausedUntil = now.Add(d)
-	s.note(Note{What: "paused", Minion: m.ID, Why: d.String()})
+	s.note(Note{What: MinionPaused, Minion: m.ID, Why: d.String()})
 }
 
 // suspect reports whether the minion has failed too often to be given more than
@@ -40,8 +40,18 @@
 func (m *minion) suspect() bool { return m.failures >= failuresBeforePause }
 
 // probing reports whether the minion is suspect and already has the one run it
-// may have.
-func (m *minion) probing() bool { return m.suspect() && len(m.runs) > 0 }
+// may have. Lasting runs that have survived do not count: they never succeed.
+func (m *minion) probing(now time.Time) bool {
+	if !m.suspect() {
+		return false
+	}
+	for _, r := range m.runs {
+		if r.step == nil || !r.step.Lasting || r.age(now) < lastingProof {
+			return true
+		}
+	}
+	return false
+}
 
 // failurePenalty ranks minions for a task of the step: a step with failures
 // should not go to a minion with failures.
@@ -130,7 +140,7 @@
 	r.stopping = true
 	p.failures++
 	s.recordFailure(now, m)
-	s.note(Note{What: "still", Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
+	s.note(Note{What: RunStalled, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -26,14 +26,27 @@
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
 	v.pruneReservations()
-	for _, c := range s.due(now, wall) {
+	for _, c := range s.longestWaitFirst(now, s.due(now, wall)) {
 		if c.due || s.queryCapacity.allows(c.deferredCost) {
-			v.place(c)
+			v.placeOrYield(c)
+			s.passTurn(now, c.step)
 		}
 	}
 	v.queryAhead()
 }
 
+// placeOrYield places tasks of a step, unless it leaves its room to others.
+func (v *view) placeOrYield(c candidate) {
+	c.valued = c.tier == timely || c.tier == late
+	if !v.yields(c) {
+		v.place(c)
+		return
+	}
+	c.markChecked(v.now)
+	v.s.releaseTicketHolds(c.step)
+	v.releaseReservations(c.step)
+}
+
 // view is the state of the minions during one decision.
 type view struct {
 	s            *State
@@ -42,6 +55,7 @@
 	ms           []*minion
 	reservedRoom float64                   // room reserved by waiting steps, by roomWeight
 	totalRoom    float64                   // all room, by roomWeight
+	usedRoom     float64                   // room in use or unusable when the decision began, by roomWeight
 	largest      work.Size                 // greatest room of any minion, by dimension
 	endCache     map[*minion][]expectedEnd // computed on first use
 	zones        []*zoneRoom               // computed on first use
@@ -54,12 +68,15 @@
 	p.markChecked(v.now)
 	v.s.releaseTicketHolds(p)
 	p.missesObjective = c.tier >= late
-	p.urgent = c.tier == timely && c.slack < urgentSlack && !v.mayReserve(p) || p.incomplete
+	p.urgent = v.isUrgent(c)
 	scored := v.scoreMinions(p)
 	if p.incomplete {
 		v.completeGang(p, scored)
 		return
 	}
+	if p.Gang && slices.ContainsFunc(p.tasks, (*task).held) {
+		return
+	}
 	if p.Gang && p.OneRack {
 		scored = sameRack(p, scored)
 	}
@@ -88,6 +105,17 @@
 	}
 }
 
+// isUrgent reports whether a step may use room that others have reserved.
+func (v *view) isUrgent(c candidate) bool {
+	switch {
+	case c.incomplete:
+		return true
+	case c.Lasting:
+		return !c.Gang && !c.waitsSince.IsZero() && v.now.Sub(c.waitsSince) > urgentSlack
+	}
+	return c.tier == timely && c.slack < urgentSlack && !v.mayReserve(c.step)
+}
+
 // reserveRoom reserves room for the waiting tasks of a step, that of a complete
 // plan if there is one, and requests the tickets in time for when the room is
 // expected to be free. While a query is in flight the reservation does not
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -22,7 +22,7 @@
 const minReservationGain = 300 * time.Millisecond
 
 // urgentSlack is the slack below which a small step may use room that others
-// have reserved.
+// have reserved, and the time for which a lasting one waits before it does.
 const urgentSlack = time.Second
 
 // reservation is room on a minion that is reserved for tasks of a step.
@@ -62,6 +62,11 @@
 func (v *view) pruneReservations() {
 	for _, m := range v.ms {
 		v.totalRoom += roomWeight(m.Capacity)
+		if m.usable(v.now) {
+			v.usedRoom += roomWeight(m.used)
+		} else {
+			v.usedRoom += roomWeight(m.Capacity)
+		}
 		v.largest = work.Size{CPU: max(v.largest.CPU, m.Capacity.CPU), Mem: max(v.largest.Mem, m.Capacity.Mem), GPU: max(v.largest.GPU, m.Capacity.GPU)}
 		if len(m.reservations) == 0 {
 			continue
@@ -87,7 +92,7 @@
 	var out []slot
 	need := p.Reserved()
 	for _, m := range v.s.eligibleMinions(p) {
-		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing() {
+		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing(v.now) {
 			continue
 		}
 		room := m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom)
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -39,12 +39,12 @@
 	}
 	a := &p.advice
 	if a.unsorted || a.epoch != s.epoch {
+		s.pruneAdvice(a)
 		a.sorted = a.sorted[:0]
 		for id := range a.eligible {
-			if m := s.minions[id]; m != nil {
-				a.sorted = append(a.sorted, m)
-				m.addEligibleStep(p)
-			}
+			m := s.minions[id]
+			a.sorted = append(a.sorted, m)
+			m.addEligibleStep(p)
 		}
 		slices.SortFunc(a.sorted, func(x, y *minion) int { return strings.Compare(x.ID, y.ID) })
 		a.unsorted, a.epoch = false, s.epoch
@@ -72,7 +72,7 @@
 	ms := v.s.eligibleMinions(p)
 	all := make([]scoredMinion, 0, len(ms))
 	for _, m := range ms {
-		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing() || m.closedTo(p) {
+		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing(v.now) || m.closedTo(p) {
 			continue
 		}
 		elig, t := p.eligibility(v.send, m)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -50,13 +50,14 @@
 	j := p.job
 	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
 	p.waiting--
+	p.waitsSince = time.Time{}
 	r := &run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now}
 	m.add(r)
 	s.markChanged(j)
 	if j.state == Queued {
 		j.state = Active
 	}
-	s.note(Note{What: "placed", Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	s.note(Note{What: TaskPlaced, Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
 	if t.needsTrial() {
 		s.beginTrial(v.now, m, r)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -72,6 +72,7 @@
 	openAttempts []int            // attempts left running for a copy whose end has not been reported
 	crash        crashRecord
 	openFates    int // runs with fateOpen
+	unsettled    int // of its accusations, those in minion.unsettled
 }
 
 // step is one step of one round.
@@ -91,7 +92,7 @@
 	gangPlacedAt    time.Time     // when the current attempt of a gang was placed
 	runTime         time.Duration // expected run time of a task
 	criticalPath    time.Duration // longest chain of queries and expected run times from this step on
-	urgent          bool          // it is about to miss its objective and does not reserve room itself
+	urgent          bool          // it may use room that others have reserved
 	preferredZone   string        // availability zone that its tasks should share; empty if none is chosen
 
 	queued          bool              // in State.queue
@@ -102,6 +103,10 @@
 	reservations    []stepReservation // reserved room
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
+	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
+	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
+	noTurnBefore    time.Time         // it is not given the turn at queries before this time, because it had nothing to query about
+	valued          bool              // it still has value, and is not lasting; as of its last check
 }
 
 // round is one occurrence of a job's steps.
@@ -191,6 +196,7 @@
 	eligibleSteps  []*step       // steps that may run here; some may have ended
 	zone           *zone         // maintained by State.zoneOf
 	trial          *step         // step with runs on trial here; nothing else is started meanwhile
+	unsettled      []accusation  // of runs whose lease has ended; whether the minion has crashed is unknown
 	trialAt        time.Time     // when the last of them was placed or sent
 }
 
@@ -203,44 +209,36 @@
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
 
-	jobs            map[string]*job
-	changed         []*job             // jobs whose rows have to be written
-	upcoming        []*job             // jobs with rounds that are not due yet
-	forgotten       []forgottenJob     // archived jobs that are not in jobs any more, oldest first
-	forgottenIDs    map[string]bool    // IDs of forgotten
-	staleRows       []table.Key        // progress rows that can be deleted
-	queue           []*step            // steps with tasks that wait
-	candidates      []candidate        // buffer reused between decisions
-	roomFreed       bool               // some minion has more room than at the last decision
-	checkedAt       time.Time          // when all minions were last checked
-	bundleCount     int                // number of bundles written in this term
-	epoch           int64              // changes with the set of minions
-	newIncarnations []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
-	minions         map[string]*minion
-	zones           map[string]*zone
-	trials          []*minion                 // minions with a trial
-	sortedMinions   []*minion                 // by ID; nil when minions has changed
-	termStart       time.Time                 // when the term began
-	renewalSeq      int64                     // sequence number of the last renewal
-	runTimes        map[string]*runTimes      // by queue
-	eligibleShares  map[string]*eligibleShare // by queue
-	baseline        map[string]float64        // average ratio of run time to estimate, by queue
-	queryCapacity   QueryCapacity             // remaining in this decision
-	queryOffset     uint                      // where the next query begins to name minions
-	writeTime       time.Duration             // average duration of a write
-	lastDurable     time.Time                 // start of the last write that became durable
-	batch           Batch
-	actions         Actions
-}
-
-// Note is one decision, for the log.
-type Note struct {
-	What    string
-	Job     string
-	Task    string
-	Attempt int
-	Minion  string
-	Why     string
+	jobs             map[string]*job
+	changed          []*job             // jobs whose rows have to be written
+	upcoming         []*job             // jobs with rounds that are not due yet
+	forgotten        []forgottenJob     // archived jobs that are not in jobs any more, oldest first
+	forgottenIDs     map[string]bool    // IDs of forgotten
+	staleRows        []table.Key        // progress rows that can be deleted
+	queue            []*step            // steps with tasks that wait
+	candidates       []candidate        // buffer reused between decisions
+	roomFreed        bool               // some minion has more room than at the last decision
+	checkedAt        time.Time          // when all minions were last checked
+	bundleCount      int                // number of bundles written in this term
+	epoch            int64              // changes with the set of minions
+	newIncarnations  []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
+	minions          map[string]*minion
+	zones            map[string]*zone
+	trials           []*minion                 // minions with a trial
+	sortedMinions    []*minion                 // by ID; nil when minions has changed
+	termStart        time.Time                 // when the term began
+	renewalSeq       int64                     // sequence number of the last renewal
+	runTimes         map[string]*runTimes      // by queue
+	eligibleShares   map[string]*eligibleShare // by queue
+	baseline         map[string]float64        // average ratio of run time to estimate, by queue
+	queryCapacity    QueryCapacity             // remaining in this decision
+	contendedQueries int                       // queries that used up the capacity since turnOf last issued one
+	turnOf           *step                     // the step that has waited longest, while it goes first
+	queryOffset      uint                      // where the next query begins to name minions
+	writeTime        time.Duration             // average duration of a write
+	lastDurable      time.Time                 // start of the last write that became durable
+	batch            Batch
+	actions          Actions
 }
 
 // StartOrder is a start to be sent.
@@ -309,8 +307,6 @@
 	}
 }
 
-func (s *State) note(n Note) { s.Notes = append(s.Notes, n) }
-
 // Submit adds an accepted job. Repeated calls have no effect.
 func (s *State) Submit(now time.Time, j *work.Job) {
 	if s.jobs[j.ID] != nil || s.forgottenIDs[j.ID] {
@@ -320,7 +316,7 @@
 	s.jobs[j.ID] = n
 	s.upcoming = append(s.upcoming, n)
 	s.publishNow(n)
-	s.note(Note{What: "job", Job: j.ID})
+	s.note(Note{What: JobReceived, Job: j.ID})
 }
 
 // Cancel ends a job. It has no effect on jobs that have already ended.
@@ -329,7 +325,7 @@
 	if j == nil || j.state.Terminal() {
 		return
 	}
-	s.note(Note{What: "cancel", Job: id})
+	s.note(Note{What: CancellationReceived, Job: id})
 	s.finishJob(now, j, Cancelled)
 }
 
@@ -362,7 +358,7 @@
 func (s *State) finishJob(now time.Time, j *job, st JobState) {
 	j.state = st
 	s.markChanged(j)
-	s.note(Note{What: "over", Job: j.ID, Why: string(st)})
+	s.note(Note{What: JobEnded, Job: j.ID, Why: string(st)})
 	for _, r := range j.rounds {
 		for _, p := range r.steps {
 			for _, t := range p.tasks {
