Never count fewer than no doubtful crashes

What callers would see: a job that the next owner rejects as invalid and never runs again.

Cause: a lasting run of ten seconds clears the record of its task. A doubt about an earlier run that was still open was then taken off a count of 0, and a row with a negative count is not loaded.

Evidence: TestClearedRecordStaysValidWhenADoubtIsSettled failed before and passes.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -197,7 +197,7 @@
 		if a.run.step.job.state.Terminal() || a.run.task.phase == Finished {
 			continue
 		}
-		a.run.task.crash.Doubts--
+		a.run.task.crash.Doubts = max(a.run.task.crash.Doubts-1, 0)
 		s.markChanged(a.run.step.job)
 		if crashed && !m.Draining {
 			a.crashed = true
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -332,3 +332,23 @@
 	w.live(20*time.Second, replaced)
 	assert.Equal(t, w.state("a"), JobFailed)
 }
+
+// A lasting run that proves its task innocent clears the record while a doubt
+// about an earlier run is still open. A negative count would make the row invalid.
+func TestClearedRecordStaysValidWhenADoubtIsSettled(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	p := tasks(1, 1000)
+	p.Lasting = true
+	w.submit(newJob("a", p))
+	w.cycle()
+	x := o.st.jobs["a"].rounds[0].steps[0].tasks[0]
+	m := o.st.minions[x.incarnation.ID]
+	r := m.runs[runKey{x.id, x.attempt}]
+	m.keepUnsettled([]accusation{{run: r, begun: true}})
+	o.st.settle(w.now, m, false)
+	w.cycle()
+	w.takeOver()
+	w.cycle()
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, x.crash.Doubts, 0)
+}
