Let a survived trial clear an earlier crash on trial

Cause: a task whose minion crashed during its trial for another reason, and that survived its next trial, was still given up at the next crash of a minion beside it. A task that crashes each minion that starts it survives no trial.

Evidence: found by reading. TestTaskThatSurvivesATrialIsNotGivenUpAtTheNextCrash failed before (the job failed at 4 s) and passes.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -293,7 +293,7 @@
 		case !r.onTrial:
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
-			r.task.crash.Suspect = false
+			r.task.crash.Suspect, r.task.crash.Proven = false, false
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -352,3 +352,18 @@
 	assert.Equal(t, w.state("a"), Active)
 	assert.Equal(t, x.crash.Doubts, 0)
 }
+
+func TestTaskThatSurvivesATrialIsNotGivenUpAtTheNextCrash(t *testing.T) {
+	w, o := newOwnedCluster(t, 2)
+	p := tasks(1, 1000)
+	p.Lasting = true
+	w.submit(newJob("a", p))
+	o.st.beginRounds(w.now)
+	x := o.st.jobs["a"].rounds[0].steps[0].tasks[0]
+	x.crash = crashRecord{Crashes: 1, Suspect: true, Proven: true}
+	w.live(2*freshWindow, replaced)
+	w.minion(x.incarnation.ID).crash()
+	w.live(2*crashDuration, replaced)
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, x.crash.Crashes, 2)
+}
