--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -306,8 +306,8 @@
 		case !r.onTrial:
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
-			r.task.crash.Suspect, r.task.crash.Doubts = false, 0
-			s.markChanged(r.step.job)
+			c := &r.task.crash
+			c.Suspect, c.Proven, c.Doubts = false, false, 0
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
