--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -308,6 +308,7 @@
 			r.onTrial = false
 			c := &r.task.crash
 			c.Suspect, c.Proven, c.Doubts = false, false, 0
+			s.markChanged(r.step.job)
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
 			open = true
