Count what a previous owner had left for copies as doubtful

What callers saw: nothing known for certain; a task that crashes minions is started a third time after three have crashed under it (BUDGET), if an owner ends at every crash.

Cause: a new owner knows the newest run of a task only. A crash under the run that its predecessor had left for a copy accused nobody. Class: state that ends with the owner.

Change: attempts left for copies that a new owner reads count as doubtful when it is decided whether to give the task up.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -42,9 +42,11 @@
 	Proven  bool `json:"t,omitempty"` // one of the crashes followed a start on trial
 }
 
-// guilty reports whether the task is given up.
-func (c *crashRecord) guilty() bool {
-	n := c.Crashes + c.Doubts
+// guilty reports whether the task is given up. Runs that a previous owner had
+// left for copies count as doubtful: what became of them is unknown here.
+func (t *task) guilty() bool {
+	c := &t.crash
+	n := c.Crashes + c.Doubts + t.inheritedCopies
 	switch {
 	case c.Crashes == 0:
 		return n >= maxDoubts || n >= unprovenCrashes && c.Proven
@@ -259,7 +261,7 @@
 	s.note(n)
 	c.Suspect = c.Suspect || a.fresh || !a.begun || !a.crashed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.crashed && !a.inFlight && a.fresh && a.onTrial
-	if c.guilty() {
+	if t.guilty() {
 		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
 		s.finishJob(now, p.job, JobFailed)
 	}
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -279,6 +279,31 @@
 	assert.Equal(t, w.state("a"), Active, "%+v", o.st.jobs["a"].rounds[0].steps[0].tasks[0].crash)
 }
 
+// Each owner may end as a minion crashes, before it knows.
+func TestDeadlyTaskIsGivenUpAlthoughEachOwnerEndsAtACrash(t *testing.T) {
+	for name, p := range stepKinds() {
+		for _, how := range []revival{reborn, replaced, both} {
+			t.Run(fmt.Sprint(name, how), func(t *testing.T) {
+				w, _ := newOwnedCluster(t, 8)
+				w.submitDeadly("a", p)
+				crashes := 0
+				for end := w.now.Add(3 * time.Minute); w.now.Before(end) && w.state("a") != JobFailed; {
+					w.live(simTick, how)
+					n := 0
+					for _, x := range w.crashes {
+						n += x
+					}
+					if n > crashes {
+						crashes = n
+						w.takeOver()
+					}
+				}
+				assert.Equal(t, w.state("a"), JobFailed)
+			})
+		}
+	}
+}
+
 // suspects submits jobs of one task each that are suspects.
 func (w *simCluster) suspects(n int) {
 	st := w.owners[len(w.owners)-1].st
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -63,16 +63,17 @@
 func (s JobState) Terminal() bool { return s == Completed || s == JobFailed || s == Cancelled }
 
 type task struct {
-	id           work.TaskID
-	phase        Phase
-	attempt      int              // number of the last start; 0 before the first
-	failures     int              // failed runs
-	incarnation  work.Incarnation // where the task is placed; only while Placed
-	checkpoint   string           // newest checkpoint
-	openAttempts []int            // attempts left running for a copy whose end has not been reported
-	crash        crashRecord
-	openFates    int // runs with fateOpen
-	unsettled    int // of its accusations, those in minion.unsettled
+	id              work.TaskID
+	phase           Phase
+	attempt         int              // number of the last start; 0 before the first
+	failures        int              // failed runs
+	incarnation     work.Incarnation // where the task is placed; only while Placed
+	checkpoint      string           // newest checkpoint
+	openAttempts    []int            // attempts left running for a copy whose end has not been reported
+	inheritedCopies int              // attempts of openAttempts that a previous owner had left running
+	crash           crashRecord
+	openFates       int // runs with fateOpen
+	unsettled       int // of its accusations, those in minion.unsettled
 }
 
 // step is one step of one round.
