--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -71,9 +71,9 @@
 	checkpoint      string           // newest checkpoint
 	openAttempts    []int            // attempts left running for a copy whose end has not been reported
 	inheritedCopies int              // attempts of openAttempts that a previous owner had left running
-	crash           crashRecord
-	openFates       int // runs with fateOpen
-	unsettled       int // of its accusations, those in minion.unsettled
+	crash           crashRecord      // what is known of minions that crashed under it
+	openFates       int              // its runs with fateOpen
+	unsettled       int              // accusations of it in minion.unsettled, on any minion
 }
 
 // step is one step of one round.
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -75,11 +75,11 @@
 	allowed          int // minions that may run the step, as far as is known
 	allowedPresent   int // of these, those that still exist
 	allowedWithRoom  int // of these, those that could take a task now
+	reservedByOthers int // of these, those whose room is reserved or held for other steps
 	unqueried        int // minions that no query has named
 	unqueriedRoom    int // of these, those that could take a task now
 	queriesInFlight  int
 	queryCapacity    QueryCapacity
-	reservedByOthers int // allowed minions whose room is free but reserved for other steps
 }
 
 func (s *State) waitState(now time.Time, p *step) waitState {
