--- a/review/sim/minion.go
+++ b/review/sim/minion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -91,6 +92,40 @@
 	return tasks
 }
 
+// ByJob returns the numbers of running tasks and of tasks that have ended done,
+// by job.
+func (f *Fleet) ByJob() (running, done map[string]int) {
+	running, done = map[string]int{}, map[string]int{}
+	for _, task := range f.Running() {
+		id, _, _ := strings.Cut(task, ".")
+		running[id]++
+	}
+	seen := map[string]bool{}
+	for _, task := range f.Done() {
+		if id, _, _ := strings.Cut(task, "."); !seen[task] {
+			seen[task] = true
+			done[id]++
+		}
+	}
+	return running, done
+}
+
+// Fits reports whether some minion has this much room, in thousandths of a core.
+func (f *Fleet) Fits(cpu int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.minions {
+		free := m.kind.CPU
+		for _, r := range m.runs {
+			free -= r.cpu
+		}
+		if m.up && free >= cpu {
+			return true
+		}
+	}
+	return false
+}
+
 // Used returns the thousandths of a core in use.
 func (f *Fleet) Used() (cpu int64) {
 	f.mu.Lock()
@@ -105,7 +140,7 @@
 }
 
 // Minion is a worker. It runs what it is told to: a task's spec has its length in
-// milliseconds and its CPU in thousandths of a core.
+// milliseconds, its CPU in thousandths of a core, and whether it fails at its end.
 type Minion struct {
 	ID      string
 	Service string
@@ -132,6 +167,7 @@
 	cpu     int64
 	began   time.Time
 	length  time.Duration
+	fails   bool
 	stopAt  time.Time
 }
 
@@ -235,6 +271,8 @@
 		switch {
 		case lapsed:
 			how = "lapsed"
+		case now.Sub(r.began) >= r.length && r.fails:
+			how = "failed"
 		case now.Sub(r.began) >= r.length:
 			how = "done"
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
@@ -343,7 +381,8 @@
 		return "late"
 	}
 	var millis, cpu int64
-	if _, err := fmt.Sscan(o.Spec, &millis, &cpu); err != nil {
+	var fails bool
+	if _, err := fmt.Sscan(specOf(o), &millis, &cpu, &fails); err != nil {
 		return "spec"
 	}
 	f := m.fleet
@@ -357,11 +396,24 @@
 		f.twice = append(f.twice, o.Task+" starts on "+m.ID+" after its end was taken note of")
 	}
 	m.leaseEnd = max(m.leaseEnd, o.Deadline)
-	m.runs[o.Task] = &run{attempt: o.Attempt, cpu: cpu, began: time.Now(), length: time.Duration(millis) * time.Millisecond}
+	m.runs[o.Task] = &run{attempt: o.Attempt, cpu: cpu, fails: fails, began: time.Now(), length: time.Duration(millis) * time.Millisecond}
 	f.starts = append(f.starts, Start{time.Now(), o.Task, o.Attempt, o.Spec, m.ID, m.kind})
 	return ""
 }
 
+// specOf returns the part of the spec for the task's step.
+func specOf(o order) string {
+	specs, parts := strings.Split(o.Spec, ","), strings.Split(o.Task, ".")
+	if len(parts) != 4 {
+		return ""
+	}
+	step, err := strconv.Atoi(parts[2])
+	if err != nil || step < 0 || step >= len(specs) {
+		return ""
+	}
+	return specs[step]
+}
+
 // hold renews the leases and returns both lists.
 func (m *Minion) hold(w http.ResponseWriter, r *http.Request, o order) {
 	until := time.Now().Add(time.Duration(o.Wait) * time.Millisecond)
--- a/review/sim/site.go
+++ b/review/sim/site.go
@@ -221,20 +221,31 @@
 	Memory   int64
 	Millis   int64 // how long a task runs
 	Estimate int64 // what the client says of it, ms; 0: Millis
+	Fails    bool  // every run fails by the task's own fault
 	More     map[string]any
 }
 
-// Job returns the body that submits a job of one step. Its spec tells the
-// minions how long a task runs and what it uses.
-func Job(p Step) string {
-	if p.Estimate == 0 {
-		p.Estimate = p.Millis
-	}
-	g := map[string]any{nameTasks: p.Tasks, "cpu": p.CPU, nameMemory: p.Memory, nameEstimate: p.Estimate}
-	for k, v := range p.More {
-		g[k] = v
+// Job returns the body that submits a job, whose steps follow each other. Its
+// spec tells the minions how long each step's tasks run, what they use and whether
+// they fail.
+func Job(steps ...Step) string {
+	var groups []any
+	var specs []string
+	for i, p := range steps {
+		if p.Estimate == 0 {
+			p.Estimate = p.Millis
+		}
+		g := map[string]any{nameTasks: p.Tasks, "cpu": p.CPU, nameMemory: p.Memory, nameEstimate: p.Estimate}
+		if i > 0 {
+			g["after"] = []int{i - 1}
+		}
+		for k, v := range p.More {
+			g[k] = v
+		}
+		groups = append(groups, g)
+		specs = append(specs, fmt.Sprintf("%d %d %t", p.Millis, p.CPU, p.Fails))
 	}
-	b, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("%d %d", p.Millis, p.CPU), nameGroups: []any{g}})
+	b, err := json.Marshal(map[string]any{"spec": strings.Join(specs, ","), nameGroups: groups})
 	if err != nil {
 		panic(err) // plain values can always be encoded
 	}
@@ -299,6 +310,22 @@
 	return s, nil
 }
 
+// Begin starts a site of one queue: minions of one kind and three entries.
+func (s *Site) Begin(route Route, minions int, kind Kind) error {
+	if err := s.Store.Configure(firstVersion, route); err != nil {
+		return err
+	}
+	if err := s.AddMinions(minions, route.Service, kind); err != nil {
+		return err
+	}
+	return s.StartEntries(entries, route.Service)
+}
+
+const (
+	firstVersion = 3 // of the configuration
+	entries      = 3 // one in each zone
+)
+
 // StartEntries starts n entries, each in a zone of its own, and waits until they
 // are ready and the shard of the service has an owner.
 func (s *Site) StartEntries(n int, service string) error {
