Review: an entry of an unknown service has tasks run twice (TWICE)

Cause: an entry of another service under a minion's id, with a later born, is taken as proof that the minion has restarted. Change: case 2 of the review; nothing is fixed.

--- a/review/sim/minion.go
+++ b/review/sim/minion.go
@@ -291,17 +291,39 @@
 func (m *Minion) writeEntry() {
 	m.fleet.mu.Lock()
 	m.sequence++
-	value, err := json.Marshal(map[string]any{
-		"service": m.Service, "address": m.Addr, "zone": m.Zone, "version": "v1", "slots": 8, "state": "ready",
-		"warmupLeftMs": 0, "sequence": m.sequence, "born": m.born.UnixMilli(), "labels": m.kind.Labels,
-		"capacity": map[string]int64{"cpu": m.kind.CPU, nameMemory: m.kind.Memory, "gpu": 0},
-	})
+	value, err := json.Marshal(m.entry(m.Service, m.Addr, m.born))
 	m.fleet.mu.Unlock()
 	if err == nil {
 		m.fleet.store.Put(standin.MinionTable, m.ID, value)
 	}
 }
 
+// entry is an entry under the id of the minion; the fleet is locked.
+func (m *Minion) entry(service, addr string, born time.Time) map[string]any {
+	return map[string]any{
+		"service": service, "address": addr, "zone": m.Zone, "version": "v1", "slots": 8, "state": "ready",
+		"warmupLeftMs": 0, "sequence": m.sequence, "born": born.UnixMilli(), "labels": m.kind.Labels,
+		"capacity": map[string]int64{"cpu": m.kind.CPU, nameMemory: m.kind.Memory, "gpu": 0},
+	}
+}
+
+// nowhere is an address at which nobody listens.
+const nowhere = "127.0.0.1:9"
+
+// Overwrite writes an entry of another service under the minion's id, as another
+// writer may. The minion runs on, and writes its own entry at its next heartbeat.
+func (m *Minion) Overwrite(service string) error {
+	m.fleet.mu.Lock()
+	value, err := json.Marshal(m.entry(service, nowhere, time.Now()))
+	m.fleet.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	m.fleet.store.Put(standin.MinionTable, m.ID, value)
+	m.fleet.rec.Log("another writer writes the entry %s: %s", m.ID, value)
+	return nil
+}
+
 func (m *Minion) clock() int64 { return time.Since(m.born).Milliseconds() }
 
 // endDue ends the runs whose time or lease is over; the fleet is locked.
