--- a/review/5/main.go
+++ b/review/5/main.go
@@ -17,7 +17,7 @@
 	minionMem = 65536 // MB
 	shrunkCPU = 4000
 	jobs      = 20
-	outage    = 4500 * time.Millisecond
+	outage    = 4200 * time.Millisecond
 	watch     = 10 * time.Second
 )
 
@@ -40,7 +40,7 @@
 	m.AwaitBeat()
 	time.Sleep(50 * time.Millisecond)
 	m.Shrink(shrunkCPU)
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	if s.Trouble {
 		s.Store.SetDown(true)
 	}
