--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,4 +1,5 @@
-// Command case4 submits a wide gang while one long task keeps one minion busy.
+// Command case4 submits, among others, a few jobs whose tasks always fail, while
+// long tasks run on all minions.
 package main
 
 import (
@@ -9,44 +10,56 @@
 )
 
 const (
-	service    = "gangs"
-	prefix     = "/gangs/"
+	service    = "work"
+	prefix     = "/work/"
 	minions    = 8
 	minionCPU  = 64000  // thousandths of a core
 	minionMem  = 131072 // MB
-	longMillis = 90_000
-	gangJob    = 2 // number of the gang's job
-	smallJobs  = 10
+	longMillis = 80_000 // of the long tasks, one on each minion
+	perSecond  = 5      // jobs
+	poisonFor  = 3      // seconds in which a job comes that can't be done
+	poisonEach = 15     // one of so many jobs then
+	quiet      = 3 * time.Second
+	restFor    = 5 // further jobs, one a second
 )
 
 var (
-	long   = sim.Step{Tasks: 1, CPU: 40000, Memory: 1024, Millis: longMillis}
-	gang   = sim.Step{Tasks: minions, CPU: minionCPU, Memory: 1024, Millis: 5000, More: map[string]any{"gang": true}}
-	first  = sim.Step{Tasks: 1, CPU: 1000, Memory: 256, Millis: 4000, Estimate: 400} // takes longer than the client says
-	second = sim.Step{Tasks: 1, CPU: 1000, Memory: 256, Millis: 400}
+	apart   = map[string]any{`maxPerServer`: 1}
+	long    = sim.Step{Tasks: minions, CPU: 20000, Memory: 1024, Millis: longMillis, More: apart}
+	healthy = sim.Step{Tasks: 3, CPU: 2000, Memory: 256, Millis: 400}
+	poison  = sim.Step{Tasks: minions, CPU: 2000, Memory: 256, Millis: 400, Fails: true, More: apart}
 )
 
 func main() { sim.Main("review/4", run) }
 
 func run(s *sim.Site) (int, error) {
-	route := sim.Route{Name: "gangs", Prefix: prefix, Service: service, Attempts: 3, Slack: 2, TargetMillis: 1000}
+	route := sim.Route{Name: "work", Prefix: prefix, Service: service, Attempts: 3, Slack: 2, TargetMillis: 1000}
 	if err := s.Begin(route, minions, sim.Kind{CPU: minionCPU, Memory: minionMem}); err != nil {
 		return 0, err
 	}
 	c := &sim.Clients{Site: s, Prefix: prefix}
 	c.Submit(1, long)
-	if sim.Await(10*time.Second, func() bool { return len(s.Fleet.Running()) == 1 }) != nil {
-		return 0, errors.New("the long task has not begun")
+	if sim.Await(10*time.Second, func() bool { return len(s.Fleet.Running()) == minions }) != nil {
+		return 0, errors.New("the long tasks have not begun")
 	}
-	if s.Trouble {
-		c.Submit(gangJob, gang)
+	tick := time.NewTicker(time.Second / perSecond)
+	defer tick.Stop()
+	for i := range poisonFor * perSecond {
+		<-tick.C
+		p := healthy
+		if s.Trouble && i%poisonEach == poisonEach-1 {
+			p = poison
+		}
+		go c.Submit(100+i, p)
 	}
-	for i := range smallJobs {
-		c.Submit(100+i, first, second)
-		time.Sleep(500 * time.Millisecond)
+	time.Sleep(quiet)
+	for i := range restFor {
+		c.Submit(200+i, healthy)
+		time.Sleep(time.Second)
 	}
 	c.EndTraffic()
-	code := c.JudgeLost(minions*minionCPU, second.CPU, gangJob)
+	code := c.JudgeLost(minions*minionCPU, healthy.CPU)
+	s.LogOf(`"minion paused"`)
 	s.LogOf(`"step waits"`)
 	return code, nil
 }
