--- a/review/4/main.go
+++ b/review/4/main.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	service    = "work"
-	prefix     = "/work/"
+	service    = "mill"
+	prefix     = "/mill/"
 	minions    = 8
 	minionCPU  = 64000  // thousandths of a core
 	minionMem  = 131072 // MB
 	longMillis = 80_000 // of the long tasks, one on each minion
-	perSecond  = 5      // jobs
+	perSecond  = 7      // jobs
 	poisonFor  = 3      // seconds in which a job comes that can't be done
-	poisonEach = 15     // one of so many jobs then
+	poisonEach = 21     // one of so many jobs then
 	quiet      = 3 * time.Second
 	restFor    = 5 // further jobs, one a second
 )
@@ -33,7 +33,7 @@
 func main() { sim.Main("review/4", run) }
 
 func run(s *sim.Site) (int, error) {
-	route := sim.Route{Name: "work", Prefix: prefix, Service: service, Attempts: 3, Slack: 2, TargetMillis: 1000}
+	route := sim.Route{Name: "mill", Prefix: prefix, Service: service, Attempts: 3, Slack: 2, TargetMillis: 1000}
 	if err := s.Begin(route, minions, sim.Kind{CPU: minionCPU, Memory: minionMem}); err != nil {
 		return 0, err
 	}
