Say what keeps a waiting step off the minions with room

The reasons are a type now (obstacle), which placement, reservations and the log line share; the same conditions stood in four places before. No decision changes. Measured: tests of internal/shard and internal/server pass.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -61,7 +61,7 @@
 	{shard.StartRefused, "job task attempt minion why", "the minion refused the start", "why; other starts on the minion"},
 	{shard.StartUnanswered, "job task attempt minion why", "the start got no reply; a later report shows whether the task runs", "the minion and the network to it, if there are many"},
 	{shard.RunEnded, "job task attempt minion why", "a minion reported the end of a run", "the minion's other runs, if it failed"},
-	{shard.StepWaits, "job task why", "tasks of a step could run and have waited for long", "why: no minion with room, none known to be eligible, or no query to be had"},
+	{shard.StepWaits, "job task why", "tasks of a step could run and have waited for long", "why: no minion with room, none known to be eligible, no query to be had, or what keeps the step off minions that have room"},
 	{shard.RunLost, "job task attempt minion why", "a run was given up; its task waits again", "why; the minion's lines before it"},
 	{shard.RunStalled, "job task attempt minion why", "a run makes no progress and is stopped; why is for how long", "the minion's other runs"},
 	{shard.RunEvacuated, "job task attempt minion why", "a run is stopped because it would not end before its minion leaves; why is the remaining time", ""},
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -58,11 +58,6 @@
 // free is the unused room.
 func (m *minion) free() work.Size { return m.Capacity.Minus(m.used) }
 
-// usable reports whether new work may be sent to the minion.
-func (m *minion) usable(now time.Time) bool {
-	return m.present(now) && m.synced && !m.Draining && m.silentSince.IsZero() && !now.Before(m.pausedUntil) && !m.zone.unreachable()
-}
-
 // unlistedGrace is how long a minion that answers is usable without an entry:
 // entries that expired while the store was unavailable come back.
 const unlistedGrace = 2500 * time.Millisecond
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -92,7 +92,7 @@
 	var out []slot
 	need := p.Reserved()
 	for _, m := range v.s.eligibleMinions(p) {
-		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing(v.now) {
+		if p.lastingObstacle(v.now, m) != noObstacle {
 			continue
 		}
 		room := m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom)
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -72,7 +72,7 @@
 	ms := v.s.eligibleMinions(p)
 	all := make([]scoredMinion, 0, len(ms))
 	for _, m := range ms {
-		if !m.usable(v.now) || !p.suits(m) || p.conflicts(m) || m.probing(v.now) || m.closedTo(p) {
+		if p.obstacle(v.now, m) != noObstacle {
 			continue
 		}
 		elig, t := p.eligibility(v.send, m)
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -80,15 +80,22 @@
 	unqueriedRoom    int // of these, those that could take a task now
 	queriesInFlight  int
 	queryCapacity    QueryCapacity
+	obstacles        obstacleCounts // of the minions that are allowed or have not been queried
 }
 
 func (s *State) waitState(now time.Time, p *step) waitState {
 	w := waitState{waiting: p.waiting, tasks: p.Tasks, allowed: len(p.advice.eligible), queriesInFlight: p.advice.inFlight, queryCapacity: s.queryCapacity}
 	for _, m := range s.minionsByID() {
-		fits := m.usable(now) && p.suits(m) && !p.conflicts(m) && !m.probing(now) && m.free().CanFit(p.Reserved())
 		_, allowed := p.advice.eligible[m.ID]
+		allowed = allowed || p.job.Advice == nil
+		if !allowed && p.advice.queried[m.ID] {
+			continue
+		}
+		o := p.obstacle(now, m)
+		w.obstacles[o]++
+		fits := o == noObstacle && m.free().CanFit(p.Reserved())
 		switch {
-		case allowed || p.job.Advice == nil:
+		case allowed:
 			w.allowedPresent++
 			if fits {
 				w.allowedWithRoom++
@@ -96,7 +103,7 @@
 					w.reservedByOthers++
 				}
 			}
-		case !p.advice.queried[m.ID]:
+		default:
 			w.unqueried++
 			if fits {
 				w.unqueriedRoom++
@@ -107,6 +114,10 @@
 }
 
 func (w waitState) String() string {
-	return fmt.Sprintf("%d of %d tasks wait; %d minions are allowed, of which %d exist, %d have room, %d have it reserved for others; %d have not been queried, of which %d have room; %d queries in flight, %d more can be issued (%d slow)",
+	text := fmt.Sprintf("%d of %d tasks wait; %d minions are allowed, of which %d exist, %d have room, %d have it reserved for others; %d have not been queried, of which %d have room; %d queries in flight, %d more can be issued (%d slow)",
 		w.waiting, w.tasks, w.allowed, w.allowedPresent, w.allowedWithRoom, w.reservedByOthers, w.unqueried, w.unqueriedRoom, w.queriesInFlight, w.queryCapacity.Total, w.queryCapacity.Slow)
+	if o := w.obstacles.String(); o != "" {
+		text += "; " + o
+	}
+	return text
 }
