--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -135,6 +136,10 @@
 		err = s.caller.Stop(ctx, to, x.Task, x.Attempt, x.Token)
 	case renewCall:
 		r.Report, r.Fenced, err = s.caller.Renew(ctx, to, x.Token, x.Until, x.Durable, x.Wait)
+	case throttleCall:
+		err = s.caller.Throttle(ctx, to, x.Task, x.Attempt, x.Percent, x.Token)
+	default:
+		err = fmt.Errorf("unknown call %d", x.Kind)
 	}
 	return err
 }
--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -27,6 +27,7 @@
 type MinionClient interface {
 	Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error)
 	Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error
+	Throttle(ctx context.Context, to *work.Minion, t work.TaskID, attempt, percent int, token int64) error
 	Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error)
 }
 
@@ -41,6 +42,7 @@
 	startCall callKind = iota
 	stopCall
 	renewCall
+	throttleCall
 )
 
 // Call is one call to a minion, as sent to a carrier.
@@ -51,9 +53,10 @@
 	Address string
 	Limit   time.Duration // timeout that the carrier applies to the call
 	Start   work.Start    // for startCall
-	Task    work.TaskID   // for stopCall
-	Attempt int           // for stopCall
-	Token   int64         // for stopCall and renewCall
+	Task    work.TaskID   // for stopCall and throttleCall
+	Attempt int           // for stopCall and throttleCall
+	Percent int           // for throttleCall: share of its speed at which the run may work
+	Token   int64         // for all but startCall
 	Until   int64         // for renewCall
 	Durable int64         // for renewCall: number of the last end that may be acknowledged
 	Wait    time.Duration // for renewCall
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -20,6 +20,7 @@
 	stopped    int
 	renewed    int
 	acks       []int64
+	speeds     []int
 	report     work.Report
 	err        error
 	renewDelay time.Duration
@@ -39,6 +40,13 @@
 	return f.err
 }
 
+func (f *fakeMinions) Throttle(_ context.Context, _ *work.Minion, _ work.TaskID, _, percent int, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.speeds = append(f.speeds, percent)
+	return f.err
+}
+
 func (f *fakeMinions) Renew(ctx context.Context, _ *work.Minion, _, _, seen int64, _ time.Duration) (work.Report, bool, error) {
 	f.mu.Lock()
 	f.renewed++
@@ -144,6 +152,8 @@
 	assert.NilError(t, err)
 	assert.Equal(t, why, work.NoCapacity)
 	assert.NilError(t, s.dispatcher.Stop(contextWithTimeout(t, time.Second), testMinion, work.TaskID{}, 1, 2))
+	assert.NilError(t, s.dispatcher.Throttle(contextWithTimeout(t, time.Second), testMinion, work.TaskID{}, 1, 20, 2))
+	assert.DeepEqual(t, s.viaCarrier.speeds, []int{20})
 	rep, _, err := s.dispatcher.Renew(contextWithTimeout(t, time.Second), testMinion, 1, 2, 0, 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, rep, s.viaCarrier.report)
--- a/internal/carry/dispatcher.go
+++ b/internal/carry/dispatcher.go
@@ -76,18 +76,36 @@
 
 // Stop stops a run.
 func (p *Dispatcher) Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error {
-	if w := p.linkTo(ctx, to); w != nil {
-		r, err := w.call(ctx, Call{Kind: stopCall, To: to.Incarnation, Address: to.Address, Task: t, Attempt: attempt, Token: token})
-		if err == nil {
-			return r.err()
-		}
-		if !errors.Is(err, ErrCarrierLost) {
-			return err
-		}
+	c := Call{Kind: stopCall, To: to.Incarnation, Address: to.Address, Task: t, Attempt: attempt, Token: token}
+	if lost, err := p.viaCarrier(ctx, to, c); !lost {
+		return err
 	}
 	return p.Direct.Stop(ctx, to, t, attempt, token)
 }
 
+// Throttle lets a run work at a percentage of its speed.
+func (p *Dispatcher) Throttle(ctx context.Context, to *work.Minion, t work.TaskID, attempt, percent int, token int64) error {
+	c := Call{Kind: throttleCall, To: to.Incarnation, Address: to.Address, Task: t, Attempt: attempt, Percent: percent, Token: token}
+	if lost, err := p.viaCarrier(ctx, to, c); !lost {
+		return err
+	}
+	return p.Direct.Throttle(ctx, to, t, attempt, percent, token)
+}
+
+// viaCarrier makes a call that may be made twice. lost reports that there is no
+// carrier, or that it was lost, so that the call has to be made directly.
+func (p *Dispatcher) viaCarrier(ctx context.Context, to *work.Minion, c Call) (lost bool, err error) {
+	w := p.linkTo(ctx, to)
+	if w == nil {
+		return true, nil
+	}
+	r, err := w.call(ctx, c)
+	if err == nil {
+		return false, r.err()
+	}
+	return errors.Is(err, ErrCarrierLost), err
+}
+
 // Renew renews the leases of a minion's runs. If the carrier is lost, the
 // renewal is repeated directly.
 func (p *Dispatcher) Renew(ctx context.Context, to *work.Minion, token, until, durable int64, wait time.Duration) (work.Report, bool, error) {
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -121,6 +121,21 @@
 	return nil
 }
 
+// Throttle implements carry.MinionClient. The fake's runs do not slow down.
+func (f *fleet) Throttle(_ context.Context, to *work.Minion, t work.TaskID, attempt, _ int, token int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.minions[to.ID]
+	if token < m.token {
+		return errors.New("fenced")
+	}
+	m.token = token
+	if r := m.runs[t.String()]; r == nil || r.attempt != attempt {
+		return errors.New("no such run")
+	}
+	return nil
+}
+
 // Renew implements carry.MinionClient.
 func (f *fleet) Renew(ctx context.Context, to *work.Minion, token, until, seen int64, wait time.Duration) (work.Report, bool, error) {
 	for end := time.Now().Add(wait); ; {
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -160,3 +160,17 @@
 		}
 	}()
 }
+
+// sendThrottle sends an order about a run's speed and reports the outcome to the
+// control goroutine.
+func (h *minionHandler) sendThrottle(order shard.ThrottleOrder) {
+	go func() {
+		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
+		defer cancel()
+		err := h.o.minionCalls.Throttle(ctx, &order.Minion, order.Task, order.Attempt, order.Speed, order.Token)
+		if err != nil {
+			h.o.s.Log.Debug("throttle not delivered", "task", order.Task.String(), "minion", h.incarnation.ID, "why", err.Error())
+		}
+		h.o.post(func(now time.Time) { h.o.state.HandleThrottleReply(now, order, err) })
+	}()
+}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -146,6 +146,11 @@
 			h.sendStop(stop)
 		}
 	}
+	for _, order := range orders.Throttles {
+		if h := o.handlers[order.Minion.Incarnation]; h != nil {
+			h.sendThrottle(order)
+		}
+	}
 	for _, query := range orders.Queries {
 		o.requestAdvice(query)
 	}
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -198,22 +199,25 @@
 }
 
 // unqueriedMinions lists minions that no query has named yet and that could run
-// a task of the step: those with room first, one zone after the other. The
-// starting point advances with each call so that steps do not all compete for
+// a task of the step: those with room first, one zone after the other, those
+// where fill tasks and targets would mix later. The starting point advances with each call so that steps do not all compete for
 // the same minions.
 func (v *view) unqueriedMinions(p *step, needRoom bool) []string {
 	n := v.s.queryLimit(p)
 	need := p.Reserved()
-	var ids, full []string
+	var ids, mixed, full []string
 	for _, r := range v.zonesFor(p) {
 		for i := range r.ms {
 			m := r.ms[(int(v.s.queryOffset)+i)%len(r.ms)]
-			if p.advice.queried[m.ID] || !m.usable(v.now) || !p.suits(m) || p.conflicts(m) {
+			if p.advice.queried[m.ID] || !m.usable(v.now) || !p.suits(m) {
 				continue
 			}
-			if m.free().CanFit(need) {
+			switch {
+			case m.free().CanFit(need) && !p.mixes(m):
 				ids = append(ids, m.ID)
-			} else if !needRoom {
+			case m.free().CanFit(need):
+				mixed = append(mixed, m.ID)
+			case !needRoom:
 				full = append(full, m.ID)
 			}
 			if len(ids) == n {
@@ -225,7 +229,7 @@
 		}
 	}
 	v.s.queryOffset += uint(n)
-	ids = append(ids, full...)
+	ids = slices.Concat(ids, mixed, full)
 	return ids[:min(n, len(ids))]
 }
 
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -36,6 +36,10 @@
 				p.Lasting = !p.Gang && pick("lasting", 4) == 0
 				p.Speculative = !p.Lasting && pick("copies", 3) == 0
 				p.PerMinion = pick("limit", 3)
+				p.Fill = pick("fill", 4) == 0
+				if p.Lasting && pick("target", 2) == 0 {
+					p.Target = 50 * time.Millisecond
+				}
 				q := tasks(1, 1000)
 				q.After = []int{0}
 				w.submit(newJob(fmt.Sprintf("j%d", names), p, q))
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -50,7 +50,7 @@
 	if r.step.Fill {
 		m.fillRuns += n
 	}
-	if r.step.Target > 0 {
+	if r.step.Target > 0 && !r.step.Fill {
 		m.targetRuns += n
 	}
 }
@@ -160,7 +160,7 @@
 // report settles it.
 func (s *State) carryOver(m *minion, r *run) {
 	r.state, r.renewalMark, r.token = uncertain, max(s.renewalSeq, 1), m.token-1
-	r.confirmedAt = time.Time{}
+	r.confirmedAt, r.speedKnown = time.Time{}, false
 	m.hasCarriedRuns = true
 	m.add(r)
 	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
@@ -308,6 +308,7 @@
 			s.markBegun(r.step.job)
 		}
 		s.sendStop(now, m, r)
+		s.throttleRuns(now, m)
 	default:
 		s.handleRefusal(now, m, r, why)
 	}
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -45,6 +45,7 @@
 	MinionReplaced  Event = "minion replaced"      // another minion has its address, so that none of its runs are left
 	MinionForgotten Event = "minion forgotten"     // it has no row, does not answer, and its leases have ended
 	MinionPaused    Event = "minion paused"        // too many failures; it gets no new tasks for a while
+	FillThrottled   Event = "fill tasks throttled" // the speed of fill tasks beside others with a bound on response times has changed
 	MinionSilent    Event = "minion silent"        // a lease renewal got no reply
 	MinionAnswers   Event = "minion answers again" // the first reply after a silence
 	ZoneUnreachable Event = "zone unreachable"     // several minions of the zone are slow to answer
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -20,7 +20,6 @@
 	isPaused
 	zoneSilent
 	wrongKind
-	disturbance
 	awaitsProbe
 	runsTrial
 	obstacleCount // number of obstacles
@@ -35,7 +34,6 @@
 	isPaused:    "are paused",
 	zoneSilent:  "are in a silent zone",
 	wrongKind:   "are too small or lack the label",
-	disturbance: "have runs that would disturb the task or be disturbed by it",
 	awaitsProbe: "have failed and wait for the end of one run",
 	runsTrial:   "have a run on trial",
 }
@@ -81,8 +79,6 @@
 	switch {
 	case !p.suits(m):
 		return wrongKind
-	case p.conflicts(m):
-		return disturbance
 	case m.probing(now):
 		return awaitsProbe
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -47,6 +47,7 @@
 	if len(rep.Ended) < s.Limits.MaxEnds {
 		s.dropAbsent(now, m, n, listed)
 	}
+	s.adaptSpeed(now, m, rep.Running)
 	if !m.synced {
 		m.synced = true
 		s.wakeSteps(m)
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -87,6 +87,14 @@
 	freeIn time.Duration // time until it is free
 }
 
+// mixed is 1 if a task of the step would mix fill tasks and targets there.
+func (sl *slot) mixed(p *step) int {
+	if p.mixes(sl.minion) {
+		return 1
+	}
+	return 0
+}
+
 // slots lists where tasks of the step could run, earliest first.
 func (v *view) slots(p *step) []slot {
 	var out []slot
@@ -110,7 +118,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b slot) int {
-		return cmp.Or(cmp.Compare(a.freeIn, b.freeIn), cmp.Compare(a.slownessClass(), b.slownessClass()))
+		return cmp.Or(cmp.Compare(a.freeIn, b.freeIn), cmp.Compare(a.mixed(p), b.mixed(p)), cmp.Compare(a.slownessClass(), b.slownessClass()))
 	})
 	return out
 }
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -12,15 +12,6 @@
 	return m.Capacity.CanFit(p.Size) && (p.Label == "" || slices.Contains(m.Labels, p.Label))
 }
 
-// conflicts reports whether tasks of the step must not run beside those on m:
-// fill tasks disturb tasks that have a bound on their response times.
-func (p *step) conflicts(m *minion) bool {
-	if p.Fill {
-		return m.targetRuns > 0
-	}
-	return p.Target > 0 && m.fillRuns > 0
-}
-
 // scoredMinion is a minion that can take tasks of a step, with its score.
 type scoredMinion struct {
 	*minion
@@ -103,13 +94,16 @@
 	return out
 }
 
-// setScore sets the sort key of the minion: first the rack of the data, then the
-// zone of the step's other tasks, then the fullest minion, so that large tasks
-// find room. Fill tasks go where most room is left, urgent tasks to the fastest
-// minions.
+// setScore sets the sort key of the minion: first whether fill tasks and targets
+// stay apart, then the rack of the data, then the zone of the step's other
+// tasks, then the fullest minion, so that large tasks find room. Fill tasks go
+// where most room is left, urgent tasks to the fastest minions.
 func (sm *scoredMinion) setScore(p *step) {
+	if p.mixes(sm.minion) {
+		sm.score[0] = mixedPenalty
+	}
 	if sm.usesReserved || p.hasReservations && !sm.hasReservation(p) {
-		sm.score[0] = 2
+		sm.score[0] += 2
 	}
 	if p.Rack != "" && !slices.Contains(sm.Labels, p.Rack) {
 		sm.score[0]++
@@ -131,6 +125,9 @@
 	sm.score[4] = float64(sm.roomLeft.CPU - p.Size.CPU)
 }
 
+// mixedPenalty exceeds all else in the first key of a score.
+const mixedPenalty = 4
+
 // takeRoom reports whether one more task fits, and subtracts its room.
 func (sm *scoredMinion) takeRoom(p *step) bool {
 	if sm.suspect() && sm.taskCount > 0 || !sm.roomLeft.CanFit(p.Reserved()) || p.PerMinion > 0 && sm.taskCount >= p.PerMinion {
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -51,8 +51,9 @@
 	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
 	p.waiting--
 	p.waitsSince = time.Time{}
-	r := &run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now}
+	r := &run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now, speed: fullSpeed, speedKnown: true}
 	m.add(r)
+	s.throttleRuns(v.now, m)
 	s.markChanged(j)
 	if j.state == Queued {
 		j.state = Active
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -166,6 +166,9 @@
 	onTrial     bool        // it has to survive before its task is no suspect any more
 	fateOpen    bool        // it was fresh when its minion fell silent or was doubted
 	carried     *accusation // holds if the next incarnation of its minion does not list it
+	speed       int         // percentage at which it works, if speedKnown
+	speedKnown  bool        // the minion has confirmed speed, or it is that of a start by this owner
+	throttledAt time.Time   // when a speed was ordered that has no reply yet
 	percent     int         // progress as last reported
 	progressAt  time.Time   // when percent last changed
 }
@@ -191,6 +194,7 @@
 	slowness       float64       // run times here relative to those elsewhere; 0 if unknown
 	fillRuns       int           // runs of fill tasks
 	targetRuns     int           // runs with a bound on their response times
+	sharing        sharing       // how its fill runs and those with a bound share it
 	leavesAt       time.Time     // while it drains: when it may leave
 	reservations   []reservation // room reserved for waiting steps
 	heldRoom       work.Size     // room held for starts that wait for tickets
@@ -257,6 +261,15 @@
 	Token   int64
 }
 
+// ThrottleOrder is an order to let a run work at a percentage of its speed.
+type ThrottleOrder struct {
+	Minion  work.Minion
+	Task    work.TaskID
+	Attempt int
+	Speed   int // percent
+	Token   int64
+}
+
 // AdviceQuery is a query to the placement service.
 type AdviceQuery struct {
 	Step work.TaskID // Index is not used
@@ -292,9 +305,10 @@
 
 // Actions may be carried out without a durable write first.
 type Actions struct {
-	Stops    []StopOrder
-	Queries  []AdviceQuery
-	Statuses []JobStatus
+	Stops     []StopOrder
+	Throttles []ThrottleOrder // HandleThrottleReply has to be called for each
+	Queries   []AdviceQuery
+	Statuses  []JobStatus
 }
 
 // tokensPerTerm leaves an owner room to raise its token at a minion.
