--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -7,61 +7,6 @@
 	"jasminestep/internal/work"
 )
 
-// A minion whose runs fail or make no progress is paused for increasing times.
-// After a pause it gets one run at a time until one succeeds. A task that has
-// failed is kept away from suspect minions: the failure may have been the
-// minion's fault, and a job has a limited number of attempts.
-
-// Limits on the pauses of minions.
-const (
-	failuresBeforePause = 2
-	minPause            = time.Second
-	maxPause            = 8 * time.Second
-	noReplyPause        = 300 * time.Millisecond // after a start without a reply, to leave time for a report
-)
-
-// recordFailure counts a failure of a minion. Failures of earlier runs that
-// arrive while the minion is paused are not counted again.
-func (s *State) recordFailure(now time.Time, m *minion) {
-	if now.Before(m.pausedUntil) {
-		return
-	}
-	m.failures++
-	if m.failures < failuresBeforePause {
-		return
-	}
-	d := min(minPause<<min(m.failures-failuresBeforePause, 3), maxPause)
-	m.pausedUntil = now.Add(d)
-	s.note(Note{What: MinionPaused, Minion: m.ID, Why: d.String()})
-}
-
-// suspect reports whether the minion has failed too often to be given more than
-// one run.
-func (m *minion) suspect() bool { return m.failures >= failuresBeforePause }
-
-// probing reports whether the minion is suspect and already has the one run it
-// may have. Lasting runs that have survived do not count: they never succeed.
-func (m *minion) probing(now time.Time) bool {
-	if !m.suspect() {
-		return false
-	}
-	for _, r := range m.runs {
-		if r.step == nil || !r.step.Lasting || r.age(now) < lastingProof {
-			return true
-		}
-	}
-	return false
-}
-
-// failurePenalty ranks minions for a task of the step: a step with failures
-// should not go to a minion with failures.
-func (p *step) failurePenalty(m *minion) float64 {
-	if m.failures == 0 || p.failures == 0 {
-		return 0
-	}
-	return 3
-}
-
 // Weights of the newest sample in the moving averages of run times.
 const (
 	baselineWeight = 0.05
@@ -70,7 +15,6 @@
 
 // recordRunTime updates the run time averages with a run that succeeded.
 func (s *State) recordRunTime(now time.Time, m *minion, r *run) {
-	m.failures = 0
 	if r.step.Estimate <= 0 || r.placedAt.IsZero() || r.step.Fill {
 		return
 	}
@@ -139,7 +83,7 @@
 	}
 	r.stopping = true
 	p.failures++
-	s.recordFailure(now, m)
+	s.recordFailure(now, m, failure{p, r.task})
 	s.note(Note{What: RunStalled, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
 }
 
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -24,7 +24,7 @@
 	}
 	assert.Equal(t, len(first.runs), 0)
 	assert.Equal(t, w.running(), 1)
-	assert.Equal(t, o.st.minions[first.ID].failures, 1)
+	assert.Equal(t, o.st.minions[first.ID].failures(), 1)
 }
 
 func TestMinionThatFailsEverythingIsProbed(t *testing.T) {
@@ -44,7 +44,7 @@
 		}
 		w.pass(200 * time.Millisecond)
 	}
-	assert.Assert(t, o.st.minions[bad.ID].failures > 3)
+	assert.Assert(t, o.st.minions[bad.ID].failures() > 3)
 	assert.Equal(t, most, 1, "a suspect minion gets one run at a time")
 }
 
@@ -53,12 +53,12 @@
 	w.submit(newJob("a", tasks(4, 1000)))
 	w.cycle()
 	m := o.st.minions["m0"]
-	m.failures = 1
+	m.failed = make([]failure, 1)
 	for k := range w.minions[0].runs {
 		w.minions[0].end(k, work.Failed)
 	}
 	o.renew(w.minions[0])
-	assert.Equal(t, m.failures, 2)
+	assert.Equal(t, m.failures(), 2)
 }
 
 // Slow replies from unreachableMinions minions are enough to exclude the rest of
@@ -129,7 +129,7 @@
 	w.submit(newJob("service", service))
 	w.live(lastingProof, replaced)
 	assert.Equal(t, w.running(), 1)
-	o.st.minions["m0"].failures = failuresBeforePause
+	o.st.minions["m0"].failed = make([]failure, failuresBeforePause)
 	w.submit(newJob("second", service))
 	w.submit(newJob("batch", tasks(1, 1000)))
 	w.live(30*time.Second, replaced)
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -148,7 +148,7 @@
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
-	m.knownSince, m.failures, m.slowness = now, 0, 0
+	m.knownSince, m.failed, m.slowness = now, nil, 0
 	s.cancelReservations(m)
 	for _, r := range carriedOver {
 		s.carryOver(m, r)
@@ -323,7 +323,7 @@
 			r.step.advice.expireTicket(m.ID)
 		}
 	case work.Unhealthy, work.NoCapacity:
-		s.recordFailure(now, m)
+		s.recordFailure(now, m, failure{})
 	}
 	s.requeueLost(now, r, "refused: "+string(why))
 }
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -49,7 +49,7 @@
 		return isDraining
 	case !m.silentSince.IsZero():
 		return isSilent
-	case now.Before(m.pausedUntil):
+	case now.Before(m.pausedUntil) || m.resting(now):
 		return isPaused
 	case m.zone.unreachable():
 		return zoneSilent
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -195,12 +195,13 @@
 func (s *State) loadTask(p *step, t *task, in savedTask) {
 	t.attempt, t.failures, t.checkpoint, t.openAttempts = in.Attempt, in.Failures, in.Saved, in.OpenAttempts
 	t.inheritedCopies = len(in.OpenAttempts)
+	p.failures += in.Failures
 	if in.Crash != nil {
 		t.crash = *in.Crash
 	}
 	switch in.Phase {
 	case Finished:
-		t.phase = Finished
+		t.phase, p.succeeded = Finished, true
 		p.unfinished--
 		p.waiting--
 	case Placed:
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -73,6 +73,7 @@
 			s.markBegun(r.step.job)
 		}
 		s.checkProgress(now, m, r, w)
+		m.recordSurvival(now, r)
 		if r.task != nil && r.task.attempt == w.Attempt && r.task.phase == Placed {
 			if w.Saved != "" {
 				r.task.checkpoint = w.Saved
@@ -165,11 +166,12 @@
 	switch {
 	case e.How == work.Done && !p.Lasting:
 		if r != nil {
+			m.recordSuccess(p, t)
 			s.recordRunTime(now, m, r)
 		}
 		s.finishTask(now, p, t)
 	case e.How == work.Failed:
-		s.handleFailure(now, m, p, t)
+		s.handleFailure(now, m, p, t, r)
 	default:
 		s.requeue(p, t)
 		s.stopGang(now, p)
@@ -247,9 +249,13 @@
 	}
 }
 
-// handleFailure counts a failed run.
-func (s *State) handleFailure(now time.Time, m *minion, p *step, t *task) {
-	s.recordFailure(now, m)
+// handleFailure counts a failed run. r is nil if it is not known. A lasting run
+// may fail at any time, which tells nothing about its minion after it has lasted
+// for long.
+func (s *State) handleFailure(now time.Time, m *minion, p *step, t *task, r *run) {
+	if r == nil || !r.survived {
+		s.recordFailure(now, m, failure{p, t})
+	}
 	if !p.Gang || p.failedAttempt != t.attempt {
 		p.failedAttempt = t.attempt
 		t.failures++
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -19,6 +19,7 @@
 	ticket       ticket
 	roomLeft     work.Size // room left after the placements of this decision
 	taskCount    int       // tasks of the step on the minion
+	planned      int       // of these, those of this decision
 	usesReserved bool      // uses room that other steps have reserved
 	score        [5]float64
 }
@@ -130,11 +131,12 @@
 
 // takeRoom reports whether one more task fits, and subtracts its room.
 func (sm *scoredMinion) takeRoom(p *step) bool {
-	if sm.suspect() && sm.taskCount > 0 || !sm.roomLeft.CanFit(p.Reserved()) || p.PerMinion > 0 && sm.taskCount >= p.PerMinion {
+	if sm.suspect() && sm.planned > 0 || !sm.roomLeft.CanFit(p.Reserved()) || p.PerMinion > 0 && sm.taskCount >= p.PerMinion {
 		return false
 	}
 	sm.roomLeft = sm.roomLeft.Minus(p.Reserved())
 	sm.taskCount++
+	sm.planned++
 	return true
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -67,6 +67,7 @@
 	phase           Phase
 	attempt         int              // number of the last start; 0 before the first
 	failures        int              // failed runs
+	failedOn        []string         // minions where its runs have failed since one has succeeded, at most minionsToAcquit
 	incarnation     work.Incarnation // where the task is placed; only while Placed
 	checkpoint      string           // newest checkpoint
 	openAttempts    []int            // attempts left running for a copy whose end has not been reported
@@ -87,6 +88,8 @@
 	waiting         int // tasks that wait to be placed
 	advice          advice
 	failures        int           // runs that failed or made no progress
+	failedOn        []string      // minions where that was, since the last success, at most minionsToAcquit
+	succeeded       bool          // one of its tasks has succeeded, or has lasted for long
 	hasReservations bool          // room is reserved for the step
 	incomplete      bool          // some members of a gang were refused; the others wait for them at their minions
 	failedAttempt   int           // attempt of a gang whose failure has been counted
@@ -163,6 +166,7 @@
 	placedAt    time.Time
 	confirmedAt time.Time   // when a reply or a report first showed that it has begun
 	unreached   bool        // its start certainly did not reach the minion
+	survived    bool        // a lasting run that has lasted for lastingProof
 	onTrial     bool        // it has to survive before its task is no suspect any more
 	fateOpen    bool        // it was fresh when its minion fell silent or was doubted
 	carried     *accusation // holds if the next incarnation of its minion does not list it
@@ -190,7 +194,10 @@
 	hasCarriedRuns bool          // has runs that may have been meant for the previous incarnation
 	silentSince    time.Time     // first unanswered renewal since the last reply
 	pausedUntil    time.Time     // gets no new work before this time
-	failures       int           // failures since the last success
+	failed         []failure     // since the last success, oldest first, at most maxFailures
+	failedAt       time.Time     // when the last of them was recorded
+	restUntil      time.Time     // while it is a suspect it gets no new work before this time
+	acquitted      bool          // it is no suspect, since most minions would be
 	slowness       float64       // run times here relative to those elsewhere; 0 if unknown
 	fillRuns       int           // runs of fill tasks
 	targetRuns     int           // runs with a bound on their response times
@@ -214,36 +221,37 @@
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
 
-	jobs             map[string]*job
-	changed          []*job             // jobs whose rows have to be written
-	upcoming         []*job             // jobs with rounds that are not due yet
-	forgotten        []forgottenJob     // archived jobs that are not in jobs any more, oldest first
-	forgottenIDs     map[string]bool    // IDs of forgotten
-	staleRows        []table.Key        // progress rows that can be deleted
-	queue            []*step            // steps with tasks that wait
-	candidates       []candidate        // buffer reused between decisions
-	roomFreed        bool               // some minion has more room than at the last decision
-	checkedAt        time.Time          // when all minions were last checked
-	bundleCount      int                // number of bundles written in this term
-	epoch            int64              // changes with the set of minions
-	newIncarnations  []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
-	minions          map[string]*minion
-	zones            map[string]*zone
-	trials           []*minion                 // minions with a trial
-	sortedMinions    []*minion                 // by ID; nil when minions has changed
-	termStart        time.Time                 // when the term began
-	renewalSeq       int64                     // sequence number of the last renewal
-	runTimes         map[string]*runTimes      // by queue
-	eligibleShares   map[string]*eligibleShare // by queue
-	baseline         map[string]float64        // average ratio of run time to estimate, by queue
-	queryCapacity    QueryCapacity             // remaining in this decision
-	contendedQueries int                       // queries that used up the capacity since turnOf last issued one
-	turnOf           *step                     // the step that has waited longest, while it goes first
-	queryOffset      uint                      // where the next query begins to name minions
-	writeTime        time.Duration             // average duration of a write
-	lastDurable      time.Time                 // start of the last write that became durable
-	batch            Batch
-	actions          Actions
+	jobs              map[string]*job
+	changed           []*job             // jobs whose rows have to be written
+	majorityAcquitted bool               // as of the last check of all minions
+	upcoming          []*job             // jobs with rounds that are not due yet
+	forgotten         []forgottenJob     // archived jobs that are not in jobs any more, oldest first
+	forgottenIDs      map[string]bool    // IDs of forgotten
+	staleRows         []table.Key        // progress rows that can be deleted
+	queue             []*step            // steps with tasks that wait
+	candidates        []candidate        // buffer reused between decisions
+	roomFreed         bool               // some minion has more room than at the last decision
+	checkedAt         time.Time          // when all minions were last checked
+	bundleCount       int                // number of bundles written in this term
+	epoch             int64              // changes with the set of minions
+	newIncarnations   []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
+	minions           map[string]*minion
+	zones             map[string]*zone
+	trials            []*minion                 // minions with a trial
+	sortedMinions     []*minion                 // by ID; nil when minions has changed
+	termStart         time.Time                 // when the term began
+	renewalSeq        int64                     // sequence number of the last renewal
+	runTimes          map[string]*runTimes      // by queue
+	eligibleShares    map[string]*eligibleShare // by queue
+	baseline          map[string]float64        // average ratio of run time to estimate, by queue
+	queryCapacity     QueryCapacity             // remaining in this decision
+	contendedQueries  int                       // queries that used up the capacity since turnOf last issued one
+	turnOf            *step                     // the step that has waited longest, while it goes first
+	queryOffset       uint                      // where the next query begins to name minions
+	writeTime         time.Duration             // average duration of a write
+	lastDurable       time.Time                 // start of the last write that became durable
+	batch             Batch
+	actions           Actions
 }
 
 // StartOrder is a start to be sent.
--- a/internal/shard/throttle_test.go
+++ b/internal/shard/throttle_test.go
@@ -222,13 +222,11 @@
 // Guards against placement by chance: with placement queries, minions without
 // the other kind of task are asked about first, the others if need be.
 func TestServingTasksThatFewMinionsMayRunStartBesideFillTasks(t *testing.T) {
-	w, _ := newOwnedCluster(t, 3)
-	w.minions[1].Labels = append([]string{"ssd"}, w.minions[1].Labels...)
-	w.resize(w.minions[1], w.minions[1].Capacity.CPU)
+	w, _ := newLabelledCluster(t)
 	w.submit(newJob("fill", filling(3)))
 	w.cycle()
 	p := serving(1)
-	p.Label = "ssd"
+	p.Label = testLabel
 	w.submit(newJob("serve", p))
 	w.watch(5 * time.Second)
 	assert.Equal(t, w.runsOf("serve"), 1)
