--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -318,13 +318,19 @@
 	s := &cluster{t: t, direct: direct, rows: &tabletest.Store{}, fleet: newFleet(minions, 4000)}
 	cfg := work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "svc", Attempts: 3, Slack: 2, Target: time.Second}}, Services: []work.Service{{Name: "svc"}}}
 	s.putRow("conf", "now", cfg)
-	for id, m := range s.fleet.minions {
-		s.putRow("minion", id, work.Minion{Incarnation: work.Incarnation{ID: id, Born: m.born}, Service: "svc", Address: id, Zone: "z", Capacity: work.Size{CPU: m.capacity, Mem: 1000}})
-	}
+	s.writeMinionRows()
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			sleep(ctx, rowInterval)
+			s.writeMinionRows()
+		}
+	}()
 	for i := range entries {
 		s.startEntry(fmt.Sprintf("e%d", i))
 	}
 	t.Cleanup(func() {
+		stop()
 		for _, e := range s.entries {
 			e.Kill()
 		}
@@ -333,6 +339,30 @@
 	return s
 }
 
+// injectFaults selects the faults of transactions, except those of minions.
+func (s *cluster) injectFaults(f func(tx table.Tx) tabletest.Fault) {
+	if f == nil {
+		s.rows.InjectFaults(nil)
+		return
+	}
+	s.rows.InjectFaults(func(tx table.Tx) tabletest.Fault {
+		if len(tx.Put) > 0 && tx.Put[0].Table == "minion" {
+			return tabletest.NoFault
+		}
+		return f(tx)
+	})
+}
+
+// rowInterval is the time between two writes of a minion's row.
+const rowInterval = 500 * time.Millisecond
+
+// writeMinionRows writes the rows of all minions.
+func (s *cluster) writeMinionRows() {
+	for id, m := range s.fleet.minions {
+		s.putRow("minion", id, work.Minion{Incarnation: work.Incarnation{ID: id, Born: m.born}, Service: "svc", Address: id, Zone: "z", Capacity: work.Size{CPU: m.capacity, Mem: 1000}})
+	}
+}
+
 func (s *cluster) putRow(tab, name string, v any) {
 	b, err := json.Marshal(v)
 	assert.NilError(s.t, err)
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -16,6 +16,7 @@
 	read      func(ctx context.Context, s table.Store) (table.Range, error) // reads the whole table; nil: table.ReadAll
 	wait, gap time.Duration                                                 // long-poll wait of a feed request, and pause between two
 	report    func(error)                                                   // called with the result of every request
+	observe   func(version int64, at time.Time)                             // called with the version of every reply and when its request began
 	apply     func(rows []table.Row, whole bool)                            // called with changes, or with the whole table
 }
 
@@ -25,6 +26,7 @@
 func (f follower) run(ctx context.Context, from int64) {
 	after := from
 	for ctx.Err() == nil {
+		began := monotonicNow()
 		r, err := f.next(ctx, after)
 		switch {
 		case errors.Is(err, table.ErrTrimmed):
@@ -36,6 +38,7 @@
 			continue
 		}
 		f.report(nil)
+		f.observe(r.Version, began)
 		if after < 0 || len(r.Rows) > 0 {
 			f.apply(r.Rows, after < 0)
 		}
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -16,7 +16,14 @@
 func (o *owner) load() error {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	minions, err := retryRead(ctx, func() (table.Range, error) { return table.ReadAll(ctx, o.s.relayStore, o.s.Codec.MinionTable) })
+	minions, err := retryRead(ctx, func() (table.Range, error) {
+		began := monotonicNow()
+		r, err := table.ReadAll(ctx, o.s.relayStore, o.s.Codec.MinionTable)
+		if err == nil {
+			o.s.writeTimes.observe(r.Version, began)
+		}
+		return r, err
+	})
 	if err != nil {
 		return fmt.Errorf("read minions: %w", err)
 	}
@@ -112,7 +119,7 @@
 			continue
 		}
 		listed[m.ID] = true
-		o.state.UpdateMinion(now, m)
+		o.state.UpdateMinion(now, m, o.s.writeTimes.writtenAfter(r.Version))
 	}
 	if whole {
 		o.state.UnlistMissing(now, listed)
@@ -121,7 +128,7 @@
 
 // followJobs finds jobs and cancellations that this owner was not notified of.
 func (o *owner) followJobs() {
-	f := follower{store: o.s.relayStore, table: jobTable, read: readJobs, gap: feedInterval, report: o.s.feedLogger("jobs")}
+	f := follower{store: o.s.relayStore, table: jobTable, read: readJobs, gap: feedInterval, report: o.s.feedLogger("jobs"), observe: o.s.writeTimes.observe}
 	f.apply = func(rows []table.Row, _ bool) {
 		o.post(func(now time.Time) { o.applyJobRows(now, rows, shard.SavedProgress{}) })
 	}
@@ -129,7 +136,7 @@
 }
 
 func (o *owner) followMinions() {
-	f := follower{store: o.s.relayStore, table: o.s.Codec.MinionTable, gap: feedInterval, report: o.s.feedLogger("minions")}
+	f := follower{store: o.s.relayStore, table: o.s.Codec.MinionTable, gap: feedInterval, report: o.s.feedLogger("minions"), observe: o.s.writeTimes.observe}
 	f.apply = func(rows []table.Row, whole bool) {
 		o.post(func(now time.Time) { o.applyMinionRows(now, rows, whole) })
 	}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -66,6 +66,7 @@
 	o.minionCalls = s.newDispatcher(o)
 	limits := shard.DefaultLimits
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
+	limits.MaxRowAge = s.Settings.maxRowAge()
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
 	o.state = shard.New(service, row.Term, monotonicNow(), limits)
 	return o
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -205,7 +205,11 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var out AliveReply
+	began := monotonicNow()
 	err := s.peers.Call(ctx, row.Addr, peer.Control, "Alive", service, &out)
+	if err == nil && out.Version > 0 {
+		s.writeTimes.observe(out.Version, began.Add(-out.VersionAge))
+	}
 	return err == nil && out.Owns && out.Age < maxWriteAge, errors.Is(err, syscall.ECONNREFUSED)
 }
 
@@ -214,10 +218,12 @@
 func (s *Server) readSeqVersion(ctx context.Context, service string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, seqReadTimeout)
 	defer cancel()
+	began := monotonicNow()
 	r, err := s.relayStore.ReadDirect(ctx, seqTable, service)
 	if err != nil {
 		return 0, err
 	}
+	s.writeTimes.observe(r.Version, began)
 	if len(r.Rows) == 0 {
 		return 0, nil
 	}
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -35,8 +35,10 @@
 
 // AliveReply tells whether an entry owns a shard.
 type AliveReply struct {
-	Owns bool
-	Age  time.Duration // since the start of its last durable write
+	Owns       bool
+	Age        time.Duration // since the start of its last durable write
+	Version    int64         // newest version of the store that the owner knows; 0 if unknown
+	VersionAge time.Duration // since the store had at most that version
 }
 
 // LookArgs are the arguments of Look.
@@ -93,7 +95,11 @@
 // Alive reports whether this entry owns the shard of a service.
 func (p *peerService) Alive(service string, out *AliveReply) error {
 	if o := p.s.localOwner(service); o != nil {
-		*out = AliveReply{true, monotonicNow().Sub(o.lastWrite())}
+		now := monotonicNow()
+		*out = AliveReply{Owns: true, Age: now.Sub(o.lastWrite())}
+		if v, ok := p.s.writeTimes.newest(); ok {
+			out.Version, out.VersionAge = v.Version, now.Sub(v.At)
+		}
 	}
 	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -70,6 +70,7 @@
 	readinessServer *web.Server
 	metricsServer   *web.Server
 	metrics         *metric.Meter
+	writeTimes      writeTimes // of rows of the store
 	carrier         *carry.Carrier
 	pendingRPCs     atomic.Int64
 
@@ -138,10 +139,10 @@
 	s.spawn(func() { s.relayStore.Watch(ctx) })
 	s.spawn(func() { s.writeEntryRow(ctx, false) })
 	s.spawn(func() {
-		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), apply: s.applyConfig}.run(ctx, -1)
+		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), observe: s.writeTimes.observe, apply: s.applyConfig}.run(ctx, -1)
 	})
 	s.spawn(func() {
-		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), apply: s.applyEntryTable}.run(ctx, -1)
+		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), observe: s.writeTimes.observe, apply: s.applyEntryTable}.run(ctx, -1)
 	})
 	s.spawn(func() { s.watchServices(ctx) })
 	s.Log.Info("entry started", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -25,6 +25,8 @@
 	Lease            int64   `json:"lease"`
 	MaxLease         int64   `json:"most"`
 	JobRetention     int64   `json:"keep"`
+	Heartbeat        int64   `json:"beat"`
+	ContactTime      int64   `json:"contact"`
 	MaxDirectMinions int64   `json:"direct"`
 	Memory           int64   `json:"memory"`
 	Cores            float64 `json:"cores"`
@@ -55,6 +57,8 @@
 	newSetting("lease", "ms", "5000", "1000 to 9000", "duration of the lease of a run, counted from each renewal"),
 	newSetting("most", "ms", "10000", "1000 to 600000", "maximum lease that minions grant; a longer lease is shortened to it"),
 	newSetting("keep", "ms", "150000", "1000 to 86400000", "retention time of the outcome of an ended job"),
+	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
+	newSetting("contact", "ms", "3000", "100 to 60000", "time after which all that are connected know of a change; for it and one beat, room that a minion no longer has still counts"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
 	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an owner uses part of it to run garbage collection less often; 0: unknown"),
 	newSetting("level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"),
@@ -107,6 +111,8 @@
 		{"lease", s.Lease, 1000, 9000},
 		{"most", s.MaxLease, 1000, 600_000},
 		{"keep", s.JobRetention, 1000, 86_400_000},
+		{"beat", s.Heartbeat, 10, 60_000},
+		{"contact", s.ContactTime, 100, 60_000},
 		{"direct", s.MaxDirectMinions, 1, 100_000},
 		{"memory", s.Memory, 0, 1_000_000},
 	} {
@@ -129,7 +135,7 @@
 	for _, f := range []struct {
 		p   *int64
 		def time.Duration
-	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.MaxLease, 10 * time.Second}, {&s.JobRetention, 150 * time.Second}} {
+	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.MaxLease, 10 * time.Second}, {&s.JobRetention, 150 * time.Second}, {&s.Heartbeat, 1500 * time.Millisecond}, {&s.ContactTime, 3 * time.Second}} {
 		if *f.p == 0 {
 			*f.p = f.def.Milliseconds()
 		}
@@ -151,6 +157,16 @@
 	}
 }
 
+// orderTime is how long before the end of its validity a minion's row is no
+// longer relied on, so that an order arrives in time.
+const orderTime = 500 * time.Millisecond
+
+// maxRowAge is how old a minion's row may be when a start that relies on it is
+// sent.
+func (s *Settings) maxRowAge() time.Duration {
+	return time.Duration(s.ContactTime+s.Heartbeat)*time.Millisecond - orderTime
+}
+
 // SameAddresses reports whether o has the same name and addresses.
 func (s *Settings) SameAddresses(o *Settings) bool {
 	return s.ID == o.ID && s.ClientAddr == o.ClientAddr && s.ReadinessAddr == o.ReadinessAddr && s.PeerAddr == o.PeerAddr && s.Store == o.Store && s.Advice == o.Advice
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -67,6 +67,7 @@
 	w := newSimCluster(t, 6)
 	for i, b := range w.minions {
 		b.Zone = []string{"x", "y"}[i%2]
+		w.writeRow(b)
 	}
 	o := w.takeOver()
 	w.cycle()
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -68,8 +68,9 @@
 	return m.listed || now.Sub(m.unlistedAt) < unlistedGrace
 }
 
-// UpdateMinion processes a minion's entry in the store.
-func (s *State) UpdateMinion(now time.Time, w work.Minion) {
+// UpdateMinion processes a minion's entry in the store. It was written after
+// writtenAfter, which is zero if it may be of any age.
+func (s *State) UpdateMinion(now time.Time, w work.Minion, writtenAfter time.Time) {
 	m := s.minions[w.ID]
 	if w.Service != s.Service {
 		if m != nil && w.Born > m.Born {
@@ -99,6 +100,7 @@
 	m.Minion = w
 	m.leavesAt = now.Add(w.Remaining)
 	m.listed = true
+	m.rowValidUntil = maxTime(m.rowValidUntil, writtenAfter.Add(s.Limits.MaxRowAge))
 	s.zoneOf(m)
 	s.wakeSteps(m)
 }
@@ -144,7 +146,7 @@
 	m.Minion = w
 	s.announce(m)
 	s.zoneOf(m)
-	m.synced, m.listed = false, false
+	m.synced, m.listed, m.rowValidUntil = false, false, time.Time{}
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -22,6 +22,7 @@
 	wrongKind
 	awaitsProbe
 	runsTrial
+	staleRow
 	obstacleCount // number of obstacles
 )
 
@@ -36,6 +37,7 @@
 	wrongKind:   "are too small or lack the label",
 	awaitsProbe: "have failed and wait for the end of one run",
 	runsTrial:   "have a run on trial",
+	staleRow:    "have a row that is too old",
 }
 
 // obstacle returns why the minion is given no work at all.
@@ -60,18 +62,23 @@
 // usable reports whether new work may be sent to the minion.
 func (m *minion) usable(now time.Time) bool { return m.obstacle(now) == noObstacle }
 
-// obstacle returns why a task of the step is not placed on m at present.
-func (p *step) obstacle(now time.Time, m *minion) obstacle {
+// obstacle returns why a task of the step is not placed on m, for a start that
+// is sent at a later time.
+func (p *step) obstacle(now, send time.Time, m *minion) obstacle {
 	if o := p.lastingObstacle(now, m); o != noObstacle {
 		return o
 	}
-	if m.closedTo(p) {
+	switch {
+	case m.closedTo(p):
 		return runsTrial
+	case send.After(m.rowValidUntil):
+		return staleRow
 	}
 	return noObstacle
 }
 
-// lastingObstacle is obstacle without trials, which end soon.
+// lastingObstacle is obstacle without what ends soon: trials, and the wait for a
+// new row.
 func (p *step) lastingObstacle(now time.Time, m *minion) obstacle {
 	if o := m.obstacle(now); o != noObstacle {
 		return o
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -86,6 +86,8 @@
 		return "stopped before it was sent"
 	case m.clockAt.IsZero() || !m.silentSince.IsZero():
 		return "its minion stopped answering before it was sent"
+	case now.After(m.rowValidUntil):
+		return "its minion's row is too old"
 	case !m.Capacity.CanFit(m.used):
 		return "its minion has less room than before"
 	case o.Start.Ticket != "" && now.After(o.ticketExpires):
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -26,6 +26,7 @@
 	RenewWindow   time.Duration // how long after its last durable write an owner still renews
 	MaxOrderDelay time.Duration // how late a delayed order may still be executed
 	MaxClockDrift float64       // how much slower a minion's clock may run, as a fraction
+	MaxRowAge     time.Duration // how old a minion's row may be for a start that relies on it: the minion may have less room since
 	Retention     time.Duration // how long an ended job is remembered after its archival
 	MaxEnds       int           // maximum number of ends in one report of a minion; there may be more
 	MaxRows       int           // jobs with rows of their own in one batch
@@ -33,7 +34,7 @@
 
 // DefaultLimits suit minions that allow leases of 10 s.
 var DefaultLimits = Limits{
-	Lease: 5 * time.Second, RenewWindow: 3 * time.Second, MaxOrderDelay: 15 * time.Second, MaxClockDrift: 0.02, Retention: 150 * time.Second,
+	Lease: 5 * time.Second, RenewWindow: 3 * time.Second, MaxOrderDelay: 15 * time.Second, MaxClockDrift: 0.02, MaxRowAge: 4 * time.Second, Retention: 150 * time.Second,
 	MaxEnds: 500, MaxRows: maxOwnRows,
 }
 
@@ -182,6 +183,7 @@
 	work.Minion
 	listed         bool      // has an entry in the store
 	unlistedAt     time.Time // since when it has no entry
+	rowValidUntil  time.Time // until when a start may rely on its row; zero if that is of an earlier incarnation
 	synced         bool      // has answered under this term's token, so that its reports are complete
 	token          int64     // token for the next order
 	clock          int64     // its clock in ms at clockAt
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -91,7 +91,7 @@
 		if !allowed && p.advice.queried[m.ID] {
 			continue
 		}
-		o := p.obstacle(now, m)
+		o := p.obstacle(now, now.Add(s.writeTime), m)
 		w.obstacles[o]++
 		fits := o == noObstacle && m.free().CanFit(p.Reserved())
 		switch {
