--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -114,11 +114,11 @@
 			continue
 		}
 		m, ok := o.s.Codec.DecodeMinion(r.Name, r.Value)
+		listed[r.Name] = true // an invalid row names no minion, but ends none either
 		if !ok {
 			o.s.Log.Debug("minion row invalid", "minion", r.Name)
 			continue
 		}
-		listed[m.ID] = true
 		o.state.UpdateMinion(now, m, o.s.writeTimes.writtenAfter(r.Version))
 	}
 	if whole {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jasminestep/internal/shard"
 	"jasminestep/internal/table"
 	"jasminestep/internal/table/tabletest"
 )
@@ -348,3 +349,24 @@
 	assert.Equal(t, code, http.StatusServiceUnavailable)
 	o.loaded.Store(true)
 }
+
+// Guards against minions that are given up because of another writer: a row that
+// cannot be read, under the ID of a minion, ended it when all rows were read.
+func TestUnreadableRowEndsNoMinion(t *testing.T) {
+	s := newCluster(t, 1, 2)
+	s.eventually("an owner", func() bool { _, e := s.owner(); return e != nil })
+	_, e := s.owner()
+	unlisted := make(chan []string)
+	o := e.localOwner("svc")
+	o.post(func(now time.Time) {
+		o.applyMinionRows(now, []table.Row{{Key: table.Key{Table: "minion", Name: "m0"}, Value: []byte("{")}}, true)
+		var ids []string
+		for _, n := range o.state.Notes {
+			if n.What == shard.MinionUnlisted {
+				ids = append(ids, n.Minion)
+			}
+		}
+		unlisted <- ids
+	})
+	assert.DeepEqual(t, <-unlisted, []string{"m1"})
+}
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -55,6 +55,9 @@
 // this incarnation has ended, and nothing runs there any more.
 func (s *State) HandleReplaced(now time.Time, l work.Incarnation) {
 	m := s.minions[l.ID]
+	if m != nil && m.claimed(l) {
+		m.claim = nil
+	}
 	if m == nil || m.Incarnation != l {
 		return
 	}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -66,8 +66,16 @@
 			"step":   func(*rapid.T) { anyOwner().step() },
 			"commit": func(*rapid.T) { anyOwner().commit(!w.storeDown) },
 			"store":  func(*rapid.T) { w.storeDown = !w.storeDown },
-			"feed":   func(*rapid.T) { w.setFeed(!w.feedDown) },
-			"renew":  func(*rapid.T) { anyOwner().renew(anyBox()) },
+			"odd row": func(*rapid.T) {
+				if b := anyBox(); b.hasRow() && !w.storeDown && !w.feedDown {
+					odd := w.oddRow(b, []string{"s", "unknown"}[pick("service", 2)])
+					o := w.owners[len(w.owners)-1]
+					o.st.UpdateMinion(w.now, odd, w.now)
+					o.renewClaim(odd.Incarnation, nil)
+				}
+			},
+			"feed":  func(*rapid.T) { w.setFeed(!w.feedDown) },
+			"renew": func(*rapid.T) { anyOwner().renew(anyBox()) },
 			"deliver": func(*rapid.T) {
 				if len(w.inFlight) == 0 {
 					return
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// answered reports whether this incarnation has answered this owner.
+func (m *minion) answered() bool { return !m.clockAt.IsZero() }
+
 // free is the unused room.
 func (m *minion) free() work.Size { return m.Capacity.Minus(m.used) }
 
@@ -72,21 +75,25 @@
 // writtenAfter, which is zero if it may be of any age.
 func (s *State) UpdateMinion(now time.Time, w work.Minion, writtenAfter time.Time) {
 	m := s.minions[w.ID]
-	if w.Service != s.Service {
-		if m != nil && w.Born > m.Born {
-			s.replaceLife(now, m, w)
-			m.listed = false
-		}
-		return
-	}
+	validUntil := writtenAfter.Add(s.Limits.MaxRowAge)
 	switch {
+	case m == nil && w.Service != s.Service:
+		return
 	case m == nil:
 		m = s.newMinion(w)
 		s.note(Note{What: MinionAdded, Minion: w.ID, Why: w.Zone})
-	case w.Born > m.Born:
-		s.replaceLife(now, m, w)
-	case w.Born < m.Born:
+	case w.Born > m.Born && m.answered():
+		s.addClaim(m, w, validUntil)
+		return
+	case w.Born < m.Born && m.answered():
 		return // an entry of an earlier incarnation
+	case w.Born != m.Born:
+		s.replaceLife(now, m, w)
+	}
+	m.claim = nil
+	if w.Service != s.Service {
+		s.UnlistMinion(now, m.ID)
+		return
 	}
 	if w.Draining {
 		s.checkedAt = time.Time{}
@@ -100,7 +107,7 @@
 	m.Minion = w
 	m.leavesAt = now.Add(w.Remaining)
 	m.listed = true
-	m.rowValidUntil = maxTime(m.rowValidUntil, writtenAfter.Add(s.Limits.MaxRowAge))
+	m.rowValidUntil = maxTime(m.rowValidUntil, validUntil)
 	s.zoneOf(m)
 	s.wakeSteps(m)
 }
@@ -112,7 +119,7 @@
 	if m == nil || !m.listed {
 		return
 	}
-	m.listed, m.unlistedAt = false, now
+	m.listed, m.unlistedAt, m.claim = false, now, nil
 	s.note(Note{What: MinionUnlisted, Minion: id})
 }
 
@@ -146,7 +153,7 @@
 	m.Minion = w
 	s.announce(m)
 	s.zoneOf(m)
-	m.synced, m.listed, m.rowValidUntil = false, false, time.Time{}
+	m.synced, m.listed, m.rowValidUntil, m.claim = false, false, time.Time{}, nil
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
@@ -225,6 +232,10 @@
 // false once that incarnation has ended or is unknown.
 func (s *State) NextRenewal(now time.Time, l work.Incarnation) (n Renewal, ok bool) {
 	m := s.minions[l.ID]
+	if m != nil && m.claimed(l) {
+		s.renewalSeq++
+		return Renewal{Minion: m.claim.Minion, Token: m.token + 1, Seq: s.renewalSeq}, true
+	}
 	if m == nil || m.Incarnation != l {
 		return n, false
 	}
@@ -350,6 +361,10 @@
 		if now.Sub(m.silentSince) >= fateTimeout {
 			m.dropUnsettled()
 		}
+		if m.claim != nil {
+			s.adoptLife(now, m, m.claim.Born)
+			continue
+		}
 		if !m.listed && len(m.unsettled) == 0 {
 			delete(s.minions, id)
 			m.leaveZone()
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -23,6 +23,7 @@
 	awaitsProbe
 	runsTrial
 	staleRow
+	isClaimed
 	obstacleCount // number of obstacles
 )
 
@@ -38,6 +39,7 @@
 	awaitsProbe: "have failed and wait for the end of one run",
 	runsTrial:   "have a run on trial",
 	staleRow:    "have a row that is too old",
+	isClaimed:   "have a row of a life that has not answered",
 }
 
 // obstacle returns why the minion is given no work at all.
@@ -73,6 +75,8 @@
 		return runsTrial
 	case send.After(m.rowValidUntil):
 		return staleRow
+	case m.claim != nil:
+		return isClaimed
 	}
 	return noObstacle
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -10,18 +10,18 @@
 // HandleReport processes a minion's reply to a renewal.
 func (s *State) HandleReport(now time.Time, n Renewal, rep work.Report) {
 	m := s.minions[n.Minion.ID]
-	if m == nil || m.Incarnation != n.Minion.Incarnation {
+	switch {
+	case m == nil:
 		return
-	}
-	if rep.Born > m.Born {
-		w := m.Minion
-		w.Born = rep.Born
-		listed := m.listed
-		s.replaceLife(now, m, w)
-		m.listed = listed
+	case m.claimed(n.Minion.Incarnation):
+		s.handleClaimReport(now, m, rep.Born)
 		return
-	}
-	if rep.Born != 0 && rep.Born < m.Born {
+	case m.Incarnation != n.Minion.Incarnation:
+		return
+	case rep.Born > m.Born, rep.Born != 0 && rep.Born < m.Born && !m.answered():
+		s.adoptLife(now, m, rep.Born)
+		return
+	case rep.Born != 0 && rep.Born < m.Born:
 		return
 	}
 	m.clock, m.clockAt = rep.Clock, now
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -61,13 +61,9 @@
 // those on unusable minions, and sums up the rest.
 func (v *view) pruneReservations() {
 	for _, m := range v.ms {
-		v.totalRoom += roomWeight(m.Capacity)
-		if m.usable(v.now) {
-			v.usedRoom += roomWeight(m.used)
-		} else {
-			v.usedRoom += roomWeight(m.Capacity)
+		if m.answered() {
+			v.addRoom(m)
 		}
-		v.largest = work.Size{CPU: max(v.largest.CPU, m.Capacity.CPU), Mem: max(v.largest.Mem, m.Capacity.Mem), GPU: max(v.largest.GPU, m.Capacity.GPU)}
 		if len(m.reservations) == 0 {
 			continue
 		}
@@ -81,6 +77,17 @@
 	}
 }
 
+// addRoom adds the room of a minion to the sums.
+func (v *view) addRoom(m *minion) {
+	v.totalRoom += roomWeight(m.Capacity)
+	if m.usable(v.now) {
+		v.usedRoom += roomWeight(m.used)
+	} else {
+		v.usedRoom += roomWeight(m.Capacity)
+	}
+	v.largest = work.Size{CPU: max(v.largest.CPU, m.Capacity.CPU), Mem: max(v.largest.Mem, m.Capacity.Mem), GPU: max(v.largest.GPU, m.Capacity.GPU)}
+}
+
 // slot is room on a minion for one task of a step, from a given time on.
 type slot struct {
 	*minion
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -181,6 +181,7 @@
 // minion is the known state of one incarnation of a minion.
 type minion struct {
 	work.Minion
+	claim          *claim    // by a row; nil if there is none
 	listed         bool      // has an entry in the store
 	unlistedAt     time.Time // since when it has no entry
 	rowValidUntil  time.Time // until when a start may rely on its row; zero if that is of an earlier incarnation
