Split the large files of the shard by what they are about

Declarations only moved: the sorted lines of the package are the same but for package clauses and imports. Tests of internal/shard pass.

--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"jasminestep/internal/work"
 )
 
 // A draining minion announces the least time that it stays. Runs that will not
@@ -50,26 +48,3 @@
 		s.stopGang(now, r.step)
 	}
 }
-
-// HandleReplaced records that another minion now has the address of a minion:
-// this incarnation has ended, and nothing runs there any more.
-func (s *State) HandleReplaced(now time.Time, l work.Incarnation) {
-	m := s.minions[l.ID]
-	if m != nil && m.claimed(l) {
-		m.claim = nil
-	}
-	if m == nil || m.Incarnation != l {
-		return
-	}
-	if len(m.runs) > 0 || m.synced {
-		s.note(Note{What: MinionReplaced, Minion: m.ID})
-	}
-	m.synced = false
-	if m.silentSince.IsZero() {
-		m.silentSince = now
-	}
-	accused := s.accuseRuns(now, m)
-	s.dropRuns(now, m, "another minion has its address")
-	s.settle(now, m, true)
-	s.accuse(now, accused)
-}
--- /dev/null
+++ b/internal/shard/life.go
@@ -0,0 +1,75 @@
+package shard
+
+import (
+	"time"
+
+	"jasminestep/internal/work"
+)
+
+// replaceLife starts a new incarnation of a minion. The runs that the old one
+// had reported are gone. But a start in flight may have reached the new
+// incarnation, which has the same ID and has seen no token; the first report of
+// the new incarnation settles that.
+func (s *State) replaceLife(now time.Time, m *minion, w work.Minion) {
+	s.note(Note{What: MinionRestarted, Minion: m.ID})
+	accused := s.accuseRuns(now, m)
+	s.settle(now, m, true)
+	var carriedOver []*run
+	for _, r := range m.runs {
+		s.remove(m, r)
+		if r.listed || r.state == unsent || r.state == cancelled {
+			s.requeueLost(now, r, "its minion restarted")
+			continue
+		}
+		carriedOver = append(carriedOver, r)
+	}
+	m.Minion = w
+	s.announce(m)
+	s.zoneOf(m)
+	m.synced, m.listed, m.rowValidUntil, m.claim = false, false, time.Time{}, nil
+	m.token = max(m.token, s.Term*tokensPerTerm) + 1
+	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
+	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
+	m.knownSince, m.failed, m.slowness = now, nil, 0
+	s.cancelReservations(m)
+	for _, r := range carriedOver {
+		s.carryOver(m, r)
+	}
+	s.accuse(now, s.postponeCarried(accused))
+}
+
+// carryOver adds a run that the minion's new incarnation may have; its next
+// report settles it.
+func (s *State) carryOver(m *minion, r *run) {
+	r.state, r.renewalMark, r.token = uncertain, max(s.renewalSeq, 1), m.token-1
+	r.confirmedAt, r.speedKnown = time.Time{}, false
+	m.hasCarriedRuns = true
+	m.add(r)
+	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
+		t.incarnation = m.Incarnation
+		s.markChanged(r.step.job)
+	}
+}
+
+// HandleReplaced records that another minion now has the address of a minion:
+// this incarnation has ended, and nothing runs there any more.
+func (s *State) HandleReplaced(now time.Time, l work.Incarnation) {
+	m := s.minions[l.ID]
+	if m != nil && m.claimed(l) {
+		m.claim = nil
+	}
+	if m == nil || m.Incarnation != l {
+		return
+	}
+	if len(m.runs) > 0 || m.synced {
+		s.note(Note{What: MinionReplaced, Minion: m.ID})
+	}
+	m.synced = false
+	if m.silentSince.IsZero() {
+		m.silentSince = now
+	}
+	accused := s.accuseRuns(now, m)
+	s.dropRuns(now, m, "another minion has its address")
+	s.settle(now, m, true)
+	s.accuse(now, accused)
+}
--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -1,14 +1,15 @@
 package shard
 
-// The placement service takes long to answer and its tickets expire soon. These
-// functions decide which minions are named in a query, and when.
-
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
 )
 
+// The placement service takes long to answer and its tickets expire soon. These
+// functions decide which minions are named in a query, and when.
+
 // queryMore queries further minions for a step that does not fit on the known
 // ones. Once some are known to be eligible, only minions with room are useful.
 func (v *view) queryMore(c candidate) {
@@ -124,3 +125,161 @@
 }
 
 func lacksTicket(sm *scoredMinion) bool { return sm.eligibility != eligible }
+
+// Limits on placement queries.
+const (
+	minQueryMinions     = 16
+	maxQueryMinions     = 60
+	queryMinionsPerTask = 4 // minions named per task needed, because many are not eligible
+	spareTicketMinions  = 2 // minions named beyond those of a gang whose tickets are renewed
+	extraMinionsPerTask = 2 // minions named for each task that a plan leaves unplaced
+	queryInterval       = 500 * time.Millisecond
+	queryRetryDelay     = 50 * time.Millisecond // after a failed query
+)
+
+// query issues a placement query about a step if one is possible now, and
+// reports whether it did.
+func (s *State) query(now time.Time, p *step, ids []string) bool {
+	if len(ids) == 0 || now.Before(p.advice.retryAfter) {
+		return false
+	}
+	a := p.job.Advice
+	cost := a.Decide + a.Each*time.Duration(len(ids))
+	if !s.queryCapacity.take(cost) {
+		p.deferredCost = cost
+		return false
+	}
+	switch {
+	case p == s.turnOf:
+		s.turnOf, s.contendedQueries = nil, 0
+	case s.queryCapacity.Slow == 0:
+		s.contendedQueries++
+	}
+	s.note(Note{What: PlacementQueried, Job: p.job.ID, Task: p.id().StepID(), Why: fmt.Sprintf("%d minions, %d allowed so far", len(ids), len(p.advice.eligible))})
+	p.advice.inFlight++
+	if p.advice.queried == nil {
+		p.advice.eligible, p.advice.queried = map[string]ticket{}, map[string]bool{}
+	}
+	for _, id := range ids {
+		p.advice.queried[id] = true
+	}
+	p.advice.nextQuery = now.Add(queryInterval)
+	_, renewal := p.advice.eligible[ids[0]]
+	s.actions.Queries = append(s.actions.Queries, AdviceQuery{Step: p.id(), IDs: ids, Cost: cost, renewal: renewal})
+	return true
+}
+
+// QueryCapacity is the number of placement queries that can be issued at
+// present.
+type QueryCapacity struct {
+	Total    int
+	Slow     int           // of these, how many may take SlowFrom or longer
+	SlowFrom time.Duration // duration from which a query counts as slow
+}
+
+// allows reports whether one more query of the given cost can be issued.
+func (a *QueryCapacity) allows(cost time.Duration) bool {
+	return a.Total > 0 && (cost < a.SlowFrom || a.Slow > 0)
+}
+
+// take reports whether one more query of the given cost can be issued, and
+// counts it.
+func (a *QueryCapacity) take(cost time.Duration) bool {
+	if !a.allows(cost) {
+		return false
+	}
+	a.Total--
+	if cost >= a.SlowFrom {
+		a.Slow--
+	}
+	a.Slow = min(a.Slow, a.Total)
+	return true
+}
+
+// queryLimit returns how many minions a query about the step names. A query
+// about a gang names up to GangQueryMinions of them: with more choice it fits
+// much sooner.
+func (s *State) queryLimit(p *step) int {
+	if p.Gang && s.Policy.GangQueryMinions > 0 {
+		return s.Policy.GangQueryMinions
+	}
+	need := p.waiting
+	if p.PerMinion != 1 {
+		need = (need + 1) / 2
+	}
+	return min(max(queryMinionsPerTask*need, minQueryMinions), maxQueryMinions)
+}
+
+// unqueriedMinions lists minions that no query has named yet and that could run
+// a task of the step: those with room first, one zone after the other, those
+// where fill tasks and targets would mix later. The starting point advances with each call so that steps do not all compete for
+// the same minions.
+func (v *view) unqueriedMinions(p *step, needRoom bool) []string {
+	n := v.s.queryLimit(p)
+	need := p.Reserved()
+	var ids, mixed, full []string
+	for _, r := range v.zonesFor(p) {
+		for i := range r.ms {
+			m := r.ms[(int(v.s.queryOffset)+i)%len(r.ms)]
+			if p.advice.queried[m.ID] || !m.usable(v.now) || !p.suits(m) {
+				continue
+			}
+			switch {
+			case m.free().CanFit(need) && !p.mixes(m):
+				ids = append(ids, m.ID)
+			case m.free().CanFit(need):
+				mixed = append(mixed, m.ID)
+			case !needRoom:
+				full = append(full, m.ID)
+			}
+			if len(ids) == n {
+				break
+			}
+		}
+		if len(ids) == n {
+			break
+		}
+	}
+	v.s.queryOffset += uint(n)
+	ids = slices.Concat(ids, mixed, full)
+	return ids[:min(n, len(ids))]
+}
+
+// queryAheadShare is the share of a ticket's validity within which a step has to
+// become ready for its query to be issued in advance.
+const queryAheadShare = 0.6
+
+// queryAhead issues queries for steps that become ready soon, if no waiting step
+// needs the capacity. Short steps then start when the previous step ends,
+// without the delay of a query.
+func (v *view) queryAhead() {
+	if !v.s.Policy.QueryAhead {
+		return
+	}
+	for _, p := range v.s.queue {
+		if v.s.queryCapacity.Total == 0 {
+			return
+		}
+		if len(p.After) == 0 || p.job.Advice == nil || p.advice.inFlight > 0 || len(v.s.eligibleMinions(p)) > 0 || v.now.Before(p.advice.nextQuery) {
+			continue
+		}
+		if p.startsSoon() {
+			v.s.query(v.now, p, v.unqueriedMinions(p, false))
+		}
+	}
+}
+
+// startsSoon reports whether the step is not ready yet but will be while a
+// ticket issued now is valid.
+func (p *step) startsSoon() bool {
+	if p.waiting == 0 || p.ready() {
+		return false
+	}
+	limit := time.Duration(queryAheadShare * float64(p.job.Advice.Valid))
+	for _, a := range p.After {
+		if q := p.round.steps[a]; q.waiting > 0 || q.runTime > limit {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"jasminestep/internal/table"
 	"jasminestep/internal/work"
 )
 
@@ -121,3 +124,56 @@
 	o.Start.Until = m.lease(now, s.Limits)
 	return true
 }
+
+// HandleStartReply processes the reply to a start. A non-nil err means that
+// there was none.
+func (s *State) HandleStartReply(now time.Time, o StartOrder, why work.Refusal, err error) {
+	m := s.minions[o.Minion.ID]
+	if m == nil || m.Incarnation != o.Minion.Incarnation {
+		return
+	}
+	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	if r == nil {
+		return
+	}
+	r.renewalMark, r.token = s.renewalSeq, o.Start.Token
+	if err == nil {
+		m.zone.answered()
+	}
+	switch {
+	case err != nil:
+		r.unreached = errors.Is(err, table.ErrNotApplied)
+		if r.state == sent {
+			r.state = uncertain
+		}
+		m.token = max(m.token, o.Start.Token+1)
+		m.pausedUntil = maxTime(m.pausedUntil, now.Add(noReplyPause))
+		s.note(Note{What: StartUnanswered, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: err.Error()})
+	case why == work.Accepted:
+		if r.state == sent {
+			r.state = live
+		}
+		r.confirm(now)
+		if r.step != nil {
+			s.markBegun(r.step.job)
+		}
+		s.sendStop(now, m, r)
+		s.throttleRuns(now, m)
+	default:
+		s.handleRefusal(now, m, r, why)
+	}
+}
+
+func (s *State) handleRefusal(now time.Time, m *minion, r *run, why work.Refusal) {
+	s.note(Note{What: StartRefused, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: string(why)})
+	s.remove(m, r)
+	switch why {
+	case work.BadTicket:
+		if r.step != nil {
+			r.step.advice.expireTicket(m.ID)
+		}
+	case work.Unhealthy, work.NoCapacity:
+		s.recordFailure(now, m, failure{})
+	}
+	s.requeueLost(now, r, "refused: "+string(why))
+}
