Soak: another writer leaves odd rows of minions

Rows of an unknown service, with a later birth, with room or ports that cannot be, and unreadable ones, under the ID of a minion at work.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -166,6 +166,18 @@
 	}
 }
 
+// writeOddRow writes a row as another writer may, under the ID of a minion, and
+// returns which of the possible ones.
+func (s *cluster) writeOddRow(i int) int {
+	m, service := s.minions[i], standin.Services[i%len(standin.Services)]
+	rows := m.OddRows(service)
+	kind := s.rng.Intn(len(rows))
+	if id, _, up := m.Row(service, "", 0); up {
+		s.putRow(standin.MinionTable, id, rows[kind])
+	}
+	return kind
+}
+
 func newEntry(name, dir, store string, direct int) (*entry, error) {
 	p, err := newProxy(store)
 	if err != nil {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,8 +6,8 @@
 // stopped and told to reload their settings; connections to the store and to
 // minions are delayed, reset, blackholed or blocked in one direction; the store
 // rejects transactions, loses responses, applies writes late and discards its
-// history; minions crash and their capacity shrinks and grows; configurations
-// change. Some faults come in series. With --deadly, some jobs crash each minion
+// history; minions crash and their capacity shrinks and grows; another writer
+// leaves odd rows of minions; configurations change. Some faults come in series. With --deadly, some jobs crash each minion
 // that starts them.
 package main
 
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -62,7 +62,7 @@
 const (
 	callTimeout    = 4 * time.Second
 	submitInterval = 60 * time.Millisecond
-	faultKinds     = 11
+	faultKinds     = 12
 	seriesInterval = 150 * time.Millisecond // between faults of the same kind
 	shrinkTime     = 6 * time.Second        // least time that capacity is gone; longer than it counts
 	deadlyInterval = 48                     // jobs from one that is deadly to the next
@@ -267,6 +267,9 @@
 		s.minions[i].SetCapacity(cpu)
 		time.AfterFunc(length+shrinkTime, func() { s.minions[i].SetCapacity(fullCapacity) })
 		return fmt.Sprintf("minion %d shrinks to %d", i, cpu), length
+	case 10:
+		kind := s.writeOddRow(i)
+		return fmt.Sprintf("odd row %d of minion %d", kind, i), length
 	}
 	f := []tabletest.Fault{tabletest.CallRejected, tabletest.ReplyLost, tabletest.RequestLost, tabletest.RequestDelayed}[s.rng.Intn(4)]
 	odds := []float64{0.3, 1}[s.rng.Intn(2)]
--- a/internal/shard/claim_test.go
+++ b/internal/shard/claim_test.go
@@ -127,12 +127,7 @@
 	odd.Born = math.MaxInt64
 	w.minionRows["m0"] = minionRow{odd, w.now}
 	w.takeOver()
-	w.submit(newJob("a", tasks(4, 1000)))
-	w.cycle()
-	assert.Equal(t, w.running(), 0)
-	w.pass(rowInterval)
-	w.cycle()
-	assert.Equal(t, w.running(), 4)
+	w.startsAfterNextRows(t, 4)
 }
 
 // Guards against decisions by room that nobody has: a row with huge room, whose
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -73,7 +73,7 @@
 	checkAt         time.Time         // time of the next check by a decision
 	notBefore       time.Time         // no check before this time, even if there is more room
 	deferredCost    time.Duration     // cost of a query that could not be issued; 0 if there is none
-	ticketHolds     []*minion         // minions with room held until their tickets arrive, one entry per task
+	ticketHolds     []*minion         // minions with room held until their tickets arrive, one for each task
 	reservations    []stepReservation // reserved room
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -10,8 +10,8 @@
 type minion struct {
 	work.Minion
 	claim          *claim    // by a row; nil if there is none
-	listed         bool      // has an entry in the store
-	unlistedAt     time.Time // since when it has no entry
+	listed         bool      // has a row in the store
+	unlistedAt     time.Time // since when it has no row
 	rowValidUntil  time.Time // until when a start may rely on its row; zero if that is of an earlier incarnation
 	synced         bool      // has answered under this term's token, so that its reports are complete
 	token          int64     // token for the next order
@@ -92,17 +92,17 @@
 // free is the unused room.
 func (m *minion) free() work.Size { return m.Capacity.Minus(m.used) }
 
-// unlistedGrace is how long a minion that answers is usable without an entry:
-// entries that expired while the store was unavailable come back.
+// unlistedGrace is how long a minion that answers is usable without a row:
+// rows that expired while the store was unavailable come back.
 const unlistedGrace = 2500 * time.Millisecond
 
-// present reports whether the minion has an entry, or had one within
+// present reports whether the minion has a row, or had one within
 // unlistedGrace.
 func (m *minion) present(now time.Time) bool {
 	return m.listed || now.Sub(m.unlistedAt) < unlistedGrace
 }
 
-// UpdateMinion processes a minion's entry in the store. It was written after
+// UpdateMinion processes a minion's row in the store. It was written after
 // writtenAfter, which is zero if it may be of any age.
 func (s *State) UpdateMinion(now time.Time, w work.Minion, writtenAfter time.Time) {
 	m := s.minions[w.ID]
@@ -117,7 +117,7 @@
 		s.addClaim(m, w, validUntil)
 		return
 	case w.Born < m.Born && m.answered():
-		return // an entry of an earlier incarnation
+		return // a row of an earlier incarnation
 	case w.Born != m.Born:
 		s.replaceLife(now, m, w)
 	}
@@ -143,7 +143,7 @@
 	s.wakeSteps(m)
 }
 
-// UnlistMinion records that a minion's entry is gone. The minion may still run
+// UnlistMinion records that a minion's row is gone. The minion may still run
 // and answer.
 func (s *State) UnlistMinion(now time.Time, id string) {
 	m := s.minions[id]
@@ -155,7 +155,7 @@
 }
 
 // UnlistMissing unlists every minion that is not in listed, the full list of
-// entries.
+// rows.
 func (s *State) UnlistMissing(now time.Time, listed map[string]bool) {
 	for _, m := range s.minionsByID() {
 		if !listed[m.ID] {
--- a/internal/shard/rows_test.go
+++ b/internal/shard/rows_test.go
@@ -149,12 +149,19 @@
 	w.pass(5 * time.Second)
 	w.storeDown = false
 	w.takeOver()
+	w.startsAfterNextRows(t, 1)
+}
+
+// startsAfterNextRows submits a job of four tasks, and checks that none starts
+// before rows are written again, and n after that.
+func (w *simCluster) startsAfterNextRows(t *testing.T, n int) {
+	t.Helper()
 	w.submit(newJob("a", tasks(4, 1000)))
 	w.cycle()
 	assert.Equal(t, w.running(), 0)
 	w.pass(rowInterval)
 	w.cycle()
-	assert.Equal(t, w.running(), 1)
+	assert.Equal(t, w.running(), n)
 }
 
 // Guards against LIMIT and ROUTE: an owner that learned of a minion's new life
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -85,8 +85,10 @@
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
 	return &State{
-		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{}, baseline: map[string]float64{}, runTimes: map[string]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
-		termStart: now, lastDurable: now, batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
+		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, termStart: now, lastDurable: now,
+		jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{},
+		baseline: map[string]float64{}, runTimes: map[string]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
+		batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
 }
 
