Settle no crash by a row alone; name what updates the sharing of a minion

A claimed life that takes the place of a silent one when its leases have ended proves no crash, so the doubts stay doubts. A throttle order without a reply is sent again with the next report, not a second later.

--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -99,6 +99,7 @@
 			m.dropUnsettled()
 		}
 		if m.claim != nil {
+			m.dropUnsettled() // a claim proves no crash
 			s.adoptLife(now, m, m.claim.Born)
 			continue
 		}
--- a/internal/shard/throttle.go
+++ b/internal/shard/throttle.go
@@ -55,8 +55,9 @@
 	response  float64 // highest response time as a share of the target; 0 if unknown
 }
 
-// speed returns the speed that the fill runs of the minion may have now.
-func (m *minion) speed(now time.Time) int {
+// updateSharing records whether fill tasks and tasks with a target share the
+// minion now, and returns the speed that its fill runs may have.
+func (m *minion) updateSharing(now time.Time) int {
 	mixed := m.fillRuns > 0 && m.targetRuns > 0
 	switch {
 	case !mixed:
@@ -91,7 +92,7 @@
 
 // adaptSpeed processes the response times that a minion reports.
 func (s *State) adaptSpeed(now time.Time, m *minion, rs []work.Run) {
-	old := m.speed(now)
+	old := m.updateSharing(now)
 	if m.sharing.active {
 		m.sharing.adapt(now, m.highestResponse(rs))
 		if n := m.sharing.speed; n != old {
@@ -116,7 +117,7 @@
 
 // throttleRuns orders the speeds that the fill runs of a minion do not have yet.
 func (s *State) throttleRuns(now time.Time, m *minion) {
-	speed := m.speed(now)
+	speed := m.updateSharing(now)
 	for _, r := range m.runs {
 		if r.step == nil || !r.step.Fill || r.stopping || r.state != live || r.hasSpeed(speed) || now.Sub(r.throttledAt) < throttleTimeout {
 			continue
@@ -129,9 +130,9 @@
 // hasSpeed reports whether the run certainly works at the speed.
 func (r *run) hasSpeed(percent int) bool { return r.speedKnown && r.speed == percent }
 
-// HandleThrottleReply processes the reply to a throttle order. A non-nil err means that
-// there was none, or that the minion refused: a later order has a higher token,
-// so that this one has no effect any more.
+// HandleThrottleReply processes the reply to a throttle order. A non-nil err
+// means that there was none, or that the minion refused: a later order has a
+// higher token, so that this one has no effect any more.
 func (s *State) HandleThrottleReply(now time.Time, o ThrottleOrder, err error) {
 	m := s.minions[o.Minion.ID]
 	if m == nil || m.Incarnation != o.Minion.Incarnation {
@@ -141,11 +142,10 @@
 	if r == nil {
 		return
 	}
-	r.speed, r.speedKnown = o.Speed, err == nil
+	r.speed, r.speedKnown, r.throttledAt = o.Speed, err == nil, time.Time{}
 	if err != nil {
 		m.token = max(m.token, o.Token+1)
 		return // the next report has it sent again
 	}
-	r.throttledAt = time.Time{}
 	s.throttleRuns(now, m)
 }
