--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -58,7 +58,7 @@
 	newSetting("most", "ms", "10000", "1000 to 600000", "maximum lease that minions grant; a longer lease is shortened to it"),
 	newSetting("keep", "ms", "150000", "1000 to 86400000", "retention time of the outcome of an ended job"),
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
-	newSetting("contact", "ms", "3000", "100 to 60000", "time after which all that are connected know of a change; for it and one beat, room that a minion no longer has still counts"),
+	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
 	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an owner uses part of it to run garbage collection less often; 0: unknown"),
 	newSetting("level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"),
@@ -112,7 +112,7 @@
 		{"most", s.MaxLease, 1000, 600_000},
 		{"keep", s.JobRetention, 1000, 86_400_000},
 		{"beat", s.Heartbeat, 10, 60_000},
-		{"contact", s.ContactTime, 100, 60_000},
+		{"contact", s.ContactTime, 1000, 60_000},
 		{"direct", s.MaxDirectMinions, 1, 100_000},
 		{"memory", s.Memory, 0, 1_000_000},
 	} {
--- a/internal/server/writetimes.go
+++ b/internal/server/writetimes.go
@@ -23,7 +23,7 @@
 	At      time.Time
 }
 
-// sampleTTL is how long samples are kept. Older rows are of no use anyway.
+// sampleTTL is how long samples are kept. Older rows are of unknown age.
 const sampleTTL = 10 * time.Second
 
 // observe adds a sample. at is when a read began whose reply had the version.
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -36,7 +36,7 @@
 	isPaused:    "are paused",
 	zoneSilent:  "are in a silent zone",
 	wrongKind:   "are too small or lack the label",
-	awaitsProbe: "have failed and wait for the end of one run",
+	awaitsProbe: "have failed and wait for the end of a probe",
 	runsTrial:   "have a run on trial",
 	staleRow:    "have a row that is too old",
 	isClaimed:   "have a row of a life that has not answered",
