--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -27,6 +27,23 @@
 	minions    map[string]*fakeMinion
 	violations []string // guarantees of the protocol that were broken
 	starts     int
+
+	noisyJob string // each run of it at full speed adds noise to the figures of all runs on its minion
+	noise    int64
+}
+
+// quietFigure is the figure of a run without noise.
+const quietFigure = 10
+
+// figure is that of the runs on the minion; the fleet is locked.
+func (f *fleet) figure(m *fakeMinion) int64 {
+	n := int64(quietFigure)
+	for _, r := range m.runs {
+		if r.id.Job == f.noisyJob {
+			n += f.noise * int64(r.speed) / 100
+		}
+	}
+	return n
 }
 
 type fakeMinion struct {
@@ -50,6 +67,7 @@
 	id      work.TaskID
 	attempt int
 	cpu     int64
+	speed   int // percent; it changes noise, not run time
 	endsAt  time.Time
 }
 
@@ -103,7 +121,7 @@
 		return work.Other, nil
 	}
 	f.starts++
-	m.runs[s.Task.String()] = &fakeRun{id: s.Task, attempt: s.Attempt, endsAt: time.Now().Add(d)}
+	m.runs[s.Task.String()] = &fakeRun{id: s.Task, attempt: s.Attempt, speed: 100, endsAt: time.Now().Add(d)}
 	m.until = max(m.until, s.Until)
 	return work.Accepted, nil
 }
@@ -121,8 +139,8 @@
 	return nil
 }
 
-// Throttle implements carry.MinionClient. The fake's runs do not slow down.
-func (f *fleet) Throttle(_ context.Context, to *work.Minion, t work.TaskID, attempt, _ int, token int64) error {
+// Throttle implements carry.MinionClient.
+func (f *fleet) Throttle(_ context.Context, to *work.Minion, t work.TaskID, attempt, percent int, token int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.minions[to.ID]
@@ -130,9 +148,11 @@
 		return errors.New("fenced")
 	}
 	m.token = token
-	if r := m.runs[t.String()]; r == nil || r.attempt != attempt {
+	r := m.runs[t.String()]
+	if r == nil || r.attempt != attempt {
 		return errors.New("no such run")
 	}
+	r.speed = percent
 	return nil
 }
 
@@ -183,7 +203,7 @@
 	}
 	rep := work.Report{Born: m.born, Clock: m.clock(), Ended: append([]work.End(nil), kept...)}
 	for _, r := range m.runs {
-		rep.Running = append(rep.Running, work.Run{Task: r.id, Attempt: r.attempt, Percent: int(m.clock()/20) % 100})
+		rep.Running = append(rep.Running, work.Run{Task: r.id, Attempt: r.attempt, Percent: int(m.clock()/20) % 100, Figure: f.figure(m)})
 	}
 	return rep, false
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -96,6 +96,22 @@
 	assert.Equal(t, s.fleet.starts, 10)
 }
 
+// Guards against an owner that starts nothing any more because its rows of minions
+// grow old: the store turns just its entry away, and the feed of rows has to come
+// through other entries, as writes do.
+func TestOwnerThatAloneLostTheStoreKeepsStartingTasks(t *testing.T) {
+	s := newCluster(t, 3, 2)
+	s.eventually("an owner", func() bool { _, o := s.owner(); return o != nil })
+	i, o := s.owner()
+	s.eventually("all entries known", func() bool { return len(o.otherEntries(monotonicNow())) == 2 })
+	s.stores[i].setCut(true)
+	time.Sleep(o.Settings.maxRowAge() + time.Second)
+	at, _ := s.owner()
+	assert.Equal(t, at, i, "the shard stays with its owner")
+	assert.Equal(t, s.submit(o, jobName(1), "20ms", 2), http.StatusOK)
+	s.eventually("completed", func() bool { return s.jobState(o, jobName(1)) == "completed" })
+}
+
 func TestStoreOutageIsToldAtOnce(t *testing.T) {
 	s := newCluster(t, 2, 1)
 	s.eventually("an owner", func() bool { _, o := s.owner(); return o != nil })
