Use one word for one thing in the shard

Cause: "life" and "incarnation", "mix" and "share", and two kinds of pause had two words each; "claim" meant both what an entry does with a shard and a row that tells of a restart of a minion; "acquit" was a word of our own.

Change: incarnation, share, unconfirmed restart (log line "minion restart unconfirmed"), pause for failures, common failures. Files are named after them.

Measured: tests of internal/shard and internal/server pass.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -77,7 +77,7 @@
 	{shard.MinionUnlisted, "minion", "a minion's row was deleted; it may still run and answer", ""},
 	{shard.MinionDraining, "minion", "a minion drains and gets no new tasks", ""},
 	{shard.MinionRestarted, "minion", "a minion restarted under the same ID; its earlier runs are gone", "the minion"},
-	{shard.RestartClaimed, "minion why", "a row of a minion tells of a later life, which has not answered; why is its address. The runs of the life that is known continue", "who wrote the row, if no `minion restarted` follows"},
+	{shard.RestartUnconfirmed, "minion why", "a row of a minion tells of a later incarnation, which has not answered; why is its address. The runs of the known one continue", "who wrote the row, if no `minion restarted` follows"},
 	{shard.MinionReplaced, "minion", "another minion has the address; none of the former one's runs are left", ""},
 	{shard.MinionForgotten, "minion", "a minion without a row does not answer and its leases have ended", ""},
 	{shard.MinionPaused, "minion why", "a minion failed too often and gets no new tasks for the time in why, which names the tasks that failed", "whether they fail elsewhere, too; `run ended`, `run stalled` and `start refused` of the minion"},
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -71,7 +71,7 @@
 					odd := w.oddRow(b, []string{"s", "unknown"}[pick("service", 2)])
 					o := w.owners[len(w.owners)-1]
 					o.st.UpdateMinion(w.now, odd, w.now)
-					o.renewClaim(odd.Incarnation, nil)
+					o.renewRestart(odd.Incarnation, nil)
 				}
 			},
 			"feed":  func(*rapid.T) { w.setFeed(!w.feedDown) },
--- a/internal/shard/life.go
+++ b/internal/shard/incarnation.go
@@ -6,11 +6,11 @@
 	"jasminestep/internal/work"
 )
 
-// replaceLife starts a new incarnation of a minion. The runs that the old one
+// replaceIncarnation starts a new incarnation of a minion. The runs that the old one
 // had reported are gone. But a start in flight may have reached the new
 // incarnation, which has the same ID and has seen no token; the first report of
 // the new incarnation settles that.
-func (s *State) replaceLife(now time.Time, m *minion, w work.Minion) {
+func (s *State) replaceIncarnation(now time.Time, m *minion, w work.Minion) {
 	s.note(Note{What: MinionRestarted, Minion: m.ID})
 	accused := s.accuseRuns(now, m)
 	s.settle(now, m, true)
@@ -26,7 +26,7 @@
 	m.Minion = w
 	s.announce(m)
 	s.zoneOf(m)
-	m.synced, m.listed, m.rowValidUntil, m.claim = false, false, time.Time{}, nil
+	m.synced, m.listed, m.rowValidUntil, m.restart = false, false, time.Time{}, nil
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
@@ -55,8 +55,8 @@
 // this incarnation has ended, and nothing runs there any more.
 func (s *State) HandleReplaced(now time.Time, l work.Incarnation) {
 	m := s.minions[l.ID]
-	if m != nil && m.claimed(l) {
-		m.claim = nil
+	if m != nil && m.restartsAs(l) {
+		m.restart = nil
 	}
 	if m == nil || m.Incarnation != l {
 		return
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -37,7 +37,7 @@
 	phase           Phase
 	attempt         int              // number of the last start; 0 before the first
 	failures        int              // failed runs
-	failedOn        []string         // minions where its runs have failed since one has succeeded, at most minionsToAcquit
+	failedOn        []string         // minions where its runs have failed since one has succeeded, at most minionsForOwnFault
 	incarnation     work.Incarnation // where the task is placed; only while Placed
 	checkpoint      string           // newest checkpoint
 	openAttempts    []int            // attempts left running for a copy whose end has not been reported
@@ -58,7 +58,7 @@
 	waiting         int // tasks that wait to be placed
 	advice          advice
 	failures        int           // runs that failed or made no progress
-	failedOn        []string      // minions where that was, since the last success, at most minionsToAcquit
+	failedOn        []string      // minions where that was, since the last success, at most minionsForOwnFault
 	succeeded       bool          // one of its tasks has succeeded, or has lasted for long
 	hasReservations bool          // room is reserved for the step
 	incomplete      bool          // some members of a gang were refused; the others wait for them at their minions
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -22,9 +22,9 @@
 // false once that incarnation has ended or is unknown.
 func (s *State) NextRenewal(now time.Time, l work.Incarnation) (n Renewal, ok bool) {
 	m := s.minions[l.ID]
-	if m != nil && m.claimed(l) {
+	if m != nil && m.restartsAs(l) {
 		s.renewalSeq++
-		return Renewal{Minion: m.claim.Minion, Token: m.token + 1, Seq: s.renewalSeq}, true
+		return Renewal{Minion: m.restart.Minion, Token: m.token + 1, Seq: s.renewalSeq}, true
 	}
 	if m == nil || m.Incarnation != l {
 		return n, false
@@ -98,9 +98,9 @@
 		if now.Sub(m.silentSince) >= fateTimeout {
 			m.dropUnsettled()
 		}
-		if m.claim != nil {
-			m.dropUnsettled() // a claim proves no crash
-			s.adoptLife(now, m, m.claim.Born)
+		if m.restart != nil {
+			m.dropUnsettled() // a row proves no crash
+			s.adoptIncarnation(now, m, m.restart.Born)
 			continue
 		}
 		if !m.listed && len(m.unsettled) == 0 {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -9,38 +9,38 @@
 // minion is the known state of one incarnation of a minion.
 type minion struct {
 	work.Minion
-	claim          *claim    // by a row; nil if there is none
-	listed         bool      // has a row in the store
-	unlistedAt     time.Time // since when it has no row
-	rowValidUntil  time.Time // until when a start may rely on its row; zero if that is of an earlier incarnation
-	synced         bool      // has answered under this term's token, so that its reports are complete
-	token          int64     // token for the next order
-	clock          int64     // its clock in ms at clockAt
-	clockAt        time.Time
-	leaseUntil     int64 // end of the longest lease it was sent, on its clock
-	lastEnd        int64 // number of the last end that was processed
-	runs           map[runKey]*run
-	used           work.Size
-	knownSince     time.Time     // when this incarnation became known
-	hasCarriedRuns bool          // has runs that may have been meant for the previous incarnation
-	silentSince    time.Time     // first unanswered renewal since the last reply
-	pausedUntil    time.Time     // gets no new work before this time
-	failed         []failure     // since the last success, oldest first, at most maxFailures
-	failedAt       time.Time     // when the last of them was recorded
-	restUntil      time.Time     // while it is a suspect it gets no new work before this time
-	acquitted      bool          // it is no suspect, since most minions would be
-	slowness       float64       // run times here relative to those elsewhere; 0 if unknown
-	fillRuns       int           // runs of fill tasks
-	targetRuns     int           // runs with a bound on their response times
-	sharing        sharing       // how its fill runs and those with a bound share it
-	leavesAt       time.Time     // while it drains: when it may leave
-	reservations   []reservation // room reserved for waiting steps
-	heldRoom       work.Size     // room held for starts that wait for tickets
-	eligibleSteps  []*step       // steps that may run here; some may have ended
-	zone           *zone         // maintained by State.zoneOf
-	trial          *step         // step with runs on trial here; nothing else is started meanwhile
-	unsettled      []accusation  // of runs whose lease has ended; whether the minion has crashed is unknown
-	trialAt        time.Time     // when the last of them was placed or sent
+	restart           *restart  // that a row tells of; nil if there is none
+	listed            bool      // has a row in the store
+	unlistedAt        time.Time // since when it has no row
+	rowValidUntil     time.Time // until when a start may rely on its row; zero if that is of an earlier incarnation
+	synced            bool      // has answered under this term's token, so that its reports are complete
+	token             int64     // token for the next order
+	clock             int64     // its clock in ms at clockAt
+	clockAt           time.Time
+	leaseUntil        int64 // end of the longest lease it was sent, on its clock
+	lastEnd           int64 // number of the last end that was processed
+	runs              map[runKey]*run
+	used              work.Size
+	knownSince        time.Time     // when this incarnation became known
+	hasCarriedRuns    bool          // has runs that may have been meant for the previous incarnation
+	silentSince       time.Time     // first unanswered renewal since the last reply
+	pausedUntil       time.Time     // gets no new work before this time
+	failed            []failure     // since the last success, oldest first, at most maxFailures
+	failedAt          time.Time     // when the last of them was recorded
+	failurePauseUntil time.Time     // while it is a suspect it gets no new work before this time
+	suspicionIgnored  bool          // it is no suspect, since most minions would be
+	slowness          float64       // run times here relative to those elsewhere; 0 if unknown
+	fillRuns          int           // runs of fill tasks
+	targetRuns        int           // runs with a bound on their response times
+	sharing           sharing       // how its fill runs and those with a bound share it
+	leavesAt          time.Time     // while it drains: when it may leave
+	reservations      []reservation // room reserved for waiting steps
+	heldRoom          work.Size     // room held for starts that wait for tickets
+	eligibleSteps     []*step       // steps that may run here; some may have ended
+	zone              *zone         // maintained by State.zoneOf
+	trial             *step         // step with runs on trial here; nothing else is started meanwhile
+	unsettled         []accusation  // of runs whose lease has ended; whether the minion has crashed is unknown
+	trialAt           time.Time     // when the last of them was placed or sent
 }
 
 func (s *State) newMinion(w work.Minion) *minion {
@@ -114,14 +114,14 @@
 		m = s.newMinion(w)
 		s.note(Note{What: MinionAdded, Minion: w.ID, Why: w.Zone})
 	case w.Born > m.Born && m.answered():
-		s.addClaim(m, w, validUntil)
+		s.addRestart(m, w, validUntil)
 		return
 	case w.Born < m.Born && m.answered():
 		return // a row of an earlier incarnation
 	case w.Born != m.Born:
-		s.replaceLife(now, m, w)
+		s.replaceIncarnation(now, m, w)
 	}
-	m.claim = nil
+	m.restart = nil
 	if w.Service != s.Service {
 		s.UnlistMinion(now, m.ID)
 		return
@@ -150,7 +150,7 @@
 	if m == nil || !m.listed {
 		return
 	}
-	m.listed, m.unlistedAt, m.claim = false, now, nil
+	m.listed, m.unlistedAt, m.restart = false, now, nil
 	s.note(Note{What: MinionUnlisted, Minion: id})
 }
 
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -38,18 +38,18 @@
 
 // Events of minions.
 const (
-	MinionAdded     Event = "minion row added"       // a row of a minion appeared
-	MinionUnlisted  Event = "minion row deleted"     // the minion's row is gone; the minion may still run and answer
-	MinionDraining  Event = "minion draining"        // the minion's row says that it drains
-	MinionRestarted Event = "minion restarted"       // a new incarnation has the same ID
-	RestartClaimed  Event = "minion restart claimed" // a row has a later incarnation, which has not answered yet
-	MinionReplaced  Event = "minion replaced"        // another minion has its address, so that none of its runs are left
-	MinionForgotten Event = "minion forgotten"       // it has no row, does not answer, and its leases have ended
-	MinionPaused    Event = "minion paused"          // too many failures; it gets no new tasks for a while
-	FillThrottled   Event = "fill tasks throttled"   // the speed of fill tasks beside others with a bound on response times has changed
-	MinionSilent    Event = "minion silent"          // a lease renewal got no reply
-	MinionAnswers   Event = "minion answers again"   // the first reply after a silence
-	ZoneUnreachable Event = "zone unreachable"       // several minions of the zone are slow to answer
+	MinionAdded        Event = "minion row added"           // a row of a minion appeared
+	MinionUnlisted     Event = "minion row deleted"         // the minion's row is gone; the minion may still run and answer
+	MinionDraining     Event = "minion draining"            // the minion's row says that it drains
+	MinionRestarted    Event = "minion restarted"           // a new incarnation has the same ID
+	RestartUnconfirmed Event = "minion restart unconfirmed" // a row has a later incarnation, which has not answered yet
+	MinionReplaced     Event = "minion replaced"            // another minion has its address, so that none of its runs are left
+	MinionForgotten    Event = "minion forgotten"           // it has no row, does not answer, and its leases have ended
+	MinionPaused       Event = "minion paused"              // too many failures; it gets no new tasks for a while
+	FillThrottled      Event = "fill tasks throttled"       // the speed of fill tasks beside others with a bound on response times has changed
+	MinionSilent       Event = "minion silent"              // a lease renewal got no reply
+	MinionAnswers      Event = "minion answers again"       // the first reply after a silence
+	ZoneUnreachable    Event = "zone unreachable"           // several minions of the zone are slow to answer
 )
 
 // Note is one decision, for the log.
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -23,23 +23,23 @@
 	awaitsProbe
 	runsTrial
 	staleRow
-	isClaimed
+	restartUnconfirmed
 	obstacleCount // number of obstacles
 )
 
 // obstacleTexts are the obstacles as the log shows them.
 var obstacleTexts = [obstacleCount]string{
-	noRow:       "have no row",
-	notSynced:   "have not answered this owner",
-	isDraining:  "drain",
-	isSilent:    "are silent",
-	isPaused:    "are paused",
-	zoneSilent:  "are in a silent zone",
-	wrongKind:   "are too small or lack the label",
-	awaitsProbe: "have failed and wait for the end of a probe",
-	runsTrial:   "have a run on trial",
-	staleRow:    "have a row that is too old",
-	isClaimed:   "have a row of a life that has not answered",
+	noRow:              "have no row",
+	notSynced:          "have not answered this owner",
+	isDraining:         "drain",
+	isSilent:           "are silent",
+	isPaused:           "are paused",
+	zoneSilent:         "are in a silent zone",
+	wrongKind:          "are too small or lack the label",
+	awaitsProbe:        "have failed and wait for the end of a probe",
+	runsTrial:          "have a run on trial",
+	staleRow:           "have a row that is too old",
+	restartUnconfirmed: "have a row of an incarnation that has not answered",
 }
 
 // obstacle returns why the minion is given no work at all.
@@ -53,7 +53,7 @@
 		return isDraining
 	case !m.silentSince.IsZero():
 		return isSilent
-	case now.Before(m.pausedUntil) || m.resting(now):
+	case now.Before(m.pausedUntil) || m.pausedForFailures(now):
 		return isPaused
 	case m.zone.unreachable():
 		return zoneSilent
@@ -75,8 +75,8 @@
 		return runsTrial
 	case send.After(m.rowValidUntil):
 		return staleRow
-	case m.claim != nil:
-		return isClaimed
+	case m.restart != nil:
+		return restartUnconfirmed
 	}
 	return noObstacle
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -20,7 +20,7 @@
 		s.expire(now)
 		s.evacuate(now)
 		s.startCopies(now)
-		s.acquitMajority()
+		s.ignoreCommonFailures()
 	}
 	s.endTrials(now)
 	s.dropForgotten(now)
--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -212,12 +212,12 @@
 
 // unqueriedMinions lists minions that no query has named yet and that could run
 // a task of the step: those with room first, one zone after the other, those
-// where fill tasks and targets would mix later. The starting point advances with each call so that steps do not all compete for
-// the same minions.
+// that fill tasks and targets would share later. The starting point advances
+// with each call so that steps do not all compete for the same minions.
 func (v *view) unqueriedMinions(p *step, needRoom bool) []string {
 	n := v.s.queryLimit(p)
 	need := p.Reserved()
-	var ids, mixed, full []string
+	var ids, shared, full []string
 	for _, r := range v.zonesFor(p) {
 		for i := range r.ms {
 			m := r.ms[(int(v.s.queryOffset)+i)%len(r.ms)]
@@ -225,10 +225,10 @@
 				continue
 			}
 			switch {
-			case m.free().CanFit(need) && !p.mixes(m):
+			case m.free().CanFit(need) && !p.shares(m):
 				ids = append(ids, m.ID)
 			case m.free().CanFit(need):
-				mixed = append(mixed, m.ID)
+				shared = append(shared, m.ID)
 			case !needRoom:
 				full = append(full, m.ID)
 			}
@@ -241,7 +241,7 @@
 		}
 	}
 	v.s.queryOffset += uint(n)
-	ids = slices.Concat(ids, mixed, full)
+	ids = slices.Concat(ids, shared, full)
 	return ids[:min(n, len(ids))]
 }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -13,13 +13,13 @@
 	switch {
 	case m == nil:
 		return
-	case m.claimed(n.Minion.Incarnation):
-		s.handleClaimReport(now, m, rep.Born)
+	case m.restartsAs(n.Minion.Incarnation):
+		s.handleRestartReport(now, m, rep.Born)
 		return
 	case m.Incarnation != n.Minion.Incarnation:
 		return
 	case rep.Born > m.Born, rep.Born != 0 && rep.Born < m.Born && !m.answered():
-		s.adoptLife(now, m, rep.Born)
+		s.adoptIncarnation(now, m, rep.Born)
 		return
 	case rep.Born != 0 && rep.Born < m.Born:
 		return
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -94,9 +94,9 @@
 	freeIn time.Duration // time until it is free
 }
 
-// mixed is 1 if a task of the step would mix fill tasks and targets there.
-func (sl *slot) mixed(p *step) int {
-	if p.mixes(sl.minion) {
+// shared is 1 if fill tasks and targets would share the minion of the slot.
+func (sl *slot) shared(p *step) int {
+	if p.shares(sl.minion) {
 		return 1
 	}
 	return 0
@@ -125,7 +125,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b slot) int {
-		return cmp.Or(cmp.Compare(a.freeIn, b.freeIn), cmp.Compare(a.mixed(p), b.mixed(p)), cmp.Compare(a.slownessClass(), b.slownessClass()))
+		return cmp.Or(cmp.Compare(a.freeIn, b.freeIn), cmp.Compare(a.shared(p), b.shared(p)), cmp.Compare(a.slownessClass(), b.slownessClass()))
 	})
 	return out
 }
--- a/internal/shard/claim_test.go
+++ b/internal/shard/restart_test.go
@@ -18,24 +18,24 @@
 	return m
 }
 
-// renewClaim lets an owner poll the incarnation that a row of the minion claims.
+// renewRestart lets an owner poll the incarnation of an unconfirmed restart.
 // answer is what there is at its address, nil if nobody listens.
-func (o *simOwner) renewClaim(claimed work.Incarnation, answer *simMinion) {
-	n, ok := o.st.NextRenewal(o.cluster.now, claimed)
+func (o *simOwner) renewRestart(told work.Incarnation, answer *simMinion) {
+	n, ok := o.st.NextRenewal(o.cluster.now, told)
 	if !ok {
 		return
 	}
 	if answer == nil {
-		o.st.HandleNoReply(o.cluster.now, claimed)
+		o.st.HandleNoReply(o.cluster.now, told)
 		return
 	}
-	if rep, ok := answer.handleRenewal("claim", n, 0); ok {
+	if rep, ok := answer.handleRenewal("restart", n, 0); ok {
 		o.st.HandleReport(o.cluster.now, n, rep)
 	}
 }
 
 // Guards against TWICE: a row of another writer with a later birth, at whose
-// address nobody listens, ended the life of a minion at work.
+// address nobody listens, ended a minion at work.
 func TestRowOfAnotherWriterEndsNoLife(t *testing.T) {
 	for _, service := range []string{"s", "unknown"} {
 		w, o := newOwnedCluster(t, 2)
@@ -46,7 +46,7 @@
 		o.st.UpdateMinion(w.now, odd, w.now)
 		for range 60 {
 			w.cycle()
-			o.renewClaim(odd.Incarnation, nil)
+			o.renewRestart(odd.Incarnation, nil)
 			w.now = w.now.Add(100 * time.Millisecond)
 			w.minions[0].tick()
 			w.minions[1].tick()
@@ -55,16 +55,16 @@
 		w.finishAll()
 		w.submit(newJob("b", tasks(8, 1000)))
 		w.cycle()
-		assert.Equal(t, len(w.minions[0].runs), 0, "not while a new life is claimed")
+		assert.Equal(t, len(w.minions[0].runs), 0, "not while a restart is unconfirmed")
 		w.pass(rowInterval)
 		w.cycle()
-		assert.Equal(t, len(w.minions[0].runs), 4, "its own row ends the claim")
+		assert.Equal(t, len(w.minions[0].runs), 4, "its own row refutes it")
 	}
 }
 
 // A minion that has come back at another address is used as soon as it answers
 // there, and its former runs start again.
-func TestClaimIsBelievedOnceTheNewLifeAnswers(t *testing.T) {
+func TestRestartIsBelievedOnceTheIncarnationAnswers(t *testing.T) {
 	w, o := newOwnedCluster(t, 1)
 	w.submit(newJob("a", tasks(4, 1000)))
 	w.cycle()
@@ -75,33 +75,33 @@
 	b.restart()
 	b.Address = "elsewhere"
 	w.writeRow(b)
-	assert.Equal(t, o.st.minions["m0"].claim.Address, "elsewhere")
-	o.renewClaim(b.Incarnation, b)
+	assert.Equal(t, o.st.minions["m0"].restart.Address, "elsewhere")
+	o.renewRestart(b.Incarnation, b)
 	w.cycle()
 	assert.Equal(t, o.st.minions["m0"].Address, "elsewhere")
 	assert.Equal(t, w.running(), 4)
 }
 
-// A claim is dropped if the process at its address is the life that is known, or
-// another minion.
-func TestClaimIsDroppedIfTheAddressDisproves(t *testing.T) {
+// A restart is dropped if the process at its address is the incarnation that is
+// known, or another minion.
+func TestRestartIsDroppedIfTheAddressDisproves(t *testing.T) {
 	w, o := newOwnedCluster(t, 1)
 	m := o.st.minions["m0"]
 	odd := w.oddRow(w.minions[0], "s")
 	o.st.UpdateMinion(w.now, odd, w.now)
-	o.renewClaim(odd.Incarnation, w.minions[0])
-	assert.Assert(t, m.claim == nil)
+	o.renewRestart(odd.Incarnation, w.minions[0])
+	assert.Assert(t, m.restart == nil)
 	o.st.UpdateMinion(w.now, odd, w.now)
 	o.st.HandleReplaced(w.now, odd.Incarnation)
-	assert.Assert(t, m.claim == nil)
+	assert.Assert(t, m.restart == nil)
 	assert.Equal(t, m.Incarnation, w.minions[0].Incarnation)
 	_, ok := o.st.NextRenewal(w.now, odd.Incarnation)
 	assert.Assert(t, !ok)
 }
 
-// A life of which only its row is known gets the place of one that is silent
+// An incarnation of which only its row is known gets the place of one that is silent
 // when all leases there have ended, not before.
-func TestClaimIsBelievedWhenTheLeasesHaveEnded(t *testing.T) {
+func TestRestartIsBelievedWhenTheLeasesHaveEnded(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
 	w.submit(newJob("a", tasks(8, 1000)))
 	w.cycle()
@@ -120,7 +120,7 @@
 
 // Guards against a minion that is never used again: an owner that read a row
 // with a birth in the future took the minion's own rows for those of an earlier
-// life.
+// incarnation.
 func TestBirthInTheFutureKeepsNoMinionOut(t *testing.T) {
 	w, _ := newOwnedCluster(t, 1)
 	odd := w.oddRow(w.minions[0], "s")
--- a/internal/shard/rows_test.go
+++ b/internal/shard/rows_test.go
@@ -164,7 +164,7 @@
 	assert.Equal(t, w.running(), n)
 }
 
-// Guards against LIMIT and ROUTE: an owner that learned of a minion's new life
+// Guards against LIMIT and ROUTE: an owner that learned of a minion's restart
 // from its report placed by the room and the labels of the former one.
 func TestNewLifeIsNotUsedBeforeItsRowIsRead(t *testing.T) {
 	w, _ := newLabelledCluster(t)
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -100,8 +100,8 @@
 // tasks, then the fullest minion, so that large tasks find room. Fill tasks go
 // where most room is left, urgent tasks to the fastest minions.
 func (sm *scoredMinion) setScore(p *step) {
-	if p.mixes(sm.minion) {
-		sm.score[0] = mixedPenalty
+	if p.shares(sm.minion) {
+		sm.score[0] = sharingPenalty
 	}
 	if sm.usesReserved || p.hasReservations && !sm.hasReservation(p) {
 		sm.score[0] += 2
@@ -126,8 +126,8 @@
 	sm.score[4] = float64(sm.roomLeft.CPU - p.Size.CPU)
 }
 
-// mixedPenalty exceeds all else in the first key of a score.
-const mixedPenalty = 4
+// sharingPenalty exceeds all else in the first key of a score.
+const sharingPenalty = 4
 
 // takeRoom reports whether one more task fits, and subtracts its room.
 func (sm *scoredMinion) takeRoom(p *step) bool {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -190,7 +190,7 @@
 	assert.Equal(t, w.running(), 0)
 	w.cycle()
 	w.cycle()
-	assert.Equal(t, w.running(), 0, "the row of the new life has not been read yet")
+	assert.Equal(t, w.running(), 0, "the row of the new incarnation has not been read yet")
 	w.pass(rowInterval)
 	w.cycle()
 	assert.Equal(t, w.running(), 2)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -46,37 +46,37 @@
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
 
-	jobs              map[string]*job
-	changed           []*job             // jobs whose rows have to be written
-	majorityAcquitted bool               // as of the last check of all minions
-	upcoming          []*job             // jobs with rounds that are not due yet
-	forgotten         []forgottenJob     // archived jobs that are not in jobs any more, oldest first
-	forgottenIDs      map[string]bool    // IDs of forgotten
-	staleRows         []table.Key        // progress rows that can be deleted
-	queue             []*step            // steps with tasks that wait
-	candidates        []candidate        // buffer reused between decisions
-	roomFreed         bool               // some minion has more room than at the last decision
-	checkedAt         time.Time          // when all minions were last checked
-	bundleCount       int                // number of bundles written in this term
-	epoch             int64              // changes with the set of minions
-	newIncarnations   []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
-	minions           map[string]*minion
-	zones             map[string]*zone
-	trials            []*minion                 // minions with a trial
-	sortedMinions     []*minion                 // by ID; nil when minions has changed
-	termStart         time.Time                 // when the term began
-	renewalSeq        int64                     // sequence number of the last renewal
-	runTimes          map[string]*runTimes      // by queue
-	eligibleShares    map[string]*eligibleShare // by queue
-	baseline          map[string]float64        // average ratio of run time to estimate, by queue
-	queryCapacity     QueryCapacity             // remaining in this decision
-	contendedQueries  int                       // queries that used up the capacity since turnOf last issued one
-	turnOf            *step                     // the step that has waited longest, while it goes first
-	queryOffset       uint                      // where the next query begins to name minions
-	writeTime         time.Duration             // average duration of a write
-	lastDurable       time.Time                 // start of the last write that became durable
-	batch             Batch
-	actions           Actions
+	jobs             map[string]*job
+	changed          []*job             // jobs whose rows have to be written
+	commonFailures   bool               // as of the last check of all minions
+	upcoming         []*job             // jobs with rounds that are not due yet
+	forgotten        []forgottenJob     // archived jobs that are not in jobs any more, oldest first
+	forgottenIDs     map[string]bool    // IDs of forgotten
+	staleRows        []table.Key        // progress rows that can be deleted
+	queue            []*step            // steps with tasks that wait
+	candidates       []candidate        // buffer reused between decisions
+	roomFreed        bool               // some minion has more room than at the last decision
+	checkedAt        time.Time          // when all minions were last checked
+	bundleCount      int                // number of bundles written in this term
+	epoch            int64              // changes with the set of minions
+	newIncarnations  []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
+	minions          map[string]*minion
+	zones            map[string]*zone
+	trials           []*minion                 // minions with a trial
+	sortedMinions    []*minion                 // by ID; nil when minions has changed
+	termStart        time.Time                 // when the term began
+	renewalSeq       int64                     // sequence number of the last renewal
+	runTimes         map[string]*runTimes      // by queue
+	eligibleShares   map[string]*eligibleShare // by queue
+	baseline         map[string]float64        // average ratio of run time to estimate, by queue
+	queryCapacity    QueryCapacity             // remaining in this decision
+	contendedQueries int                       // queries that used up the capacity since turnOf last issued one
+	turnOf           *step                     // the step that has waited longest, while it goes first
+	queryOffset      uint                      // where the next query begins to name minions
+	writeTime        time.Duration             // average duration of a write
+	lastDurable      time.Time                 // start of the last write that became durable
+	batch            Batch
+	actions          Actions
 }
 
 // tokensPerTerm leaves an owner room to raise its token at a minion.
--- a/internal/shard/suspect.go
+++ b/internal/shard/suspect.go
@@ -24,7 +24,7 @@
 	noReplyPause        = 300 * time.Millisecond // after a start without a reply, to leave time for a report
 	probeTime           = 10 * time.Second       // after which a suspect may get another run although the last one has not ended
 	maxFailures         = 8                      // that are kept of a minion
-	minionsToAcquit     = 2                      // on which a task has to fail for the fault to be its own
+	minionsForOwnFault  = 2                      // on which a task has to fail for the fault to be its own
 	maxSuspectShare     = 0.5                    // of the minions; if more are suspects the cause is a common one
 )
 
@@ -40,16 +40,16 @@
 	switch {
 	case f.task == nil || f.task.phase == Finished:
 		return false
-	case len(f.task.failedOn) >= minionsToAcquit:
+	case len(f.task.failedOn) >= minionsForOwnFault:
 		return true
 	}
-	return len(f.step.failedOn) >= minionsToAcquit && !f.step.succeeded
+	return len(f.step.failedOn) >= minionsForOwnFault && !f.step.succeeded
 }
 
 // addMinion adds a minion to those on which something has failed, as far as
 // they matter.
 func addMinion(ids []string, id string) []string {
-	if len(ids) >= minionsToAcquit || slices.Contains(ids, id) {
+	if len(ids) >= minionsForOwnFault || slices.Contains(ids, id) {
 		return ids
 	}
 	return append(ids, id)
@@ -62,7 +62,7 @@
 		f.task.failedOn = addMinion(f.task.failedOn, m.ID)
 		f.step.failedOn = addMinion(f.step.failedOn, m.ID)
 	}
-	if now.Before(m.pausedUntil) || m.resting(now) {
+	if now.Before(m.pausedUntil) || m.pausedForFailures(now) {
 		return
 	}
 	if len(m.failed) == maxFailures {
@@ -74,7 +74,7 @@
 		return
 	}
 	d := min(minPause<<min(n-failuresBeforePause, 3), maxPause)
-	m.restUntil = now.Add(d)
+	m.failurePauseUntil = now.Add(d)
 	s.note(Note{What: MinionPaused, Minion: m.ID, Why: d.String() + ", after failures of " + m.failedTasks()})
 }
 
@@ -125,10 +125,12 @@
 
 // suspect reports whether the minion has failed too often to be given more than
 // one run.
-func (m *minion) suspect() bool { return !m.acquitted && m.failures() >= failuresBeforePause }
+func (m *minion) suspect() bool { return !m.suspicionIgnored && m.failures() >= failuresBeforePause }
 
 // resting reports whether the minion is a suspect and paused.
-func (m *minion) resting(now time.Time) bool { return now.Before(m.restUntil) && m.suspect() }
+func (m *minion) pausedForFailures(now time.Time) bool {
+	return now.Before(m.failurePauseUntil) && m.suspect()
+}
 
 // probing reports whether the minion is a suspect and has the one run that it
 // may have: one that was placed after its last failure, and not long ago, since
@@ -145,21 +147,21 @@
 	return false
 }
 
-// acquitMajority treats no minion as a suspect while most are: then the cause is
+// ignoreCommonFailures treats no minion as a suspect while most are: then the cause is
 // a common one, and other work would have nowhere to go.
-func (s *State) acquitMajority() {
+func (s *State) ignoreCommonFailures() {
 	n := 0
 	for _, m := range s.minionsByID() {
 		if m.failures() >= failuresBeforePause {
 			n++
 		}
 	}
-	acquitted := float64(n) > maxSuspectShare*float64(len(s.minions))
+	common := float64(n) > maxSuspectShare*float64(len(s.minions))
 	for _, m := range s.minionsByID() {
-		m.acquitted = acquitted
+		m.suspicionIgnored = common
 	}
-	if acquitted != s.majorityAcquitted {
-		s.majorityAcquitted, s.roomFreed = acquitted, true
+	if common != s.commonFailures {
+		s.commonFailures, s.roomFreed = common, true
 	}
 }
 
--- a/internal/shard/suspect_test.go
+++ b/internal/shard/suspect_test.go
@@ -173,7 +173,7 @@
 func TestMostMinionsAreNeverBarred(t *testing.T) {
 	w, o := newOwnedCluster(t, 4)
 	for _, m := range o.st.minions {
-		m.failed, m.failedAt, m.restUntil = make([]failure, failuresBeforePause), w.now, w.now.Add(maxPause)
+		m.failed, m.failedAt, m.failurePauseUntil = make([]failure, failuresBeforePause), w.now, w.now.Add(maxPause)
 	}
 	w.submit(newJob("a", tasks(12, 1000)))
 	w.playFor(2*time.Second, endShort)
--- a/internal/shard/throttle.go
+++ b/internal/shard/throttle.go
@@ -37,9 +37,9 @@
 	throttleTimeout  = time.Second // for the reply to an order
 )
 
-// mixes reports whether a task of the step on m would make fill tasks and tasks
+// shares reports whether a task of the step on m would make fill tasks and tasks
 // with a target share the minion.
-func (p *step) mixes(m *minion) bool {
+func (p *step) shares(m *minion) bool {
 	if p.Fill {
 		return m.targetRuns > 0
 	}
@@ -58,9 +58,9 @@
 // updateSharing records whether fill tasks and tasks with a target share the
 // minion now, and returns the speed that its fill runs may have.
 func (m *minion) updateSharing(now time.Time) int {
-	mixed := m.fillRuns > 0 && m.targetRuns > 0
+	shared := m.fillRuns > 0 && m.targetRuns > 0
 	switch {
-	case !mixed:
+	case !shared:
 		m.sharing = sharing{}
 		return fullSpeed
 	case !m.sharing.active:
