--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -31,11 +31,7 @@
 // runEnding reports whether the run of a placed task has ended or is being
 // stopped.
 func (s *State) runEnding(t *task) bool {
-	m := s.minions[t.incarnation.ID]
-	if m == nil || m.Incarnation != t.incarnation {
-		return true
-	}
-	r := m.runs[runKey{t.id, t.attempt}]
+	_, r := s.runAt(t.incarnation, runKey{t.id, t.attempt})
 	return r == nil || r.stopping
 }
 
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -148,11 +148,7 @@
 	if t.phase != Placed {
 		return
 	}
-	m := s.minions[t.incarnation.ID]
-	if m == nil || m.Incarnation != t.incarnation {
-		return
-	}
-	r := m.runs[runKey{t.id, t.attempt}]
+	m, r := s.runAt(t.incarnation, runKey{t.id, t.attempt})
 	if r == nil {
 		return
 	}
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -67,8 +67,8 @@
 
 // HandleNoReply records that a renewal got no reply.
 func (s *State) HandleNoReply(now time.Time, l work.Incarnation) {
-	m := s.minions[l.ID]
-	if m == nil || m.Incarnation != l {
+	m := s.current(l)
+	if m == nil {
 		return
 	}
 	if m.silentSince.IsZero() {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -53,6 +53,25 @@
 	return m
 }
 
+// current returns the minion with the incarnation, or nil if that has ended or is
+// unknown.
+func (s *State) current(l work.Incarnation) *minion {
+	if m := s.minions[l.ID]; m != nil && m.Incarnation == l {
+		return m
+	}
+	return nil
+}
+
+// runAt returns a run and its minion. The run is nil if there is none on that
+// incarnation.
+func (s *State) runAt(l work.Incarnation, k runKey) (*minion, *run) {
+	m := s.current(l)
+	if m == nil {
+		return nil, nil
+	}
+	return m, m.runs[k]
+}
+
 func (m *minion) add(r *run) {
 	m.runs[r.key] = r
 	m.used = m.used.Plus(r.size)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -102,11 +102,7 @@
 // PrepareStart completes a start whose placement is durable. It returns false if
 // the start should no longer be sent.
 func (s *State) PrepareStart(now time.Time, o *StartOrder) bool {
-	m := s.minions[o.Minion.ID]
-	if m == nil || m.Incarnation != o.Minion.Incarnation {
-		return false
-	}
-	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	m, r := s.runAt(o.Minion.Incarnation, runKey{o.Start.Task, o.Start.Attempt})
 	if r == nil {
 		return false
 	}
@@ -128,11 +124,7 @@
 // HandleStartReply processes the reply to a start. A non-nil err means that
 // there was none.
 func (s *State) HandleStartReply(now time.Time, o StartOrder, why work.Refusal, err error) {
-	m := s.minions[o.Minion.ID]
-	if m == nil || m.Incarnation != o.Minion.Incarnation {
-		return
-	}
-	r := m.runs[runKey{o.Start.Task, o.Start.Attempt}]
+	m, r := s.runAt(o.Minion.Incarnation, runKey{o.Start.Task, o.Start.Attempt})
 	if r == nil {
 		return
 	}
--- a/internal/shard/throttle.go
+++ b/internal/shard/throttle.go
@@ -134,11 +134,7 @@
 // means that there was none, or that the minion refused: a later order has a
 // higher token, so that this one has no effect any more.
 func (s *State) HandleThrottleReply(now time.Time, o ThrottleOrder, err error) {
-	m := s.minions[o.Minion.ID]
-	if m == nil || m.Incarnation != o.Minion.Incarnation {
-		return
-	}
-	r := m.runs[runKey{o.Task, o.Attempt}]
+	m, r := s.runAt(o.Minion.Incarnation, runKey{o.Task, o.Attempt})
 	if r == nil {
 		return
 	}
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -38,8 +38,8 @@
 // HandleSlowReply records that a call to a minion has had no reply for longer
 // than usual.
 func (s *State) HandleSlowReply(now time.Time, l work.Incarnation) {
-	m := s.minions[l.ID]
-	if m == nil || m.Incarnation != l {
+	m := s.current(l)
+	if m == nil {
 		return
 	}
 	m.pausedUntil = maxTime(m.pausedUntil, now.Add(noReplyPause))
