Serve client accounts: keys, limits over all services, shares by weight

Keys are checked by each entry before the body is read; a job's account is in its row. Owners divide the limit of an account by rows that change under each other's versions. Within a tier, accounts that run their share come last, jobs beyond their rate after all that are late.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -40,6 +40,10 @@
 	{"step_seq", "rows", "sequence number of the last row of the zone's journal that this entry has applied"},
 	{"step_cell_version", "1", "version of the current configuration"},
 	{"step_control_bytes", "bytes", "bytes of control traffic sent and received, by peer"},
+	{"step_account_cores", "cores", "cores that tasks of an account use in the shard of this entry, by account"},
+	{"step_account_waiting", "tasks", "tasks of an account that could start but for room or its limit, by account"},
+	{"step_account_limited", "steps", "steps of an account that its limit has no room for, by account"},
+	{"step_config_age_seconds", "seconds", "time since the configuration was last known to be the newest"},
 	{"step_packing", "1", "allocated share of the zone's worker capacity, by resource"},
 }
 
--- a/internal/server/archive.go
+++ b/internal/server/archive.go
@@ -28,6 +28,8 @@
 	Queue string         `json:"q"`
 	State shard.JobState `json:"st"`
 	At    int64          `json:"at"` // when the job was archived, Unix milliseconds
+
+	Account string `json:"ac,omitempty"`
 }
 
 // archiveQueue holds the ended jobs that are not archived yet. The zero value is
@@ -124,7 +126,7 @@
 // archiveTx replaces the rows of jobs by their outcomes.
 func archiveTx(jobs []shard.JobStatus, wall time.Time) (tx table.Tx, err error) {
 	for _, j := range jobs {
-		b, err := json.Marshal(Outcome{j.Queue, j.State, wall.UnixMilli()})
+		b, err := json.Marshal(Outcome{j.Queue, j.State, wall.UnixMilli(), j.Account})
 		if err != nil {
 			return tx, fmt.Errorf("encode outcome of %s: %w", j.ID, err)
 		}
@@ -190,7 +192,7 @@
 	if err != nil {
 		return sh, false, err
 	}
-	return shard.JobStatus{ID: id, Queue: out.Queue, State: out.State, Begun: true}, true, nil
+	return shard.JobStatus{ID: id, Queue: out.Queue, Account: out.Account, State: out.State, Begun: true}, true, nil
 }
 
 // rowNames returns the names of the jobs that have rows.
--- a/internal/server/cancel.go
+++ b/internal/server/cancel.go
@@ -6,15 +6,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/account"
 	"jasminestep/internal/table"
 	"jasminestep/internal/web"
 	"jasminestep/internal/work"
 )
 
 // cancelJob makes a cancellation durable and notifies the owner.
-func (s *Server) cancelJob(ctx context.Context, w http.ResponseWriter, q *work.Queue, id string) {
+func (s *Server) cancelJob(ctx context.Context, w http.ResponseWriter, q *work.Queue, name, id string) {
 	for {
-		j, ended, err := s.tryCancel(ctx, q, id)
+		j, ended, err := s.tryCancel(ctx, q, name, id)
 		switch {
 		case err == nil && ended:
 			web.Reply(w, http.StatusOK, struct{}{})
@@ -39,19 +40,19 @@
 // and the write of its cancellation.
 var errArchivedMeanwhile = errors.New("the job has just been archived")
 
-// tryCancel writes the cancellation of a job of the queue. It returns a nil job
+// tryCancel writes the cancellation of a job of the queue and account. It returns a nil job
 // if there is none, and ended if it is archived, so that nothing is left to
 // cancel.
-func (s *Server) tryCancel(ctx context.Context, q *work.Queue, id string) (j *work.Job, ended bool, err error) {
+func (s *Server) tryCancel(ctx context.Context, q *work.Queue, name, id string) (j *work.Job, ended bool, err error) {
 	j, version, err := s.readJob(ctx, id)
 	if err != nil {
 		return nil, false, err
 	}
 	if j == nil {
 		out, found, err := s.readOutcome(ctx, id)
-		return nil, found && out.Queue == q.Key(), err
+		return nil, found && out.Queue == q.Key() && account.MaySee(name, out.Account), err
 	}
-	if j.Queue != q.Key() {
+	if j.Queue != q.Key() || !account.MaySee(name, j.Account) {
 		return nil, false, nil
 	}
 	res, err := s.relayStore.Do(ctx, table.Tx{
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -11,8 +11,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/account"
 	"jasminestep/internal/table"
 	"jasminestep/internal/web"
+	"jasminestep/internal/work"
 )
 
 // Limits on requests of clients.
@@ -39,6 +41,10 @@
 		web.Fail(w, http.StatusNotFound, "no such queue")
 		return
 	}
+	a, ok := s.admit(w, r, cfg, q)
+	if !ok {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.deadline(r))
 	defer cancel()
 	id := strings.TrimPrefix(r.URL.Path, q.Prefix)
@@ -48,16 +54,40 @@
 	case !jobIDPattern.MatchString(id):
 		web.Fail(w, http.StatusBadRequest, "job id %q: want 16 hexadecimal digits", id)
 	case r.Method == http.MethodPost:
-		s.submit(ctx, w, r, cfg, q, id)
+		s.submit(ctx, w, r, cfg, q, a, id)
 	case r.Method == http.MethodGet:
-		s.jobState(ctx, w, q, id)
+		s.jobState(ctx, w, q, a, id)
 	case r.Method == http.MethodDelete:
-		s.cancelJob(ctx, w, q, id)
+		s.cancelJob(ctx, w, q, a, id)
 	default:
 		web.Fail(w, http.StatusMethodNotAllowed, "method %s", r.Method)
 	}
 }
 
+// admit reports whether a request may be served, and for which account; otherwise
+// it has responded.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, cfg *work.Config, q *work.Queue) (name string, ok bool) {
+	age := monotonicNow().Sub(s.configCheckedAt())
+	a, verdict := s.admission().Admit(cfg, q, r.Header.Get(s.Codec.KeyHeader), age)
+	switch verdict {
+	case account.UnknownKey:
+		web.Fail(w, http.StatusUnauthorized, "no account has this key; nothing was done")
+		return "", false
+	case account.Outdated:
+		failRetryable(w, http.StatusServiceUnavailable, "keys can't be checked at present; nothing was done")
+		return "", false
+	}
+	if a == nil {
+		return "", true
+	}
+	return a.Name, true
+}
+
+// admission returns the rule for requests with keys.
+func (s *Server) admission() account.Rule {
+	return account.Rule{FailClosed: s.Settings.FailClosed, MaxAge: time.Duration(s.Settings.RevokeTime) * time.Millisecond}
+}
+
 func (s *Server) deadline(r *http.Request) time.Duration {
 	n, err := strconv.Atoi(r.Header.Get(s.Codec.DeadlineHeader))
 	if err != nil || n <= 0 {
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -221,8 +221,14 @@
 // testCodec returns a codec that encodes the types of the product directly.
 func testCodec() Codec {
 	return Codec{
-		ConfigTable: "conf", ConfigRow: "now", MinionTable: "minion", DeadlineHeader: "Wait",
-		DecodeConfig: func(b []byte) (*work.Config, error) { c := &work.Config{}; return c, json.Unmarshal(b, c) },
+		ConfigTable: "conf", ConfigRow: "now", MinionTable: "minion", DeadlineHeader: "Wait", KeyHeader: "Key",
+		DecodeConfig: func(b []byte) (*work.Config, error) {
+			c := &work.Config{}
+			if err := json.Unmarshal(b, c); err != nil || len(c.Accounts) == 0 {
+				return c, err
+			}
+			return c, c.SetAccounts(c.Accounts)
+		},
 		DecodeMinion: func(id string, b []byte) (work.Minion, bool) {
 			m := work.Minion{}
 			ok := json.Unmarshal(b, &m) == nil
@@ -244,6 +250,8 @@
 	stores  []*faultyStore
 	clients []*countingClient
 	direct  int64 // setting direct of the entries
+
+	services map[string]string // of minions that are not of svc, by ID
 }
 
 // countingClient counts the calls that one entry makes to minions.
@@ -336,7 +344,18 @@
 // themselves.
 func newClusterWithDirect(t *testing.T, entries, minions int, direct int64) *cluster {
 	s := &cluster{t: t, direct: direct, rows: &tabletest.Store{}, fleet: newFleet(minions, 4000)}
-	cfg := work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "svc", Attempts: 3, Slack: 2, Target: time.Second}}, Services: []work.Service{{Name: "svc"}}}
+	s.run(entries, testConfig(1))
+	return s
+}
+
+// testConfig returns a configuration with one queue and one service.
+func testConfig(version int64) work.Config {
+	return work.Config{Version: version, Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "svc", Attempts: 3, Slack: 2, Target: time.Second}}, Services: []work.Service{{Name: "svc"}}}
+}
+
+// run starts the minions and entries.
+func (s *cluster) run(entries int, cfg work.Config) {
+	t := s.t
 	s.putRow("conf", "now", cfg)
 	s.writeMinionRows()
 	ctx, stop := context.WithCancel(context.Background())
@@ -356,7 +375,6 @@
 		}
 		assert.Equal(t, len(s.fleet.violations), 0, "%v", s.fleet.violations)
 	})
-	return s
 }
 
 // injectFaults selects the faults of transactions, except those of minions.
@@ -379,7 +397,11 @@
 // writeMinionRows writes the rows of all minions.
 func (s *cluster) writeMinionRows() {
 	for id, m := range s.fleet.minions {
-		s.putRow("minion", id, work.Minion{Incarnation: work.Incarnation{ID: id, Born: m.born}, Service: "svc", Address: id, Zone: "z", Capacity: work.Size{CPU: m.capacity, Mem: 1000}})
+		service := "svc"
+		if other := s.services[id]; other != "" {
+			service = other
+		}
+		s.putRow("minion", id, work.Minion{Incarnation: work.Incarnation{ID: id, Born: m.born}, Service: service, Address: id, Zone: "z", Capacity: work.Size{CPU: m.capacity, Mem: 1000}})
 	}
 }
 
@@ -406,11 +428,19 @@
 
 // request sends a client's request to an entry.
 func (s *cluster) request(e *Server, method, path string, body any) (int, string) {
+	return s.requestWithKey(e, "", method, path, body)
+}
+
+// requestWithKey sends a request with the key of an account.
+func (s *cluster) requestWithKey(e *Server, key, method, path string, body any) (int, string) {
 	b, err := json.Marshal(body)
 	assert.NilError(s.t, err)
 	r, err := http.NewRequest(method, "http://"+e.Settings.ClientAddr+path, bytes.NewReader(b))
 	assert.NilError(s.t, err)
 	r.Host = "h"
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,6 +81,7 @@
 
 // applyJobRows applies rows of jobs and cancellations.
 func (o *owner) applyJobRows(now time.Time, rows []table.Row, saved shard.SavedProgress) {
+	var jobs []*work.Job
 	for _, r := range rows {
 		if r.Deleted || strings.HasSuffix(r.Name, cancelSuffix) {
 			continue
@@ -95,8 +98,13 @@
 			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
 			continue
 		}
+		jobs = append(jobs, j)
+	}
+	// The rates of accounts are counted in the order of arrival.
+	slices.SortStableFunc(jobs, func(a, b *work.Job) int { return cmp.Compare(a.Accepted, b.Accepted) })
+	for _, j := range jobs {
 		if err := o.state.Load(now, time.Now(), j, saved.Row(j.ID)); err != nil {
-			o.s.Log.Error("job row invalid", "job", r.Name, "why", err.Error())
+			o.s.Log.Error("job row invalid", "job", j.ID, "why", err.Error())
 		}
 	}
 	for _, r := range rows {
--- a/internal/server/lookup.go
+++ b/internal/server/lookup.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/account"
 	"jasminestep/internal/shard"
 	"jasminestep/internal/web"
 	"jasminestep/internal/work"
@@ -31,11 +32,12 @@
 	return out, err
 }
 
-// jobState responds with the state of a job.
-func (s *Server) jobState(ctx context.Context, w http.ResponseWriter, q *work.Queue, id string) {
+// jobState responds with the state of a job. To another account there is no such
+// job.
+func (s *Server) jobState(ctx context.Context, w http.ResponseWriter, q *work.Queue, name, id string) {
 	out, err := s.lookUpJob(ctx, q.Service, id)
 	if err == nil && out.Known {
-		s.replyState(w, q, out.Shown)
+		s.replyState(w, q, name, out.Shown)
 		return
 	}
 	st, found, err := s.readState(ctx, id)
@@ -45,12 +47,12 @@
 	case !found:
 		failNoSuchJob(w)
 	default:
-		s.replyState(w, q, st)
+		s.replyState(w, q, name, st)
 	}
 }
 
-func (s *Server) replyState(w http.ResponseWriter, q *work.Queue, st shard.JobStatus) {
-	if st.Queue != q.Key() {
+func (s *Server) replyState(w http.ResponseWriter, q *work.Queue, name string, st shard.JobStatus) {
+	if st.Queue != q.Key() || !account.MaySee(name, st.Account) {
 		failNoSuchJob(w)
 		return
 	}
@@ -96,7 +98,7 @@
 		}
 		rows = r.Rows
 	}
-	st = shard.JobStatus{ID: id, Queue: j.Queue, State: shard.Queued}
+	st = shard.JobStatus{ID: id, Queue: j.Queue, Account: j.Account, State: shard.Queued}
 	saved, _ := shard.ReadProgress(rows)
 	if row := saved.Row(id); row != nil {
 		st.State, err = shard.ParseJobState(row)
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -36,6 +36,7 @@
 	minionCount atomic.Int64 // number of handlers
 	minionCalls *carry.Dispatcher
 	advice      adviceRequests
+	grants      grants
 	archive     archiveQueue // filled by the control goroutine, emptied by archiveJobs
 
 	ownerVersion, seqVersion int64 // versions of the two rows that every write is conditional on
@@ -52,7 +53,8 @@
 
 	mu             sync.RWMutex
 	jobs           map[string]shard.JobStatus
-	pendingByQueue map[string]int // number of jobs that have not started, by queue
+	accountUses    []shard.AccountUse // as of the last look of balanceGrants
+	pendingByQueue map[string]int     // number of jobs that have not started, by queue
 }
 
 func newOwner(ctx context.Context, s *Server, service string, row OwnerRow, seq int64) *owner {
@@ -67,6 +69,7 @@
 	limits := shard.DefaultLimits
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
 	limits.MaxRowAge = s.Settings.maxRowAge()
+	limits.RateWindow = time.Duration(s.Settings.RateWindow) * time.Millisecond
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
 	o.state = shard.New(service, row.Term, monotonicNow(), limits)
 	return o
@@ -136,6 +139,7 @@
 // step makes decisions and executes them.
 func (o *owner) step() {
 	now := monotonicNow()
+	o.balanceGrants(now)
 	if !o.handingOver {
 		o.state.PlacementPaused = o.writing && now.Sub(o.writingSince) > slowWriteTimeout
 		o.state.Decide(now, time.Now(), o.adviceCapacity(now))
--- a/internal/server/samples.go
+++ b/internal/server/samples.go
@@ -10,7 +10,8 @@
 func (s *Server) gauges() []metric.Sample {
 	var out []metric.Sample
 	if c := s.cfg.Load(); c != nil {
-		out = append(out, metric.Sample{Name: "step_cell_version", Value: float64(c.Version)})
+		out = append(out, metric.Sample{Name: "step_cell_version", Value: float64(c.Version)},
+			metric.Sample{Name: "step_config_age_seconds", Value: monotonicNow().Sub(s.configCheckedAt()).Seconds()})
 	}
 	for _, o := range s.allLocalOwners() {
 		out = append(out,
@@ -20,11 +21,20 @@
 		for q, n := range o.pendingByQueue {
 			out = append(out, metric.Sample{Name: "step_queue", Label: "queue", LabelValue: q, Value: float64(n)})
 		}
+		for _, u := range o.accountUses[:min(len(o.accountUses), maxAccountSamples)] {
+			out = append(out,
+				metric.Sample{Name: "step_account_cores", Label: "account", LabelValue: u.Name, Value: float64(u.Demand.Used.CPU) / 1000},
+				metric.Sample{Name: "step_account_waiting", Label: "account", LabelValue: u.Name, Value: float64(u.Waiting)},
+				metric.Sample{Name: "step_account_limited", Label: "account", LabelValue: u.Name, Value: float64(u.Limited)})
+		}
 		o.mu.RUnlock()
 	}
 	return out
 }
 
+// maxAccountSamples is the number of accounts, by name, that metrics show.
+const maxAccountSamples = 300
+
 // statusRecorder records the status of a response.
 type statusRecorder struct {
 	http.ResponseWriter
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -46,6 +46,7 @@
 	EncodeState                         func(state string) any
 	EncodePending                       func(n int) any
 	DeadlineHeader                      string // header with the time in milliseconds that a client waits
+	KeyHeader                           string // header with a key of the client's account
 }
 
 // Dependencies are the services that an entry uses.
@@ -75,6 +76,7 @@
 	pendingRPCs     atomic.Int64
 
 	cfg      atomic.Pointer[work.Config]
+	cfgSeen  atomic.Int64 // when cfg was last known to be the newest configuration, in nanoseconds of monotonicNow
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -139,7 +141,7 @@
 	s.spawn(func() { s.relayStore.Watch(ctx) })
 	s.spawn(func() { s.writeEntryRow(ctx, false) })
 	s.spawn(func() {
-		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), observe: s.writeTimes.observe, apply: s.applyConfig}.run(ctx, -1)
+		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), observe: s.observeConfig, apply: s.applyConfig}.run(ctx, -1)
 	})
 	s.spawn(func() {
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), observe: s.writeTimes.observe, apply: s.applyEntryTable}.run(ctx, -1)
@@ -181,6 +183,15 @@
 	}
 }
 
+// observeConfig records a reply of the configuration's feed.
+func (s *Server) observeConfig(version int64, at time.Time) {
+	s.writeTimes.observe(version, at)
+	s.cfgSeen.Store(at.UnixNano())
+}
+
+// configCheckedAt is when the configuration was last known to be the newest.
+func (s *Server) configCheckedAt() time.Time { return time.Unix(0, s.cfgSeen.Load()) }
+
 // applyConfig applies new versions of the configuration.
 func (s *Server) applyConfig(rows []table.Row, _ bool) {
 	for _, r := range rows {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -33,6 +33,9 @@
 	Link             float64 `json:"link"`
 	FirstStart       bool    `json:"first"`
 	Level            string  `json:"level"`
+	FailClosed       bool    `json:"closed"`
+	RevokeTime       int64   `json:"revoke"`
+	RateWindow       int64   `json:"window"`
 }
 
 func newSetting(name, unit, def, bounds, doc string) settings.Setting {
@@ -61,6 +64,9 @@
 	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
 	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an owner uses part of it to run garbage collection less often; 0: unknown"),
+	newSetting("closed", "true, false", "false", "", "refuse requests that need a key while the configuration may be older than revoke; otherwise the entry goes on with the keys that it knows"),
+	newSetting("revoke", "ms", "5000", "100 to 600000", "how old the configuration may be if closed is true"),
+	newSetting("window", "ms", "5000", "100 to 600000", "time over which the rate of jobs of an account is measured"),
 	newSetting("level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"),
 }
 
@@ -115,6 +121,8 @@
 		{"contact", s.ContactTime, 1000, 60_000},
 		{"direct", s.MaxDirectMinions, 1, 100_000},
 		{"memory", s.Memory, 0, 1_000_000},
+		{"revoke", s.RevokeTime, 100, 600_000},
+		{"window", s.RateWindow, 100, 600_000},
 	} {
 		if r.v < r.lo || r.v > r.hi {
 			return settings.Invalid(r.name, "%d: want %d to %d", r.v, r.lo, r.hi)
@@ -135,7 +143,7 @@
 	for _, f := range []struct {
 		p   *int64
 		def time.Duration
-	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.MaxLease, 10 * time.Second}, {&s.JobRetention, 150 * time.Second}, {&s.Heartbeat, 1500 * time.Millisecond}, {&s.ContactTime, 3 * time.Second}} {
+	}{{&s.Grace, 6 * time.Second}, {&s.Lease, 5 * time.Second}, {&s.MaxLease, 10 * time.Second}, {&s.JobRetention, 150 * time.Second}, {&s.Heartbeat, 1500 * time.Millisecond}, {&s.ContactTime, 3 * time.Second}, {&s.RevokeTime, 5 * time.Second}, {&s.RateWindow, 5 * time.Second}} {
 		if *f.p == 0 {
 			*f.p = f.def.Milliseconds()
 		}
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -9,12 +9,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/account"
 	"jasminestep/internal/table"
 	"jasminestep/internal/web"
 	"jasminestep/internal/work"
 )
 
-func (s *Server) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, cfg *work.Config, q *work.Queue, id string) {
+func (s *Server) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, cfg *work.Config, q *work.Queue, name, id string) {
 	limit := cfg.MaxBody
 	if limit <= 0 {
 		limit = maxRowBytes
@@ -36,7 +37,7 @@
 		web.Fail(w, http.StatusBadRequest, "%v", err)
 		return
 	}
-	j.ID, j.Queue, j.Service, j.Accepted = id, q.Key(), q.Service, time.Now().UnixMilli()
+	j.ID, j.Queue, j.Service, j.Account, j.Accepted = id, q.Key(), q.Service, name, time.Now().UnixMilli()
 	j.Attempts, j.Priority, j.Slack, j.Target, j.Advice = q.Attempts, q.Priority, q.Slack, q.Target, q.Advice
 	row, err := json.Marshal(j)
 	if err != nil || len(row) > maxRowBytes*3/4 {
@@ -44,6 +45,10 @@
 		return
 	}
 	version, err := s.accept(ctx, j, row)
+	if errors.Is(err, errOtherAccount) {
+		web.Fail(w, http.StatusConflict, "%v", err)
+		return
+	}
 	if err != nil {
 		s.storeFailedFor(w, id, retryAfter(j), err)
 		return
@@ -81,7 +86,7 @@
 		case err == nil && res.Done:
 			return res.Version, nil
 		case err == nil:
-			return 0, nil // a row exists: the job was accepted before
+			return 0, checkAccount(j, res.Rows) // a row exists: the job was accepted before
 		}
 		notDone, busy := errors.Is(err, table.ErrNotApplied), errors.Is(err, table.ErrRateLimited)
 		uncertain = uncertain || !notDone
@@ -99,6 +104,23 @@
 	}
 }
 
+// errOtherAccount means that a job of another account has the ID.
+var errOtherAccount = errors.New("the ID of the job is in use")
+
+// checkAccount returns errOtherAccount if one of the rows, of a job or its
+// outcome, belongs to another account than j.
+func checkAccount(j *work.Job, rows []table.Row) error {
+	for _, r := range rows {
+		var stored struct {
+			Account string `json:"ac"`
+		}
+		if len(r.Value) > 0 && json.Unmarshal(r.Value, &stored) == nil && !account.MaySee(j.Account, stored.Account) {
+			return errOtherAccount
+		}
+	}
+	return nil
+}
+
 // validateJob reports why a job cannot be run.
 func validateJob(j *work.Job) error {
 	if len(j.Spec) > maxSpecBytes {
--- /dev/null
+++ b/internal/shard/account.go
@@ -0,0 +1,207 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jasminestep/internal/quota"
+	"jasminestep/internal/work"
+)
+
+// Jobs of client accounts compete for the minions of a shard. An account runs at
+// most its allowance here, which the owner of the shard obtains for it. When not
+// all fit, an account that runs its weight's share of the shard goes
+// after the others in the same tier, and jobs beyond the rate of an account go
+// after all that still have value. Nothing is kept free for anybody.
+
+// clientAccount is what a shard knows of a client account.
+type clientAccount struct {
+	work.Account
+	allowance work.Size // may run here at once, of the resources that Cap limits
+	used      work.Size // by all runs that may exist
+	share     float64   // of all room that is due to it by its weight
+	active    bool      // has waiting tasks, as of the last decision
+	freed     bool      // may start more than at the last decision
+	tokens    float64   // jobs that it may submit now within its rate
+	tokensAt  time.Time // when tokens was updated; zero if it has submitted nothing
+}
+
+// accountNamed returns an account, or nil if name is empty. One that the
+// configuration does not list has no limit.
+func (s *State) accountNamed(name string) *clientAccount {
+	if name == "" {
+		return nil
+	}
+	a := s.accounts[name]
+	if a == nil {
+		a = &clientAccount{Account: work.Account{Name: name, Weight: 1}}
+		if s.accounts == nil {
+			s.accounts = map[string]*clientAccount{}
+		}
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// SetAccounts applies the accounts of a configuration.
+func (s *State) SetAccounts(list []work.Account) {
+	listed := make(map[string]bool, len(list))
+	for _, l := range list {
+		listed[l.Name] = true
+		a := s.accountNamed(l.Name)
+		a.Account, a.freed = l, true
+	}
+	for name, a := range s.accounts {
+		if !listed[name] {
+			a.Cap, a.freed = work.Size{}, true
+		}
+	}
+}
+
+// SetAllowance sets what an account may run at once in this shard.
+func (s *State) SetAllowance(name string, allowance work.Size) {
+	a := s.accountNamed(name)
+	a.freed = a.freed || allowance.AtLeast(a.allowance) != a.allowance
+	a.allowance = allowance
+}
+
+// AccountUse is what one account does in a shard.
+type AccountUse struct {
+	Name      string
+	Demand    quota.Demand
+	Allowance work.Size
+	Waiting   int // tasks that could start
+	Limited   int // steps that the allowance has no room for
+}
+
+// AccountUses lists the accounts that have a limit, by name.
+func (s *State) AccountUses() []AccountUse {
+	uses := make(map[string]*AccountUse, len(s.accounts))
+	out := make([]AccountUse, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		if a.Cap != (work.Size{}) {
+			out = append(out, AccountUse{Name: a.Name, Demand: quota.Demand{Used: a.used, Needed: a.used}, Allowance: a.allowance})
+		}
+	}
+	slices.SortFunc(out, func(x, y AccountUse) int { return cmp.Compare(x.Name, y.Name) })
+	for i := range out {
+		uses[out[i].Name] = &out[i]
+	}
+	for _, p := range s.queue {
+		if p.job.account == nil || !p.runnable() || p.job.state.Terminal() {
+			continue
+		}
+		if u := uses[p.job.account.Name]; u != nil {
+			u.Waiting += p.waiting
+			u.Demand.Needed = u.Demand.Needed.Plus(p.Size.Times(int64(p.waiting)))
+			if p.overQuota {
+				u.Limited++
+			}
+		}
+	}
+	return out
+}
+
+// count adds n runs of a task of the step to what its account uses.
+func (a *clientAccount) count(p *step, n int64) {
+	if a == nil {
+		return
+	}
+	a.used = a.used.Plus(p.Size.Times(n))
+	a.freed = a.freed || n < 0
+}
+
+// startable returns how many waiting tasks of a step the allowance of its account
+// leaves room for.
+func (a *clientAccount) startable(p *step) int {
+	if a == nil || a.Cap == (work.Size{}) {
+		return p.waiting
+	}
+	n := p.waiting
+	for _, l := range a.limits() {
+		if l.limit == 0 {
+			continue
+		}
+		need := l.of(p.Size)
+		if p.Gang {
+			need *= int64(p.waiting)
+		}
+		// The last task may exceed the limit where nothing smaller is possible.
+		if need > l.limit && need-l.of(p.Size) <= l.limit {
+			need = l.limit
+		}
+		free := l.allowance - l.used
+		switch {
+		case need == 0:
+		case p.Gang && need > free:
+			return 0
+		case !p.Gang:
+			n = min(n, int(max(free, 0)/need))
+		}
+	}
+	return n
+}
+
+// accountLimit is one resource of an account.
+type accountLimit struct {
+	limit, allowance, used int64
+	of                     func(work.Size) int64
+}
+
+func (a *clientAccount) limits() [3]accountLimit {
+	return [3]accountLimit{
+		{a.Cap.CPU, a.allowance.CPU, a.used.CPU, func(s work.Size) int64 { return s.CPU }},
+		{a.Cap.Mem, a.allowance.Mem, a.used.Mem, func(s work.Size) int64 { return s.Mem }},
+		{a.Cap.GPU, a.allowance.GPU, a.used.GPU, func(s work.Size) int64 { return s.GPU }},
+	}
+}
+
+// takeToken reports whether a job that arrives at a time is within the rate of
+// the account. window is the time over which the rate is measured.
+func (a *clientAccount) takeToken(at time.Time, window time.Duration) bool {
+	most := max(a.Weight*window.Seconds(), 1)
+	switch {
+	case a.tokensAt.IsZero():
+		a.tokens, a.tokensAt = most, at
+	case at.After(a.tokensAt):
+		a.tokens = min(a.tokens+a.Weight*at.Sub(a.tokensAt).Seconds(), most)
+		a.tokensAt = at
+	}
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+// weighAccounts determines what share of the room is due to each account. Those
+// that neither run nor want to run anything have none.
+func (s *State) weighAccounts() {
+	sum := 0.0
+	for _, a := range s.accounts {
+		if a.active || a.used != (work.Size{}) {
+			sum += a.Weight
+		}
+	}
+	for _, a := range s.accounts {
+		a.share = a.Weight / max(sum, a.Weight)
+		a.active, a.freed = false, false
+	}
+}
+
+// runsItsShare reports whether an account runs all that is due to it.
+func (v *view) runsItsShare(a *clientAccount) bool {
+	return a != nil && dominantShare(a.used, v.total) >= a.share
+}
+
+// dominantShare is the share of the resource of which used has the largest one.
+func dominantShare(used, total work.Size) float64 {
+	share := 0.0
+	for _, r := range [][2]int64{{used.CPU, total.CPU}, {used.Mem, total.Mem}, {used.GPU, total.GPU}} {
+		if r[1] > 0 {
+			share = max(share, float64(r[0])/float64(r[1]))
+		}
+	}
+	return share
+}
--- a/internal/shard/batch.go
+++ b/internal/shard/batch.go
@@ -46,6 +46,8 @@
 	Queue string
 	State JobState // empty: the job has been deleted
 	Begun bool
+
+	Account string // empty if it belongs to none
 }
 
 // Batch is a set of changes to make durable and the effects that follow once
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -44,7 +44,7 @@
 	case !v.s.repairGang(v.now, p):
 		p.incomplete = false
 		v.s.stopGang(v.now, p)
-	case len(plan) == p.waiting:
+	case len(plan) == p.waiting && p.job.account.startable(p) >= p.waiting:
 		p.incomplete = false
 		v.start(p, missing, plan)
 	}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -79,6 +79,7 @@
 	missesObjective bool              // it will miss its objective
 	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
 	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
+	overQuota       bool              // the allowance of its account has no room for all its waiting tasks; as of its last check
 	noTurnBefore    time.Time         // it is not given the turn at queries before this time, because it had nothing to query about
 	valued          bool              // it still has value, and is not lasting; as of its last check
 }
@@ -104,6 +105,9 @@
 	cachedObjective time.Duration // objective: from submission, or the due time, to the end
 	bundle          *bundle       // bundle with the newest progress; nil if that is in a row of its own
 	hasCopies       bool          // its tasks may have more than one run
+
+	account *clientAccount // nil if it belongs to none
+	excess  bool           // it arrived beyond the rate of its account
 }
 
 // markBegun records that a run of the job has begun.
@@ -116,7 +120,7 @@
 }
 
 // status returns the status of the job as clients see it.
-func (j *job) status() JobStatus { return JobStatus{j.ID, j.Queue, j.state, j.begun} }
+func (j *job) status() JobStatus { return JobStatus{j.ID, j.Queue, j.state, j.begun, j.Account} }
 
 // publishNow publishes a status that is already durable.
 func (s *State) publishNow(j *job) {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -97,6 +97,7 @@
 		return
 	}
 	r.step.job.runs += n
+	r.step.job.account.count(r.step, int64(n))
 	if r.step.Fill {
 		m.fillRuns += n
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -27,13 +27,39 @@
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
 	v.pruneReservations()
-	for _, c := range s.longestWaitFirst(now, s.due(now, wall)) {
-		if c.due || s.queryCapacity.allows(c.deferredCost) {
-			v.placeOrYield(c)
-			s.passTurn(now, c.step)
+	due := s.due(now, wall)
+	s.weighAccounts()
+	v.placeAll(s.longestWaitFirst(now, due))
+	v.queryAhead()
+}
+
+// placeAll considers candidates in order, but within a tier those last whose
+// accounts run their share already.
+func (v *view) placeAll(cs []candidate) {
+	var deferred []candidate
+	for i, c := range cs {
+		if v.runsItsShare(c.job.account) {
+			deferred = append(deferred, c)
+		} else {
+			v.check(c)
 		}
+		if i+1 < len(cs) && cs[i+1].tier == c.tier {
+			continue
+		}
+		for _, c := range deferred {
+			v.check(c)
+		}
+		deferred = deferred[:0]
+	}
+}
+
+// check considers a candidate unless it only waits for a query that is not
+// possible.
+func (v *view) check(c candidate) {
+	if c.due || v.s.queryCapacity.allows(c.deferredCost) {
+		v.placeOrYield(c)
+		v.s.passTurn(v.now, c.step)
 	}
-	v.queryAhead()
 }
 
 // placeOrYield places tasks of a step, unless it leaves its room to others.
@@ -56,6 +82,7 @@
 	ms           []*minion
 	reservedRoom float64                   // room reserved by waiting steps, by roomWeight
 	totalRoom    float64                   // all room, by roomWeight
+	total        work.Size                 // all room
 	usedRoom     float64                   // room in use or unusable when the decision began, by roomWeight
 	largest      work.Size                 // greatest room of any minion, by dimension
 	endCache     map[*minion][]expectedEnd // computed on first use
@@ -70,6 +97,11 @@
 	v.s.releaseTicketHolds(p)
 	p.missesObjective = c.tier >= late
 	p.urgent = v.isUrgent(c)
+	n := p.job.account.startable(p)
+	if p.overQuota = n < p.waiting; n == 0 && !p.incomplete {
+		v.releaseReservations(p)
+		return
+	}
 	scored := v.scoreMinions(p)
 	if p.incomplete {
 		v.completeGang(p, scored)
@@ -82,15 +114,15 @@
 		scored = sameRack(p, scored)
 	}
 	clean, suspects := p.waitingTasks()
-	trials, scored := planTrials(v.now, p, scored, len(suspects))
-	plan := planTasks(p, scored, len(clean))
+	trials, scored := planTrials(v.now, p, scored, min(len(suspects), n))
+	plan := planTasks(p, scored, min(len(clean), n-len(trials)))
 	if p.Gang && (len(plan) < p.waiting || slices.ContainsFunc(plan, lacksTicket) || v.s.PlacementPaused) {
 		if v.reserveRoom(p, plan); !p.hasReservations {
 			v.queryMore(c)
 		}
 		return
 	}
-	if len(trials)+len(plan) < len(suspects)+len(clean) {
+	if len(trials)+len(plan) < min(len(suspects)+len(clean), n) {
 		v.queryMore(c)
 	}
 	all := slices.Concat(trials, plan)
@@ -101,7 +133,7 @@
 	}
 	v.start(p, suspects, trials)
 	v.start(p, clean, plan)
-	if p.waiting > 0 && v.mayReserve(p) {
+	if p.waiting > 0 && p.job.account.startable(p) >= p.waiting && v.mayReserve(p) {
 		v.reserveRoom(p, nil)
 	}
 }
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -75,6 +75,10 @@
 		}
 		s.noteWait(now, p)
 		due := !now.Before(p.checkAt) || s.roomFreed && p.job.Advice == nil
+		if a := p.job.account; a != nil {
+			a.active = true
+			due = due || a.freed && p.overQuota
+		}
 		if due || p.deferredCost > 0 {
 			c := s.candidate(now, wall, p)
 			c.due = due
--- a/internal/shard/rank.go
+++ b/internal/shard/rank.go
@@ -14,6 +14,7 @@
 	lasting   tier = iota // services, which have value for as long as they run
 	timely                // can still end within the objective
 	late                  // can still end within maxLateness objectives
+	excess                // beyond the rate of its account
 	worthless             // has no value any more
 )
 
@@ -64,6 +65,8 @@
 	switch {
 	case p.Lasting:
 		c.tier = lasting
+	case p.job.excess && c.slack >= -(maxLateness-1)*obj:
+		c.tier = excess
 	case c.slack >= 0:
 		c.tier = timely
 	case c.slack >= -(maxLateness-1)*obj:
@@ -74,15 +77,15 @@
 	return c
 }
 
-// yieldAbove is the share of all room in use above which steps without value
-// wait for the others.
+// yieldAbove is the share of all room in use above which steps without value, or
+// beyond the rate of their account, wait for the others.
 const yieldAbove = 0.6
 
 // yields reports whether the step leaves free room to steps that still have
 // value. Those often need advice first, and would find the room taken by steps
 // that have waited long and may run on most minions.
 func (v *view) yields(c candidate) bool {
-	if !v.s.Policy.WorthlessYield || c.tier != worthless || c.incomplete {
+	if !v.s.Policy.WorthlessYield || c.tier < excess || c.incomplete {
 		return false
 	}
 	return v.usedRoom > yieldAbove*v.totalRoom && slices.ContainsFunc(v.s.queue, func(p *step) bool { return p.valued && p.waiting > 0 && p.runnable() })
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -80,6 +80,7 @@
 // addRoom adds the room of a minion to the sums.
 func (v *view) addRoom(m *minion) {
 	v.totalRoom += roomWeight(m.Capacity)
+	v.total = v.total.Plus(m.Capacity)
 	if m.usable(v.now) {
 		v.usedRoom += roomWeight(m.used)
 	} else {
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -29,12 +29,13 @@
 	Retention     time.Duration // how long an ended job is remembered after its archival
 	MaxEnds       int           // maximum number of ends in one report of a minion; there may be more
 	MaxRows       int           // jobs with rows of their own in one batch
+	RateWindow    time.Duration // over which the rate of jobs of an account is measured
 }
 
 // DefaultLimits suit minions that allow leases of 10 s.
 var DefaultLimits = Limits{
 	Lease: 5 * time.Second, RenewWindow: 3 * time.Second, MaxOrderDelay: 15 * time.Second, MaxClockDrift: 0.02, MaxRowAge: 4 * time.Second, Retention: 150 * time.Second,
-	MaxEnds: 500, MaxRows: maxOwnRows,
+	MaxEnds: 500, MaxRows: maxOwnRows, RateWindow: 5 * time.Second,
 }
 
 // State is the state of a shard. Create it with New.
@@ -47,19 +48,20 @@
 	Notes           []Note // decisions since the caller last cleared them
 
 	jobs             map[string]*job
-	changed          []*job             // jobs whose rows have to be written
-	commonFailures   bool               // as of the last check of all minions
-	upcoming         []*job             // jobs with rounds that are not due yet
-	forgotten        []forgottenJob     // archived jobs that are not in jobs any more, oldest first
-	forgottenIDs     map[string]bool    // IDs of forgotten
-	staleRows        []table.Key        // progress rows that can be deleted
-	queue            []*step            // steps with tasks that wait
-	candidates       []candidate        // buffer reused between decisions
-	roomFreed        bool               // some minion has more room than at the last decision
-	checkedAt        time.Time          // when all minions were last checked
-	bundleCount      int                // number of bundles written in this term
-	epoch            int64              // changes with the set of minions
-	newIncarnations  []work.Incarnation // incarnations not returned by TakeNewIncarnations yet
+	accounts         map[string]*clientAccount // by name
+	changed          []*job                    // jobs whose rows have to be written
+	commonFailures   bool                      // as of the last check of all minions
+	upcoming         []*job                    // jobs with rounds that are not due yet
+	forgotten        []forgottenJob            // archived jobs that are not in jobs any more, oldest first
+	forgottenIDs     map[string]bool           // IDs of forgotten
+	staleRows        []table.Key               // progress rows that can be deleted
+	queue            []*step                   // steps with tasks that wait
+	candidates       []candidate               // buffer reused between decisions
+	roomFreed        bool                      // some minion has more room than at the last decision
+	checkedAt        time.Time                 // when all minions were last checked
+	bundleCount      int                       // number of bundles written in this term
+	epoch            int64                     // changes with the set of minions
+	newIncarnations  []work.Incarnation        // incarnations not returned by TakeNewIncarnations yet
 	minions          map[string]*minion
 	zones            map[string]*zone
 	trials           []*minion                 // minions with a trial
@@ -97,7 +99,8 @@
 	if s.jobs[j.ID] != nil || s.forgottenIDs[j.ID] {
 		return
 	}
-	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrivedAt: now}
+	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrivedAt: now, account: s.accountNamed(j.Account)}
+	n.excess = n.account != nil && !n.account.takeToken(now, s.Limits.RateWindow)
 	s.jobs[j.ID] = n
 	s.upcoming = append(s.upcoming, n)
 	s.publishNow(n)
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -80,11 +80,15 @@
 	unqueriedRoom    int // of these, those that could take a task now
 	queriesInFlight  int
 	queryCapacity    QueryCapacity
+	account          string         // what limits the account of the job; empty if nothing does
 	obstacles        obstacleCounts // of the minions that are allowed or have not been queried
 }
 
 func (s *State) waitState(now time.Time, p *step) waitState {
 	w := waitState{waiting: p.waiting, tasks: p.Tasks, allowed: len(p.advice.eligible), queriesInFlight: p.advice.inFlight, queryCapacity: s.queryCapacity}
+	if a := p.job.account; a != nil && p.overQuota {
+		w.account = fmt.Sprintf("account %s uses %v and may use %v here", a.Name, a.used, a.allowance)
+	}
 	for _, m := range s.minionsByID() {
 		_, allowed := p.advice.eligible[m.ID]
 		allowed = allowed || p.job.Advice == nil
@@ -116,6 +120,9 @@
 func (w waitState) String() string {
 	text := fmt.Sprintf("%d of %d tasks wait; %d minions are allowed, of which %d exist, %d have room, %d have it reserved for others; %d have not been queried, of which %d have room; %d queries in flight, %d more can be issued (%d slow)",
 		w.waiting, w.tasks, w.allowed, w.allowedPresent, w.allowedWithRoom, w.reservedByOthers, w.unqueried, w.unqueriedRoom, w.queriesInFlight, w.queryCapacity.Total, w.queryCapacity.Slow)
+	if w.account != "" {
+		text += "; " + w.account
+	}
 	if o := w.obstacles.String(); o != "" {
 		text += "; " + o
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -3,6 +3,7 @@
 package work
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -23,9 +24,22 @@
 // Minus returns the difference of s and o.
 func (s Size) Minus(o Size) Size { return Size{s.CPU - o.CPU, s.Mem - o.Mem, s.GPU - o.GPU} }
 
+// AtMost returns the lesser of s and o in every resource.
+func (s Size) AtMost(o Size) Size {
+	return Size{min(s.CPU, o.CPU), min(s.Mem, o.Mem), min(s.GPU, o.GPU)}
+}
+
+// AtLeast returns the greater of s and o in every resource.
+func (s Size) AtLeast(o Size) Size {
+	return Size{max(s.CPU, o.CPU), max(s.Mem, o.Mem), max(s.GPU, o.GPU)}
+}
+
 // Times returns s multiplied by n.
 func (s Size) Times(n int64) Size { return Size{s.CPU * n, s.Mem * n, s.GPU * n} }
 
+// String returns the size as log lines show it.
+func (s Size) String() string { return fmt.Sprintf("%dm/%dMB/%dGPU", s.CPU, s.Mem, s.GPU) }
+
 // CanFit reports whether s is at least o in every resource.
 func (s Size) CanFit(o Size) bool { return o.CPU <= s.CPU && o.Mem <= s.Mem && o.GPU <= s.GPU }
 
@@ -74,6 +88,8 @@
 	Slack    float64       `json:"sl,omitempty"` // the time objective is Slack times the critical path of the job, plus Target
 	Target   time.Duration `json:"ta,omitempty"`
 	Advice   *AdviceTiming `json:"ad,omitempty"` // nil if the queue has no placement service
+
+	Account string `json:"ac,omitempty"` // name of the account it belongs to; empty for a job of a public queue, or without accounts
 }
 
 // Rounds returns how many times the steps run.
@@ -120,6 +136,7 @@
 	Slack    float64
 	Target   time.Duration
 	Advice   *AdviceTiming
+	Public   bool // its requests need no key, and its jobs belong to no account
 }
 
 // Key identifies the queue. Unlike Name, it stays the same when the route is renamed.
@@ -137,7 +154,11 @@
 	Version  int64
 	Queues   []Queue
 	Services []Service
-	MaxBody  int64 // bytes
+	MaxBody  int64     // bytes
+	Accounts []Account // set by SetAccounts
+
+	accountByName map[string]*Account
+	accountByKey  map[string]*Account // nil without accounts
 }
 
 // FindQueue returns the queue of host with the longest prefix of path, or nil if
