Bound what clients can make a process hold, at every address

Cause: nothing limited the connections of clients, what was read of their headers and bodies, or the decoded form of a body; a crowd that stops short of its bodies' ends held all of it for up to 60 s. Each server charges connections, headers and bodies to a budget from the settings memory and files, before bodies are read; where that is spent, connections that stall make way, or what is new is refused, with 503 and Retry-After if it is a body. All entries have a soft memory limit.

--- a/cmd/jasminestep/crowd_test.go
+++ b/cmd/jasminestep/crowd_test.go
@@ -297,7 +297,7 @@
 
 // shortFields sends whole requests of legal size with very many empty parts.
 func shortFields(part string) client {
-	body := `{"spec":"x","taskGroups":[` + strings.TrimSuffix(strings.Repeat(part+",", emptyParts), ",") + `]}`
+	body := standin.JobOfParts(part, emptyParts)
 	return func(_ context.Context, c net.Conn, target string) {
 		_, _ = io.WriteString(c, head(http.MethodPost, target, fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body)
 		untilClosed(c)
--- a/cmd/jasminestep/serve.go
+++ b/cmd/jasminestep/serve.go
@@ -40,6 +40,7 @@
 	proc.SetTimeToForceQuit(forceQuitTimeout)
 	log := hclog.New(&hclog.LoggerOptions{Name: "jasminestep", Level: hclog.LevelFromString(set.Level), JSONFormat: true})
 	web.UseLog(log)
+	web.LimitMemory(set.Memory)
 	e, err := entry.New(*set, entry.Options{Log: log})
 	if err != nil {
 		return err
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -38,12 +38,13 @@
 	for _, s := range []struct {
 		addr   string
 		routes []rest.Route
+		limits web.Limits
 	}{
-		{e.Settings.Caller, caller.Routes(e)},
-		{e.Settings.Operator, ops.Routes(e, stop)},
-		{e.Settings.Admin, adminRoutes(e)},
+		{e.Settings.Caller, caller.Routes(e), web.LimitsFor(e.Settings.Memory, e.Settings.Files)},
+		{e.Settings.Operator, ops.Routes(e, stop), operatorLimits},
+		{e.Settings.Admin, adminRoutes(e), web.SmallLimits},
 	} {
-		w, err := web.New(s.addr, s.routes)
+		w, err := web.New(s.addr, s.routes, s.limits)
 		if err != nil {
 			p.Kill()
 			return nil, fmt.Errorf("start: %w", err)
@@ -59,6 +60,9 @@
 	return p, nil
 }
 
+// operatorLimits leave room for several configurations of the greatest size.
+var operatorLimits = web.Limits{Conns: 64, Bytes: 12 << 20, Request: 60 * time.Second}
+
 // adminRoutes returns the routes of the admin port.
 func adminRoutes(e *entry.Entry) []rest.Route {
 	return []rest.Route{
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -108,6 +108,8 @@
 	switch {
 	case errors.Is(err, web.ErrTooLarge):
 		return refuse(route.TooLarge)
+	case errors.Is(err, web.ErrBusy):
+		return refuse(route.QueueFull)
 	case err != nil:
 		return refuse(route.BadBody)
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -44,6 +44,9 @@
 	{"step_account_waiting", "tasks", "tasks of an account that could start but for room or its limit, by account"},
 	{"step_account_limited", "steps", "steps of an account that its limit has no room for, by account"},
 	{"step_config_age_seconds", "seconds", "time since the configuration was last known to be the newest"},
+	{"step_client_connections", "connections", "open connections of clients"},
+	{"step_client_bytes", "bytes", "memory that clients take by what they have sent, as estimated"},
+	{"step_clients_sent_away", "clients", "connections closed and requests refused because clients take too much, by cause"},
 	{"step_packing", "1", "allocated share of the zone's worker capacity, by resource"},
 }
 
@@ -92,9 +95,12 @@
 	return m, nil
 }
 
+// maxScrapes is how many requests for metrics are served at once.
+const maxScrapes = 4
+
 // Handler serves the metrics.
 func (m *Meter) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Request counts a request by its outcome and reason, and records its latency.
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -72,6 +72,10 @@
 		web.Fail(w, http.StatusRequestEntityTooLarge, "%v", err)
 		return false
 	}
+	if errors.Is(err, web.ErrBusy) {
+		web.Fail(w, http.StatusServiceUnavailable, "%v", err)
+		return false
+	}
 	if err == nil {
 		err = operator.Parse("body", b, v)
 	}
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -22,7 +22,7 @@
 	defaultDeadline = 3 * time.Second
 	replyMargin     = 100 * time.Millisecond // before a client's deadline, to deliver the response
 	maxSpecBytes    = 4000
-	maxSteps        = 64
+	MaxSteps        = 64     // of a job
 	maxTasks        = 10_000 // of a job, over all steps
 	maxRowBytes     = 64 << 10
 )
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -48,6 +48,7 @@
 	{"jobs not archived yet", "service jobs why", "ended jobs could not be archived; it is retried", "the store, if it lasts: the next owner then reads more rows"},
 	{"jobs cannot be archived", "service jobs why", "the outcomes of ended jobs could not be encoded; this owner archives no more", "a fault of the program"},
 	{"outcomes not deleted", "part why", "outcomes past their retention time could not be deleted; it is retried", "the store"},
+	{"clients sent away", "connections bytes full held fields stalled", "clients took too much in the last 5 s: connections refused because there are too many, requests because too much is held or they have too many header fields, connections closed because they stalled", "the addresses that connect; `step_clients_sent_away` of other entries"},
 	{"account limited", "service account used allowed steps tasks", "an account could start more in this shard but for its limit", "the limit in the configuration; the same line of the other services' owners"},
 	{"grants cannot be written", "service accounts bytes why", "the row with what a shard may use of the limits of accounts is too large; its grants stay", "the number of accounts"},
 	{"grants invalid", "service why", "the row of a shard cannot be decoded; it counts as empty", "who wrote the row"},
--- a/internal/server/samples.go
+++ b/internal/server/samples.go
@@ -8,7 +8,7 @@
 
 // gauges returns the current values of the entry's gauges.
 func (s *Server) gauges() []metric.Sample {
-	var out []metric.Sample
+	out := s.clientSamples()
 	if c := s.cfg.Load(); c != nil {
 		out = append(out, metric.Sample{Name: "step_cell_version", Value: float64(c.Version)},
 			metric.Sample{Name: "step_config_age_seconds", Value: monotonicNow().Sub(s.configCheckedAt()).Seconds()})
@@ -60,12 +60,21 @@
 	return "refused"
 }
 
+// methodLabel returns the label of a method, of which clients may invent any.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return "other"
+}
+
 // withMetrics wraps a handler to count requests and measure their duration.
 func (s *Server) withMetrics(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		startTime := monotonicNow()
 		rec := &statusRecorder{w, http.StatusOK}
 		h(rec, r)
-		s.metrics.Request(outcome(rec.status), r.Method, monotonicNow().Sub(startTime))
+		s.metrics.Request(outcome(rec.status), methodLabel(r.Method), monotonicNow().Sub(startTime))
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -105,11 +105,12 @@
 	s.relayStore = &relay.Store{Direct: deps.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
 	s.carrier = carry.NewCarrier(deps.Minions, s.instanceID, monotonicNow)
 	s.peers = peer.New(transport.DialFrom(""), &transport.ByteCounter{})
+	set.tuneGC(0)
 	var err error
 	if s.peerListener, err = net.Listen("tcp", set.PeerAddr); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	if s.clientServer, err = web.NewWithHandler(set.ClientAddr, s.withMetrics(s.serveClient)); err != nil {
+	if s.clientServer, err = web.NewWithHandler(set.ClientAddr, s.withMetrics(s.serveClient), set.clientLimits()); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	if s.metrics, err = metric.New(); err != nil {
@@ -118,10 +119,10 @@
 	if err = s.metrics.RegisterGauges(s.gauges); err != nil {
 		return nil, err
 	}
-	if s.metricsServer, err = web.NewWithHandler(set.MetricsAddr, s.metrics.Handler()); err != nil {
+	if s.metricsServer, err = web.NewWithHandler(set.MetricsAddr, s.metrics.Handler(), web.SmallLimits); err != nil {
 		return nil, fmt.Errorf("listen for metrics: %w", err)
 	}
-	if s.readinessServer, err = web.NewWithHandler(set.ReadinessAddr, http.HandlerFunc(s.readiness)); err != nil {
+	if s.readinessServer, err = web.NewWithHandler(set.ReadinessAddr, http.HandlerFunc(s.readiness), web.SmallLimits); err != nil {
 		return nil, fmt.Errorf("listen for readiness checks: %w", err)
 	}
 	return s, nil
@@ -147,6 +148,7 @@
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), observe: s.writeTimes.observe, apply: s.applyEntryTable}.run(ctx, -1)
 	})
 	s.spawn(func() { s.watchServices(ctx) })
+	s.spawn(func() { s.watchClients(ctx) })
 	s.Log.Info("entry started", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
 }
 
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminestep/internal/settings"
+	"jasminestep/internal/web"
 	"jasminestep/pkg/operator"
 )
 
@@ -29,6 +30,7 @@
 	ContactTime      int64   `json:"contact"`
 	MaxDirectMinions int64   `json:"direct"`
 	Memory           int64   `json:"memory"`
+	Files            int64   `json:"files"`
 	Cores            float64 `json:"cores"`
 	Link             float64 `json:"link"`
 	FirstStart       bool    `json:"first"`
@@ -63,10 +65,11 @@
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
 	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
-	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an owner uses part of it to run garbage collection less often; 0: unknown"),
+	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent, and garbage is collected as often as needed to stay below three fifths; 0: unknown, 64 MB for clients"),
 	newSetting("closed", "true, false", "false", "", "refuse requests that need a key while the configuration may be older than revoke; otherwise the entry goes on with the keys that it knows"),
 	newSetting("revoke", "ms", "5000", "100 to 600000", "how old the configuration may be if closed is true"),
 	newSetting("window", "ms", "5000", "100 to 600000", "time over which the rate of jobs of an account is measured"),
+	newSetting("files", "descriptors", "0", "0 to 10000000", "descriptors that the VM gives this process; clients get half of them as connections at most; 0: unknown, 2048 connections"),
 	newSetting("level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"),
 }
 
@@ -121,6 +124,7 @@
 		{"contact", s.ContactTime, 1000, 60_000},
 		{"direct", s.MaxDirectMinions, 1, 100_000},
 		{"memory", s.Memory, 0, 1_000_000},
+		{"files", s.Files, 0, 10_000_000},
 		{"revoke", s.RevokeTime, 100, 600_000},
 		{"window", s.RateWindow, 100, 600_000},
 	} {
@@ -165,6 +169,17 @@
 	}
 }
 
+// clientRequestTime is how long a client's request may take to arrive, several
+// times what its deadline allows.
+const clientRequestTime = 20 * time.Second
+
+// clientLimits are the limits of the server for clients.
+func (s *Settings) clientLimits() web.Limits {
+	l := web.LimitsFor(s.Memory, s.Files)
+	l.Request = clientRequestTime
+	return l
+}
+
 // orderTime is how long before the end of its validity a minion's row is no
 // longer relied on, so that an order arrives in time.
 const orderTime = 500 * time.Millisecond
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -23,8 +23,13 @@
 	b, err := web.Body(r, limit)
 	switch {
 	case errors.Is(err, web.ErrTooLarge):
+		w.Header().Set("Connection", "close") // the rest of the body is of no use
 		web.Fail(w, http.StatusRequestEntityTooLarge, "%v", err)
 		return
+	case errors.Is(err, web.ErrBusy):
+		w.Header().Set("Connection", "close") // the client may reach an entry with room
+		failRetryable(w, http.StatusServiceUnavailable, "too many requests at present; nothing was done")
+		return
 	case err != nil:
 		web.Fail(w, http.StatusBadRequest, "%v", err)
 		return
@@ -126,8 +131,8 @@
 	if len(j.Spec) > maxSpecBytes {
 		return fmt.Errorf("spec: %d bytes, at most %d", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("%d steps: want 1 to %d", len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("%d steps: want 1 to %d", len(j.Steps), MaxSteps)
 	}
 	if j.Times < 0 || j.Every < 0 || j.First < 0 || j.Times > maxTasks {
 		return errors.New("occurrences: want no negative count, time or interval")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,8 @@
 	Request  int64    `json:"request"`
 	Adopt    int64    `json:"adopt"`
 	Snapshot int64    `json:"snapshot"`
+	Memory   int64    `json:"memory"`
+	Files    int64    `json:"files"`
 	Level    string   `json:"level"`
 }
 
@@ -62,6 +64,8 @@
 	{"request", "ms", "30000", "100 to 600000", "maximum run time of a request on a minion"},
 	{"adopt", "ms", "60000", "5*lease to 3600000", "time without any sign of another zone, neither heartbeats nor journal rows, before its journal is taken over"},
 	{"snapshot", "rows", "2000", "100 to 1000000", "number of journal rows between two snapshots"},
+	{"memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent; 0: unknown, 64 MB for clients"},
+	{"files", "descriptors", "0", "0 to 10000000", "descriptors that the VM gives this process; clients get half of them as connections at most; 0: unknown, 2048 connections"},
 	{"level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"},
 }
 
@@ -149,6 +153,8 @@
 		{"request", s.Request, 100, 600_000},
 		{"adopt", s.Adopt, 5 * s.Lease, 3_600_000},
 		{"snapshot", s.Snapshot, 100, 1_000_000},
+		{"memory", s.Memory, 0, 1_000_000},
+		{"files", s.Files, 0, 10_000_000},
 	}
 	for _, r := range ranges {
 		if r.v < r.lo || r.v > r.hi {
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -26,7 +26,6 @@
 // Limits on client connections.
 const (
 	headerTimeout  = 5 * time.Second
-	readTimeout    = 60 * time.Second // for a whole request, allowing for slow clients
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 32 << 10 // bytes
 )
@@ -35,11 +34,15 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	guard    *guard
 }
 
+// Load returns what the clients of the server take at present.
+func (s *Server) Load() Load { return s.guard.load() }
+
 // New returns a server for routes on addr. It listens at once but serves requests
 // only after Start.
-func New(addr string, routes []rest.Route) (*Server, error) {
+func New(addr string, routes []rest.Route, limits Limits) (*Server, error) {
 	r, err := rest.NewServer(rest.RestConf{
 		ServiceConf: service.ServiceConf{Name: "jasminestep", Log: logx.LogConf{Mode: "console", Encoding: "json", Level: "severe"}},
 		Middlewares: rest.MiddlewaresConf{Recover: true},
@@ -52,20 +55,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("server on %s: %w", addr, err)
 	}
-	return NewWithHandler(addr, http.HandlerFunc(h.Serve))
+	return NewWithHandler(addr, http.HandlerFunc(h.Serve), limits)
 }
 
 // NewWithHandler returns a server that passes all requests on addr to h, for
 // paths that aren't known in advance. It listens at once but serves requests only
 // after Start.
-func NewWithHandler(addr string, h http.Handler) (*Server, error) {
+func NewWithHandler(addr string, h http.Handler, limits Limits) (*Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("server: %w", err)
 	}
-	return &Server{listener: l, http: &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	g := newGuard(limits)
+	return &Server{listener: listener{l, g}, guard: g, http: &http.Server{
+		Handler: g.wrap(h), ReadHeaderTimeout: headerTimeout, ReadTimeout: g.limits.Request,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConn, ConnState: stateChanged,
 	}}, nil
 }
 
@@ -108,14 +112,40 @@
 // ErrTooLarge is wrapped by the error of Body for a body over the limit.
 var ErrTooLarge = errors.New("body is too large")
 
-// Body reads the request body, which may have at most limit bytes.
+// Body reads the request body, which may have at most limit bytes. Room for it is
+// taken before it is read, and given back after the response.
 func Body(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, fmt.Errorf("%d bytes, at most %d: %w", r.ContentLength, limit, ErrTooLarge)
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+	most := limit + 1
+	if r.ContentLength >= 0 {
+		most = r.ContentLength
+	}
+	c := connOf(r)
+	if c != nil {
+		defer c.waitForClient()()
+	}
+	var b []byte
+	for {
+		if len(b) == cap(b) && int64(len(b)) < most {
+			size := min(max(2*int64(cap(b)), firstBodyBytes), most)
+			if c != nil && !c.charge((size-int64(cap(b)))*bodyFactor) {
+				return nil, fmt.Errorf("read body: %w", ErrBusy)
+			}
+			b = append(make([]byte, 0, size), b...)
+		}
+		if int64(len(b)) == most {
+			break
+		}
+		n, err := r.Body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read body: %w", err)
+		}
 	}
 	if int64(len(b)) > limit {
 		return nil, fmt.Errorf("more than %d bytes: %w", limit, ErrTooLarge)
