Keep what an owner has learned for the next one; need only what fits a limit

Cause: run times, shares of eligible minions and the slowness of minions were learned anew by each owner; run times counted a slow minion as a long task. An account whose GPUs were used up still asked for memory for all its waiting tasks, and another service of it went without. Change: one row for a shard, written with other changes every 3 s, read before the first decision; run times by image where there is one, divided by the slowness of the minion. Needs are summed up only as far as they fit into the limit together.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -29,7 +29,7 @@
 	{"entry row not written", "why", "the entry's own row could not be written; it is retried", "the store"},
 	{"log lines dropped", "lines", "log lines were left out because their reader is slow or there were too many", "the log collector; counts from this log are too low"},
 
-	{"job accepted", "job queue fresh version", "a job is durable; fresh is false if it already was", ""},
+	{"job accepted", "job queue account fresh version", "a job is durable; fresh is false if it already was", ""},
 	{"cancellation accepted", "job", "a cancellation is durable", ""},
 	{"request rejected", "job why", "a request was rejected without effect", "`feed lost` and `shard write failed` at that time, on this entry and on others"},
 	{"request outcome unknown", "job why", "the store did not respond in time; the request may have taken effect", "the store; a later line about the job"},
@@ -49,6 +49,7 @@
 	{"jobs cannot be archived", "service jobs why", "the outcomes of ended jobs could not be encoded; this owner archives no more", "a fault of the program"},
 	{"outcomes not deleted", "part why", "outcomes past their retention time could not be deleted; it is retried", "the store"},
 	{"clients sent away", "connections bytes full held fields stalled", "clients took too much in the last 5 s: connections refused because there are too many, requests because too much is held or they have too many header fields, connections closed because they stalled", "the addresses that connect; `step_clients_sent_away` of other entries"},
+	{"learned run times invalid", "service why", "some of what a former owner has learned of run times cannot be used; it is learned anew", "who wrote the row"},
 	{"account limited", "service account used allowed steps tasks", "an account could start more in this shard but for its limit", "the limit in the configuration; the same line of the other services' owners"},
 	{"grants cannot be written", "service accounts bytes why", "the row with what a shard may use of the limits of accounts is too large; its grants stay", "the number of accounts"},
 	{"grants invalid", "service why", "the row of a shard cannot be decoded; it counts as empty", "who wrote the row"},
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -39,9 +39,20 @@
 	if err != nil {
 		return fmt.Errorf("read progress: %w", err)
 	}
+	learned, err := retryRead(ctx, func() (table.Range, error) {
+		return o.s.relayStore.Read(ctx, shard.LearnedTable, o.service, "", "")
+	})
+	if err != nil {
+		return fmt.Errorf("read what was learned: %w", err)
+	}
 	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
 	now := monotonicNow()
 	o.applyMinionRows(now, minions.Rows, true)
+	for _, r := range learned.Rows {
+		if err = o.state.LoadLearned(r.Value); err != nil {
+			o.s.Log.Error("learned run times invalid", "service", o.service, "why", err.Error())
+		}
+	}
 	saved, bad := shard.ReadProgress(progress.Rows)
 	for _, name := range bad {
 		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -59,7 +59,7 @@
 		return
 	}
 	fresh := version != 0
-	s.Log.Info("job accepted", "job", id, "queue", q.Name, "fresh", fresh, "version", cfg.Version)
+	s.Log.Info("job accepted", "job", id, "queue", q.Name, "account", name, "fresh", fresh, "version", cfg.Version)
 	web.Reply(w, http.StatusOK, struct{}{})
 	if fresh {
 		args := SubmitArgs{j, version}
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -94,7 +94,8 @@
 		}
 		if u := uses[p.job.account.Name]; u != nil {
 			u.Waiting += p.waiting
-			u.Demand.Needed = u.Demand.Needed.Plus(p.Size.Times(int64(p.waiting)))
+			n := p.job.account.fitting(u.Demand.Needed, p.Size, p.waiting)
+			u.Demand.Needed = u.Demand.Needed.Plus(p.Size.Times(int64(n)))
 			if p.overQuota {
 				u.Limited++
 			}
@@ -112,6 +113,18 @@
 	a.freed = a.freed || n < 0
 }
 
+// fitting returns how many of n tasks of a size fit into the limit beside what is
+// needed already. Tasks that one resource leaves no room for need none of the
+// others.
+func (a *clientAccount) fitting(needed, size work.Size, n int) int {
+	for _, l := range a.limits() {
+		if l.limit > 0 && l.of(size) > 0 {
+			n = min(n, int(max(l.limit-l.of(needed), 0)/l.of(size)))
+		}
+	}
+	return n
+}
+
 // startable returns how many waiting tasks of a step the allowance of its account
 // leaves room for.
 func (a *clientAccount) startable(p *step) int {
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -18,7 +18,7 @@
 	if r.step.Estimate <= 0 || r.placedAt.IsZero() || r.step.Fill {
 		return
 	}
-	s.observeRunTime(r.step, now.Sub(r.placedAt))
+	s.observeRunTime(r.step, time.Duration(float64(now.Sub(r.placedAt))/m.speedFactor()))
 	ratio := float64(now.Sub(r.placedAt)) / float64(r.step.runTime)
 	q := r.step.job.Queue
 	if s.baseline[q] == 0 {
@@ -32,6 +32,17 @@
 	m.slowness += slownessWeight * (slow - m.slowness)
 }
 
+// maxSpeedFactor bounds how much of a run time is put down to its minion.
+const maxSpeedFactor = 4
+
+// speedFactor is the slowness of the minion, as far as it is known.
+func (m *minion) speedFactor() float64 {
+	if m.slowness == 0 {
+		return 1
+	}
+	return max(1.0/maxSpeedFactor, min(m.slowness, maxSpeedFactor))
+}
+
 // Thresholds for the slowness of a minion, relative to the average.
 const (
 	slowThreshold     = 1.8
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -170,7 +170,7 @@
 	r := &round{number: k, unfinished: len(j.Steps)}
 	for i := range j.Steps {
 		p := &step{Step: &j.Steps[i], index: i, job: j, round: r, unfinished: j.Steps[i].Tasks, waiting: j.Steps[i].Tasks}
-		p.runTime = s.predictRunTime(j, p.Estimate)
+		p.runTime = s.predictRunTime(j, p.Image, p.Estimate)
 		for x := range p.Tasks {
 			p.tasks = append(p.tasks, &task{id: work.TaskID{Job: j.ID, Round: k, Step: i, Index: x}})
 		}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -228,6 +228,9 @@
 	if err := s.encode(); err != nil {
 		return Batch{}, err
 	}
+	if err := s.saveLearned(s.decidedAt); err != nil {
+		return Batch{}, err
+	}
 	s.deleteStaleRows()
 	b := s.batch
 	s.batch = Batch{AckedEnds: map[work.Incarnation]int64{}}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -14,7 +14,7 @@
 // Decide places waiting tasks and gives up runs whose leases have expired. wall
 // is the time of day.
 func (s *State) Decide(now, wall time.Time, free QueryCapacity) {
-	s.queryCapacity = free
+	s.queryCapacity, s.decidedAt = free, now
 	if now.Sub(s.checkedAt) >= checkInterval || now.Before(s.checkedAt) {
 		s.checkedAt = now
 		s.expire(now)
--- a/internal/shard/runtime.go
+++ b/internal/shard/runtime.go
@@ -8,9 +8,10 @@
 // Clients estimate the run times of their tasks, some of them badly. A step whose
 // run time is underestimated seems late long before it is, and one whose run time
 // is overestimated waits for too long. The shard therefore predicts run times
-// from estimates and the run times observed in the same queue: by a linear
-// regression of the logarithms, which keeps good estimates as they are and moves
-// bad ones towards the average of the queue.
+// from estimates and the run times observed in the same queue, of the same image
+// if there is one: by a linear regression of the logarithms, which keeps good
+// estimates as they are and moves bad ones towards the average. Run times are
+// divided by the slowness of their minions, which is learned apart from them.
 
 // runTimes holds what is known of the run times in one queue, as sums over the
 // observations of x, the logarithm of the estimate, and y, that of the run time
@@ -58,19 +59,45 @@
 	return time.Duration(float64(estimate) * factor)
 }
 
-// predictRunTime returns the expected run time of a task of the step.
-func (s *State) predictRunTime(j *job, estimate time.Duration) time.Duration {
+// runTimeKey names what run times are learned of. Image is empty for a whole
+// queue.
+type runTimeKey struct{ Queue, Image string }
+
+// maxRunTimes is the number of queues and images of which run times are learned.
+const maxRunTimes = 200
+
+// runTimesOf returns what is known of the run times of a queue's image or, if that
+// is little, of the queue; nil if nothing is.
+func (s *State) runTimesOf(queue, image string) *runTimes {
+	if r := s.runTimes[runTimeKey{queue, image}]; r != nil && r.n >= minRunTimes {
+		return r
+	}
+	return s.runTimes[runTimeKey{Queue: queue}]
+}
+
+// predictRunTime returns the expected run time of a task with an image.
+func (s *State) predictRunTime(j *job, image string, estimate time.Duration) time.Duration {
 	if !s.Policy.LearnRunTimes {
 		return estimate
 	}
-	return s.runTimes[j.Queue].predict(estimate)
+	return s.runTimesOf(j.Queue, image).predict(estimate)
 }
 
 // observeRunTime learns from a run that succeeded.
 func (s *State) observeRunTime(p *step, took time.Duration) {
-	q := p.job.Queue
-	if s.runTimes[q] == nil {
-		s.runTimes[q] = &runTimes{}
+	s.learned = true
+	s.observeRunTimeOf(runTimeKey{Queue: p.job.Queue}, p.Estimate, took)
+	if p.Image != "" {
+		s.observeRunTimeOf(runTimeKey{p.job.Queue, p.Image}, p.Estimate, took)
+	}
+}
+
+func (s *State) observeRunTimeOf(k runTimeKey, estimate, took time.Duration) {
+	if s.runTimes[k] == nil {
+		if len(s.runTimes) >= maxRunTimes {
+			return
+		}
+		s.runTimes[k] = &runTimes{}
 	}
-	s.runTimes[q].observe(p.Estimate, took)
+	s.runTimes[k].observe(estimate, took)
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -59,16 +59,19 @@
 	candidates       []candidate               // buffer reused between decisions
 	roomFreed        bool                      // some minion has more room than at the last decision
 	checkedAt        time.Time                 // when all minions were last checked
+	decidedAt        time.Time                 // when the last decision was made
 	bundleCount      int                       // number of bundles written in this term
 	epoch            int64                     // changes with the set of minions
 	newIncarnations  []work.Incarnation        // incarnations not returned by TakeNewIncarnations yet
 	minions          map[string]*minion
 	zones            map[string]*zone
-	trials           []*minion                 // minions with a trial
-	sortedMinions    []*minion                 // by ID; nil when minions has changed
-	termStart        time.Time                 // when the term began
-	renewalSeq       int64                     // sequence number of the last renewal
-	runTimes         map[string]*runTimes      // by queue
+	trials           []*minion // minions with a trial
+	sortedMinions    []*minion // by ID; nil when minions has changed
+	termStart        time.Time // when the term began
+	renewalSeq       int64     // sequence number of the last renewal
+	runTimes         map[runTimeKey]*runTimes
+	learned          bool // something was learned since it was saved
+	learnedSavedAt   time.Time
 	eligibleShares   map[string]*eligibleShare // by queue
 	baseline         map[string]float64        // average ratio of run time to estimate, by queue
 	queryCapacity    QueryCapacity             // remaining in this decision
@@ -89,7 +92,7 @@
 	return &State{
 		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, termStart: now, lastDurable: now,
 		jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{},
-		baseline: map[string]float64{}, runTimes: map[string]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
+		baseline: map[string]float64{}, runTimes: map[runTimeKey]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
 		batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
 }
