--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -48,11 +48,7 @@
 	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
 	now := monotonicNow()
 	o.applyMinionRows(now, minions.Rows, true)
-	for _, r := range learned.Rows {
-		if err = o.state.LoadLearned(r.Value); err != nil {
-			o.s.Log.Error("learned run times invalid", "service", o.service, "why", err.Error())
-		}
-	}
+	o.applyLearned(learned.Rows)
 	saved, bad := shard.ReadProgress(progress.Rows)
 	for _, name := range bad {
 		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
@@ -64,6 +60,16 @@
 	return nil
 }
 
+// applyLearned takes over what a former owner has learned; what can't be used is
+// learned anew.
+func (o *owner) applyLearned(rows []table.Row) {
+	for _, r := range rows {
+		if err := o.state.LoadLearned(r.Value); err != nil {
+			o.s.Log.Error("learned run times invalid", "service", o.service, "why", err.Error())
+		}
+	}
+}
+
 // loadTimeout limits the time to read a shard; after it another entry may try.
 const loadTimeout = 10 * time.Second
 
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -11,9 +11,9 @@
 
 // Jobs of client accounts compete for the minions of a shard. An account runs at
 // most its allowance here, which the owner of the shard obtains for it. When not
-// all fit, an account that runs its weight's share of the shard goes
-// after the others in the same tier, and jobs beyond the rate of an account go
-// after all that still have value. Nothing is kept free for anybody.
+// all fit, an account that runs its weight's share of the shard goes after the
+// others in the same tier, and jobs beyond the rate of an account go after all
+// that are late. Nothing is kept free for anybody.
 
 // clientAccount is what a shard knows of a client account.
 type clientAccount struct {
@@ -23,8 +23,8 @@
 	share     float64   // of all room that is due to it by its weight
 	active    bool      // has waiting tasks, as of the last decision
 	freed     bool      // may start more than at the last decision
-	tokens    float64   // jobs that it may submit now within its rate
-	tokensAt  time.Time // when tokens was updated; zero if it has submitted nothing
+	permits   float64   // jobs that it may submit now within its rate, see takePermit
+	permitsAt time.Time // when permits was updated; zero if it has submitted nothing
 }
 
 // accountNamed returns an account, or nil if name is empty. One that the
@@ -170,21 +170,21 @@
 	}
 }
 
-// takeToken reports whether a job that arrives at a time is within the rate of
+// takePermit reports whether a job that arrives at a time is within the rate of
 // the account. window is the time over which the rate is measured.
-func (a *clientAccount) takeToken(at time.Time, window time.Duration) bool {
+func (a *clientAccount) takePermit(at time.Time, window time.Duration) bool {
 	most := max(a.Weight*window.Seconds(), 1)
 	switch {
-	case a.tokensAt.IsZero():
-		a.tokens, a.tokensAt = most, at
-	case at.After(a.tokensAt):
-		a.tokens = min(a.tokens+a.Weight*at.Sub(a.tokensAt).Seconds(), most)
-		a.tokensAt = at
+	case a.permitsAt.IsZero():
+		a.permits, a.permitsAt = most, at
+	case at.After(a.permitsAt):
+		a.permits = min(a.permits+a.Weight*at.Sub(a.permitsAt).Seconds(), most)
+		a.permitsAt = at
 	}
-	if a.tokens < 1 {
+	if a.permits < 1 {
 		return false
 	}
-	a.tokens--
+	a.permits--
 	return true
 }
 
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -41,6 +41,19 @@
 	assert.Equal(t, o.st.AccountUses()[0].Demand.Used, work.Size{})
 }
 
+// Guards against a shard that asks for more of one resource than its tasks can use,
+// since the limit of another is used up; another service would go without.
+func TestNeedCountsOnlyWhatFitsIntoTheLimit(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 100_000, Mem: 3000}}, 0)
+	p := tasks(50, 1000)
+	p.Size.Mem = 1000
+	w.submit(jobOf("a", "j", p))
+	w.cycle()
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Needed, work.Size{CPU: 3000, Mem: 3000})
+	assert.Equal(t, o.st.AccountUses()[0].Waiting, 50)
+}
+
 // Guards against an account whose gang waits for room that its limit would not
 // let it use, and holds that room meanwhile.
 func TestGangBeyondTheLimitReservesNothing(t *testing.T) {
@@ -121,7 +134,7 @@
 	a := &clientAccount{Account: work.Account{Weight: 2}}
 	taken := func(at time.Time) int {
 		n := 0
-		for a.takeToken(at, time.Second) {
+		for a.takePermit(at, time.Second) {
 			n++
 		}
 		return n
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -103,7 +103,7 @@
 		return
 	}
 	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrivedAt: now, account: s.accountNamed(j.Account)}
-	n.excess = n.account != nil && !n.account.takeToken(now, s.Limits.RateWindow)
+	n.excess = n.account != nil && !n.account.takePermit(now, s.Limits.RateWindow)
 	s.jobs[j.ID] = n
 	s.upcoming = append(s.upcoming, n)
 	s.publishNow(n)
