Memory of a process depends no longer on the number of processors

Here it took 70 to 75 MB with 7 processors and 77 with 16: the soft limit left out the pages of the program file (20 MB resident), the kernel took megabytes of answers that nobody read, and each further processor allocates while garbage is collected; at serve, 64 processors took 173 MB.

Change: the soft limit is 0.65 of the memory less 24 MB; a process uses at most one processor for each 16 MB; the kernel's buffers of a client's connection are bounded.

TestRequestsAheadAreAnsweredOnlyAsTheClientReads failed before (922 answers of 4 KB that nobody read, now below 512).

--- a/internal/web/guard.go
+++ b/internal/web/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -41,15 +42,28 @@
 // collectors of metrics.
 var SmallLimits = Limits{Conns: 32, Bytes: 2 << 20, Request: 10 * time.Second}
 
-// memoryLimitShare is the share of a process's memory used as its soft limit:
-// garbage is collected as often as needed to stay below.
-const memoryLimitShare = 0.6
+// The soft memory limit of a process, to stay below which garbage is collected as
+// often as needed.
+const (
+	memoryLimitShare = 0.65     // of what its memory has besides programBytes
+	programBytes     = 24 << 20 // of pages of the program file, which the limit does not count
+)
+
+// procMB is the memory that a process should have for each processor it uses at
+// once: what it allocates while garbage is collected grows with their number.
+const procMB = 16
 
-// LimitMemory sets the soft memory limit of a process that has so many MB. 0 means
-// unknown.
+// LimitMemory sets the soft memory limit of a process that has so many MB, and the
+// number of processors that it may use at once. 0 means unknown.
 func LimitMemory(memory int64) {
-	if memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory<<20)))
+	if memory <= 0 {
+		return
+	}
+	if n := memory<<20 - programBytes; n > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(n)))
+	}
+	if n := max(1, int(memory/procMB)); n < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(n)
 	}
 }
 
@@ -75,6 +89,13 @@
 	firstBodyBytes  = 4 << 10  // of the buffer of a body
 )
 
+// Buffers of the kernel for a connection, in bytes. Left to itself, it makes room for
+// megabytes that a client sends ahead, or for answers that a client does not read.
+const (
+	receiveBuffer = 128 << 10
+	sendBuffer    = 64 << 10
+)
+
 // Timing of connections.
 const (
 	writeTimeout  = 10 * time.Second // for a client to accept what is written
@@ -155,6 +176,10 @@
 
 // admit returns the guarded connection, or nil if there is no place for it.
 func (g *guard) admit(now time.Time, nc net.Conn) *conn {
+	if tc, ok := nc.(*net.TCPConn); ok { // a connection that is gone already fails later
+		_ = tc.SetReadBuffer(receiveBuffer)
+		_ = tc.SetWriteBuffer(sendBuffer)
+	}
 	c := &conn{Conn: nc, guard: g}
 	c.waiting.Store(true)
 	c.progress.Store(now.UnixNano())
--- a/internal/web/guard_test.go
+++ b/internal/web/guard_test.go
@@ -143,3 +143,28 @@
 	_ = resp.Body.Close()
 	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
 }
+
+// Guards against room that the kernel makes for a client that sends requests ahead
+// and reads no answers: megabytes for each connection, and all the garbage of
+// answering what fills them.
+func TestRequestsAheadAreAnsweredOnlyAsTheClientReads(t *testing.T) {
+	const answer, most = 4 << 10, 2 << 20 // bytes; the client's own buffer has some 200 KB
+	addr := loopback.Addr()
+	var n atomic.Int64
+	text := strings.Repeat("x", answer)
+	s, err := NewWithHandler(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.Add(1)
+		_, _ = io.WriteString(w, text)
+	}), Limits{})
+	assert.NilError(t, err)
+	s.Start()
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 20_000)) }()
+	for before := int64(-1); n.Load() != before; time.Sleep(200 * time.Millisecond) {
+		before = n.Load()
+	}
+	assert.Assert(t, n.Load()*answer <= most, "%d answers written that nobody reads", n.Load())
+}
