Where a job would go; learning of run times gets a switch and a metric

Cause: operators want to know where a job would go without submitting it, and whether learning run times pays; neither could be seen.

Change: jasminestep where asks a running entry at its metrics address. The owner answers from its state by the functions that place tasks: what the account's limit, rate and share say, the tasks that go first, the minions with room, why the others get none, the expected start. Setting runtimes, metric step_runtime_factor. Decoding a job and what it has from its queue are functions of their own.

Tried and reverted: requests wait for a store that no entry reaches, for up to 0.8 s or until their deadline.

--- a/cmd/jasminestep/client.go
+++ b/cmd/jasminestep/client.go
@@ -71,16 +71,12 @@
 // readDocument reads a document from a file or from standard input, decodes it
 // into doc and validates it.
 func readDocument(file string, doc operator.Checked) ([]byte, error) {
-	var b []byte
-	var err error
+	b, err := readInput(file)
+	if err != nil {
+		return nil, err
+	}
 	if file == "" || file == "-" {
 		file = "standard input"
-		b, err = io.ReadAll(os.Stdin)
-	} else {
-		b, err = os.ReadFile(file)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read document: %w", err)
 	}
 	if err = operator.Parse(file, b, doc); err != nil {
 		return nil, err
@@ -91,6 +87,19 @@
 	return b, nil
 }
 
+// readInput reads a file, or standard input if file is empty or "-".
+func readInput(file string) (b []byte, err error) {
+	if file == "" || file == "-" {
+		b, err = io.ReadAll(os.Stdin)
+	} else {
+		b, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	return b, nil
+}
+
 // printJSON prints v as indented JSON.
 func printJSON(v any) error {
 	b, err := json.MarshalIndent(v, "", "  ")
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -43,6 +43,7 @@
 	{"step_account_cores", "cores", "cores that tasks of an account use in the shard of this entry, by account"},
 	{"step_account_waiting", "tasks", "tasks of an account that could start but for room or its limit, by account"},
 	{"step_account_limited", "steps", "steps of an account that its limit has no room for, by account"},
+	{"step_runtime_factor", "1", "factor by which run times differ from what is expected, by source (estimated by clients, learned)"},
 	{"step_config_age_seconds", "seconds", "time since the configuration was last known to be the newest"},
 	{"step_client_connections", "connections", "open connections of clients"},
 	{"step_client_bytes", "bytes", "memory that clients take by what they have sent, as estimated"},
--- a/internal/server/account_test.go
+++ b/internal/server/account_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -143,3 +145,32 @@
 	s.eventually("the whole limit is used", func() bool { return s.fleet.running() == limit })
 	assert.Assert(t, watch(200*time.Millisecond) <= limit)
 }
+
+func TestWhereTellsWhereAJobWouldGo(t *testing.T) {
+	s := newAccountCluster(t, 2, work.Size{CPU: 2000})
+	ask := func(e *Server, query string, body any) (int, WhereReply) {
+		b, err := json.Marshal(body)
+		assert.NilError(t, err)
+		resp, err := http.Post("http://"+e.Settings.MetricsAddr+WherePath+"?"+query, "", bytes.NewReader(b))
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		var got WhereReply
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&got))
+		return resp.StatusCode, got
+	}
+	for _, e := range s.entries {
+		s.eventually("an answer with the equal part of the limit", func() bool {
+			code, got := ask(e, "host=h&path=/q/&account=a", jobBody("10ms", 3))
+			return code == http.StatusOK && got.Queue == "q" && got.Service == "svc" && got.Outlook.Steps[0].Allowed == 1 && got.Outlook.Steps[0].NowCount == 3
+		})
+		for query, want := range map[string]int{"host=h&path=/none/": http.StatusNotFound, "host=h&path=/q/&account=odd": http.StatusNotFound} {
+			code, _ := ask(e, query, jobBody("10ms", 1))
+			assert.Equal(t, code, want, query)
+		}
+		code, _ := ask(e, "host=h&path=/q/", work.Job{Spec: "no steps"})
+		assert.Equal(t, code, http.StatusBadRequest)
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	assert.Equal(t, s.fleet.starts, 0)
+}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -53,6 +53,7 @@
 
 	mu             sync.RWMutex
 	jobs           map[string]shard.JobStatus
+	runTimeErrors  shard.RunTimeErrors
 	accountUses    []shard.AccountUse // as of the last look of balanceGrants
 	pendingByQueue map[string]int     // number of jobs that have not started, by queue
 }
@@ -72,6 +73,7 @@
 	limits.RateWindow = time.Duration(s.Settings.RateWindow) * time.Millisecond
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
 	o.state = shard.New(service, row.Term, monotonicNow(), limits)
+	o.state.Policy.LearnRunTimes = s.Settings.RunTimes == learnedRunTimes
 	return o
 }
 
@@ -193,6 +195,7 @@
 func (o *owner) updateJobs(statuses []shard.JobStatus) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.runTimeErrors = o.state.RunTimeErrors
 	for _, st := range statuses {
 		old, had := o.jobs[st.ID]
 		if had && isPending(old) {
--- a/internal/server/samples.go
+++ b/internal/server/samples.go
@@ -21,6 +21,11 @@
 		for q, n := range o.pendingByQueue {
 			out = append(out, metric.Sample{Name: "step_queue", Label: "queue", LabelValue: q, Value: float64(n)})
 		}
+		if e := o.runTimeErrors; e.N > 0 {
+			out = append(out,
+				metric.Sample{Name: "step_runtime_factor", Label: "of", LabelValue: estimatedRunTimes, Value: e.OfEstimate()},
+				metric.Sample{Name: "step_runtime_factor", Label: "of", LabelValue: learnedRunTimes, Value: e.OfPrediction()})
+		}
 		for _, u := range o.accountUses[:min(len(o.accountUses), maxAccountSamples)] {
 			out = append(out,
 				metric.Sample{Name: "step_account_cores", Label: "account", LabelValue: u.Name, Value: float64(u.Demand.Used.CPU) / 1000},
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -119,7 +119,10 @@
 	if err = s.metrics.RegisterGauges(s.gauges); err != nil {
 		return nil, err
 	}
-	if s.metricsServer, err = web.NewWithHandler(set.MetricsAddr, s.metrics.Handler(), web.SmallLimits); err != nil {
+	admin := http.NewServeMux()
+	admin.Handle("/", s.metrics.Handler())
+	admin.HandleFunc(WherePath, s.where)
+	if s.metricsServer, err = web.NewWithHandler(set.MetricsAddr, admin, web.SmallLimits); err != nil {
 		return nil, fmt.Errorf("listen for metrics: %w", err)
 	}
 	if s.readinessServer, err = web.NewWithHandler(set.ReadinessAddr, http.HandlerFunc(s.readiness), web.SmallLimits); err != nil {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -38,6 +38,7 @@
 	FailClosed       bool    `json:"closed"`
 	RevokeTime       int64   `json:"revoke"`
 	RateWindow       int64   `json:"window"`
+	RunTimes         string  `json:"runtimes"`
 }
 
 func newSetting(name, unit, def, bounds, doc string) settings.Setting {
@@ -65,14 +66,21 @@
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
 	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
-	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent, and garbage is collected as often as needed to stay below three fifths; 0: unknown, 64 MB for clients"),
+	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent, garbage is collected as often as needed to stay below 0.65 of what is left after 24 MB for the program, and one processor is used for each 16 MB at most; 0: unknown, 64 MB for clients"),
 	newSetting("closed", "true, false", "false", "", "refuse requests that need a key while the configuration may be older than revoke; otherwise the entry goes on with the keys that it knows"),
 	newSetting("revoke", "ms", "5000", "100 to 600000", "how old the configuration may be if closed is true"),
 	newSetting("window", "ms", "5000", "100 to 600000", "time over which the rate of jobs of an account is measured"),
+	newSetting("runtimes", "name", "learned", "learned or estimated", "run times that are expected: learned from runs that have ended, or as estimated by clients"),
 	newSetting("files", "descriptors", "0", "0 to 10000000", "descriptors that the VM gives this process; clients get half of them as connections at most; 0: unknown, 2048 connections"),
 	newSetting("level", "name", "info", "debug, info, warn or error", "minimum severity of log lines that are written"),
 }
 
+// Values of Settings.RunTimes.
+const (
+	learnedRunTimes   = "learned"
+	estimatedRunTimes = "estimated"
+)
+
 // Load reads and validates a settings file. Unknown settings are ignored. The
 // error for an invalid setting has the file, line and column.
 func Load(file string) (*Settings, error) {
@@ -135,6 +143,9 @@
 	if s.Orders != "call" {
 		return settings.Invalid("orders", "%q: want call; minions that fetch their orders are not supported", s.Orders)
 	}
+	if s.RunTimes != learnedRunTimes && s.RunTimes != estimatedRunTimes {
+		return settings.Invalid("runtimes", "%q: want learned or estimated", s.RunTimes)
+	}
 	switch s.Level {
 	case "debug", "info", "warn", "error":
 	default:
@@ -158,6 +169,9 @@
 	if s.Level == "" {
 		s.Level = "info"
 	}
+	if s.RunTimes == "" {
+		s.RunTimes = learnedRunTimes
+	}
 	if s.Cores <= 0 {
 		s.Cores = 1
 	}
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -15,7 +15,9 @@
 	"jasminestep/internal/work"
 )
 
-func (s *Server) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, cfg *work.Config, q *work.Queue, name, id string) {
+// decodeJob reads and checks the job that a request submits. If ok is false it has
+// responded.
+func (s *Server) decodeJob(w http.ResponseWriter, r *http.Request, cfg *work.Config) (j *work.Job, ok bool) {
 	limit := cfg.MaxBody
 	if limit <= 0 {
 		limit = maxRowBytes
@@ -25,25 +27,39 @@
 	case errors.Is(err, web.ErrTooLarge):
 		w.Header().Set("Connection", "close") // the rest of the body is of no use
 		web.Fail(w, http.StatusRequestEntityTooLarge, "%v", err)
-		return
+		return nil, false
 	case errors.Is(err, web.ErrBusy):
 		w.Header().Set("Connection", "close") // the client may reach an entry with room
 		failRetryable(w, http.StatusServiceUnavailable, "too many requests at present; nothing was done")
-		return
+		return nil, false
 	case err != nil:
 		web.Fail(w, http.StatusBadRequest, "%v", err)
-		return
+		return nil, false
 	}
-	j, err := s.Codec.DecodeJob(b)
+	j, err = s.Codec.DecodeJob(b)
 	if err == nil {
 		err = validateJob(j)
 	}
 	if err != nil {
 		web.Fail(w, http.StatusBadRequest, "%v", err)
-		return
+		return nil, false
 	}
-	j.ID, j.Queue, j.Service, j.Account, j.Accepted = id, q.Key(), q.Service, name, time.Now().UnixMilli()
+	return j, true
+}
+
+// setQueue sets what a job has from its queue, and its account.
+func setQueue(j *work.Job, q *work.Queue, account string) {
+	j.Queue, j.Service, j.Account = q.Key(), q.Service, account
 	j.Attempts, j.Priority, j.Slack, j.Target, j.Advice = q.Attempts, q.Priority, q.Slack, q.Target, q.Advice
+}
+
+func (s *Server) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, cfg *work.Config, q *work.Queue, name, id string) {
+	j, ok := s.decodeJob(w, r, cfg)
+	if !ok {
+		return
+	}
+	j.ID, j.Accepted = id, time.Now().UnixMilli()
+	setQueue(j, q, name)
 	row, err := json.Marshal(j)
 	if err != nil || len(row) > maxRowBytes*3/4 {
 		web.Fail(w, http.StatusRequestEntityTooLarge, "the job is too large")
--- a/internal/shard/runtime.go
+++ b/internal/shard/runtime.go
@@ -59,6 +59,33 @@
 	return time.Duration(float64(estimate) * factor)
 }
 
+// RunTimeErrors tells how far run times are from what was expected. The zero value
+// has seen none.
+type RunTimeErrors struct {
+	N                    int     // runs seen
+	estimate, prediction float64 // moving averages of the size of the logarithm of the error
+}
+
+// errorWeight is the weight of the newest run in RunTimeErrors.
+const errorWeight = 0.01
+
+// observe records a run.
+func (e *RunTimeErrors) observe(estimate, prediction, took time.Duration) {
+	if estimate <= 0 || prediction <= 0 || took <= 0 {
+		return
+	}
+	e.N++
+	w := max(errorWeight, 1/float64(e.N))
+	e.estimate += w * (math.Abs(math.Log(took.Seconds()/estimate.Seconds())) - e.estimate)
+	e.prediction += w * (math.Abs(math.Log(took.Seconds()/prediction.Seconds())) - e.prediction)
+}
+
+// OfEstimate returns the factor by which run times differ from clients' estimates.
+func (e *RunTimeErrors) OfEstimate() float64 { return math.Exp(e.estimate) }
+
+// OfPrediction returns the factor by which run times differ from predictions.
+func (e *RunTimeErrors) OfPrediction() float64 { return math.Exp(e.prediction) }
+
 // runTimeKey names what run times are learned of. Image is empty for a whole
 // queue.
 type runTimeKey struct{ Queue, Image string }
@@ -86,6 +113,7 @@
 // observeRunTime learns from a run that succeeded.
 func (s *State) observeRunTime(p *step, took time.Duration) {
 	s.learned = true
+	s.RunTimeErrors.observe(p.Estimate, s.runTimesOf(p.job.Queue, p.Image).predict(p.Estimate), took)
 	s.observeRunTimeOf(runTimeKey{Queue: p.job.Queue}, p.Estimate, took)
 	if p.Image != "" {
 		s.observeRunTimeOf(runTimeKey{p.job.Queue, p.Image}, p.Estimate, took)
--- a/internal/shard/runtime_test.go
+++ b/internal/shard/runtime_test.go
@@ -61,3 +61,14 @@
 	s.beginRounds(epoch)
 	assert.Equal(t, s.jobs["a"].objective(), 2*(2*time.Second+2*time.Second)+time.Second)
 }
+
+func TestRunTimeErrorsTellWhatLearningGains(t *testing.T) {
+	var e RunTimeErrors
+	assert.Equal(t, e.OfEstimate(), 1.0)
+	for range 50 {
+		e.observe(time.Second, 3*time.Second, 4*time.Second)
+		e.observe(time.Second, 3*time.Second, 0) // makes no sense
+	}
+	assert.Check(t, e.OfEstimate() > 3.99 && e.OfEstimate() < 4.01, "%v", e.OfEstimate())
+	assert.Check(t, e.OfPrediction() > 1.33 && e.OfPrediction() < 1.34, "%v", e.OfPrediction())
+}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -46,6 +46,7 @@
 	Policy          Policy
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
+	RunTimeErrors   RunTimeErrors
 
 	jobs             map[string]*job
 	accounts         map[string]*clientAccount // by name
