Entries that fail closed ask for the configuration often enough

Cause: an entry with the setting closed refuses requests while its configuration is older than revoke. An answer of the store is as old as its request, and the store may hold it back for 1.8 s, so that the age reaches 3.6 s in calm: with revoke below that, entries refused clients a good part of the time.

Change: the store holds answers back for at most a quarter of revoke, if closed.

Result: TestEntriesThatFailClosedAdmitClientsInCalm failed before (503 within 1 s) and passes.

--- a/internal/server/account_test.go
+++ b/internal/server/account_test.go
@@ -28,7 +28,13 @@
 }
 
 func newAccountCluster(t *testing.T, entries int, limit work.Size) *cluster {
-	s := &cluster{t: t, rows: &tabletest.Store{}, fleet: newFleet(6, 4000), services: map[string]string{"m0": "svc2", "m1": "svc2", "m2": "svc2"}}
+	return newRevokingCluster(t, entries, limit, 0)
+}
+
+// newRevokingCluster returns a cluster of entries that fail closed, with a
+// Settings.RevokeTime, unless that is 0.
+func newRevokingCluster(t *testing.T, entries int, limit work.Size, revoke time.Duration) *cluster {
+	s := &cluster{t: t, revoke: revoke, rows: &tabletest.Store{}, fleet: newFleet(6, 4000), services: map[string]string{"m0": "svc2", "m1": "svc2", "m2": "svc2"}}
 	s.run(entries, accountConfig(1, limit))
 	for _, svc := range []string{"svc", "svc2"} {
 		s.eventually("an owner of "+svc, func() bool {
@@ -174,3 +180,18 @@
 	defer s.fleet.mu.Unlock()
 	assert.Equal(t, s.fleet.starts, 0)
 }
+
+// Guards against entries that refuse clients in calm, since they ask for the newest
+// configuration less often than its age may be (soak --accounts, seed 21).
+func TestEntriesThatFailClosedAdmitClientsInCalm(t *testing.T) {
+	s := newRevokingCluster(t, 1, work.Size{}, time.Second)
+	s.eventually("a first answer", func() bool {
+		code, _ := s.requestWithKey(s.entries[0], "ka", http.MethodGet, "/q/"+jobName(1), nil)
+		return code == http.StatusGone
+	})
+	for range 80 {
+		code, body := s.requestWithKey(s.entries[0], "ka", http.MethodGet, "/q/"+jobName(1), nil)
+		assert.Equal(t, code, http.StatusGone, body)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -243,6 +243,7 @@
 
 // cluster is a set of entries that share a store and a fleet.
 type cluster struct {
+	revoke  time.Duration // Settings.RevokeTime of entries that fail closed; 0 if they do not
 	t       *testing.T
 	rows    *tabletest.Store
 	fleet   *fleet
@@ -413,7 +414,7 @@
 }
 
 func (s *cluster) startEntry(id string) *Server {
-	set := Settings{ID: id, Zone: "z", ClientAddr: loopback.Addr(), ReadinessAddr: loopback.Addr(), PeerAddr: loopback.Addr(), MetricsAddr: loopback.Addr(), Store: "127.0.0.1:1", MaxDirectMinions: s.direct}
+	set := Settings{ID: id, Zone: "z", ClientAddr: loopback.Addr(), ReadinessAddr: loopback.Addr(), PeerAddr: loopback.Addr(), MetricsAddr: loopback.Addr(), Store: "127.0.0.1:1", MaxDirectMinions: s.direct, FailClosed: s.revoke > 0, RevokeTime: s.revoke.Milliseconds()}
 	_, err := set.Check()
 	assert.NilError(s.t, err)
 	v, c := &faultyStore{Store: s.rows}, &countingClient{fleet: s.fleet}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -145,7 +145,7 @@
 	s.spawn(func() { s.relayStore.Watch(ctx) })
 	s.spawn(func() { s.writeEntryRow(ctx, false) })
 	s.spawn(func() {
-		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: feedLongPoll, report: s.feedLogger("configuration"), observe: s.observeConfig, apply: s.applyConfig}.run(ctx, -1)
+		follower{store: s.relayStore, table: s.Codec.ConfigTable, wait: s.Settings.configPoll(), report: s.feedLogger("configuration"), observe: s.observeConfig, apply: s.applyConfig}.run(ctx, -1)
 	})
 	s.spawn(func() {
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), observe: s.writeTimes.observe, apply: s.applyEntryTable}.run(ctx, -1)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -194,6 +194,20 @@
 	return l
 }
 
+// pollsInRevokeTime is how many requests for the configuration an entry that fails
+// closed makes while it may rely on one answer: an answer is as old as its request,
+// and the next one is awaited meanwhile.
+const pollsInRevokeTime = 4
+
+// configPoll is how long the store may hold back its answer to a request for changes
+// of the configuration.
+func (s *Settings) configPoll() time.Duration {
+	if !s.FailClosed {
+		return feedLongPoll
+	}
+	return min(feedLongPoll, time.Duration(s.RevokeTime)*time.Millisecond/pollsInRevokeTime)
+}
+
 // orderTime is how long before the end of its validity a minion's row is no
 // longer relied on, so that an order arrives in time.
 const orderTime = 500 * time.Millisecond
