Shards take turns at a limit that is too small for all; the soak has accounts

Cause: an account's limit is divided equally among shards that want more than it. A gang, or a task with the only device, that needs more than that waited for ever if work of its account waited in another shard too.

Change: a shard that can't start anything with its equal part writes what it needs at least and since when; the one that has waited longest gets it. The soak has accounts (--accounts): limits checked by the minions' ledger, keys that come and go, keys that must not serve.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -30,6 +30,7 @@
 	minionProxies []*proxy // to minions, by index
 	entries       []*entry
 	version       int
+	writtenAt     map[int]time.Time // when configurations were written, by version; guarded by mu
 
 	mu               sync.Mutex
 	fault            tabletest.Fault // of the store transactions that are affected
@@ -65,7 +66,7 @@
 }
 
 func newCluster(opt options, seed int64) (*cluster, error) {
-	s := &cluster{opt: opt, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
+	s := &cluster{opt: opt, writtenAt: map[int]time.Time{}, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
 	s.store.InjectFaults(s.transactionFault)
 	store, err := serveOn(standin.Store{Rows: s.store})
 	if err != nil {
@@ -140,8 +141,14 @@
 }
 
 func (s *cluster) writeConfig() {
+	s.mu.Lock()
 	s.version++
-	s.putRow(standin.ConfigTable, standin.ConfigRow, standin.Config(s.version))
+	version := s.version
+	s.mu.Unlock()
+	s.putRow(standin.ConfigTable, standin.ConfigRow, standin.Config(version, s.accounts(version)...))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writtenAt[version] = time.Now()
 }
 
 // refreshMinionRows rewrites the registration row of every minion periodically
@@ -188,8 +195,8 @@
 		addrs[i] = loopback.Addr()
 	}
 	e := &entry{name: name, callerAddr: addrs[0], configFile: filepath.Join(dir, name+".json"), storeProxy: p, dir: dir}
-	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000, "direct": %d}`,
-		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), direct)
+	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000, "direct": %d, "closed": true, "revoke": %d}`,
+		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), direct, revokeTime.Milliseconds())
 	return e, os.WriteFile(e.configFile, []byte(text), 0o644)
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,7 +8,9 @@
 // rejects transactions, loses responses, applies writes late and discards its
 // history; minions crash and their capacity shrinks and grows; another writer
 // leaves odd rows of minions; configurations change. Some faults come in series. With --deadly, some jobs crash each minion
-// that starts them.
+// that starts them. With --accounts, clients have accounts: one submits more than its
+// limit lets through, each new configuration brings new keys and withdraws old ones,
+// and now and then a client uses a key that is withdrawn or of another account.
 package main
 
 import (
@@ -19,14 +21,15 @@
 )
 
 type options struct {
-	Program string `long:"program" default:"dist/jasminestep" description:"entry executable"`
-	Seed    int64  `long:"seed" default:"1" description:"first seed"`
-	Seeds   int    `long:"seeds" default:"1" description:"number of seeds"`
-	Seconds int    `long:"seconds" default:"15" description:"duration of load and faults, in seconds"`
-	Entries int    `long:"entries" default:"4" description:"number of entries"`
-	Minions int    `long:"minions" default:"8" description:"number of minions"`
-	Deadly  bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
-	Dir     string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
+	Program  string `long:"program" default:"dist/jasminestep" description:"entry executable"`
+	Seed     int64  `long:"seed" default:"1" description:"first seed"`
+	Seeds    int    `long:"seeds" default:"1" description:"number of seeds"`
+	Seconds  int    `long:"seconds" default:"15" description:"duration of load and faults, in seconds"`
+	Entries  int    `long:"entries" default:"4" description:"number of entries"`
+	Minions  int    `long:"minions" default:"8" description:"number of minions"`
+	Deadly   bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
+	Accounts bool   `long:"accounts" description:"clients have accounts with limits, and keys that come and go"`
+	Dir      string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
 }
 
 func main() {
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -48,8 +48,9 @@
 	cluster *cluster
 	http    *http.Client
 
-	mu   sync.Mutex
-	jobs map[string]*job
+	mu         sync.Mutex
+	jobs       map[string]*job
+	violations []string
 }
 
 // job is a submitted job and what the client knows of it.
@@ -74,7 +75,7 @@
 
 // call sends one request about a job to an entry. Status 0 means that no response
 // arrived.
-func (c *client) call(e *entry, method, service, id, body string) (int, string) {
+func (c *client) call(e *entry, method, service, id, key, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callerAddr+standin.Prefix(service)+id, strings.NewReader(body))
@@ -82,6 +83,9 @@
 		return 0, ""
 	}
 	r.Host = standin.Host
+	if key != "" {
+		r.Header.Set(standin.KeyHeader, key)
+	}
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return 0, ""
@@ -98,12 +102,13 @@
 func (c *client) submit(id string, j *job, first, tries int) {
 	result := rejected
 	for i := range tries {
-		code, _ := c.call(c.cluster.entries[(first+i)%len(c.cluster.entries)], http.MethodPost, j.service, id, j.JSON())
+		e := c.cluster.entries[(first+i)%len(c.cluster.entries)]
+		code, _ := c.call(e, http.MethodPost, j.service, id, c.cluster.key(j.Account), j.JSON())
 		if code == http.StatusOK {
 			result = accepted
 			break
 		}
-		if code != http.StatusServiceUnavailable && code != http.StatusTooManyRequests {
+		if code != http.StatusUnauthorized && code != http.StatusServiceUnavailable && code != http.StatusTooManyRequests {
 			result = unknown
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -116,7 +121,7 @@
 
 // cancel cancels an accepted job.
 func (c *client) cancel(id string, j *job, e *entry) {
-	code, _ := c.call(e, http.MethodDelete, j.service, id, "")
+	code, _ := c.call(e, http.MethodDelete, j.service, id, c.cluster.key(j.Account), "")
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -178,6 +183,9 @@
 			if cancelAfter {
 				c.cancel(id, j, s.entries[first])
 			}
+			if s.opt.Accounts && n%trespassInterval == 0 {
+				c.trespass(id, j, s.entries[first])
+			}
 		}()
 		if time.Now().After(next) {
 			if left == 0 {
@@ -206,6 +214,9 @@
 	j := &job{service: standin.Services[(n+n/deadlyInterval)%len(standin.Services)]}
 	j.Job = standin.Job{Steps: 1 + s.rng.Intn(2), Tasks: 1 + s.rng.Intn(4), Millis: 20 + s.rng.Intn(400), CPU: 500 + 500*s.rng.Intn(3)}
 	j.Gang = s.rng.Intn(8) == 0
+	if s.opt.Accounts {
+		j.Account = accountNames[min(n%(len(accountNames)+1), len(accountNames)-1)]
+	}
 	if !s.opt.Deadly {
 		return j
 	}
@@ -221,6 +232,9 @@
 	case deadlyInterval / 2:
 		j.Gang, j.Lasting, j.Steps, j.CPU = false, true, 1, lastingCPU
 	}
+	if j.Lasting && s.opt.Accounts {
+		j.Account = accountNames[0] // which has no limit that runs for ever could fill
+	}
 	return j
 }
 
@@ -288,7 +302,7 @@
 	defer c.mu.Unlock()
 	broken, started := s.ledger.Report()
 	crashes, running := s.ledger.Crashes(), s.ledger.Running()
-	res.violations = broken
+	res.violations = append(broken, c.violations...)
 	for id, j := range c.jobs {
 		res.starts += started[id]
 		res.crashes = max(res.crashes, crashes[id])
@@ -339,7 +353,7 @@
 func (c *client) jobState(id string, j *job) string {
 	code, body := 0, ""
 	for i := 0; i < len(c.cluster.entries) && code != http.StatusOK && code != http.StatusGone; i++ {
-		code, body = c.call(c.cluster.entries[i], http.MethodGet, j.service, id, "")
+		code, body = c.call(c.cluster.entries[i], http.MethodGet, j.service, id, c.cluster.key(j.Account), "")
 	}
 	return body
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -70,7 +72,7 @@
 	if !m.claimed {
 		own = m.seen[m.id]
 	}
-	next := Balance(limit, own, Demand{m.used, m.needed.AtLeast(m.used)}, m.others(), len(s.shares))
+	next := Balance(time.Time{}, limit, own, Demand{Used: m.used, Needed: m.needed.AtLeast(m.used)}, m.others(), len(s.shares))
 	w := write{next, m.version}
 	m.own.Granted = m.own.Granted.AtMost(next.Granted)
 	if lost {
@@ -162,11 +164,11 @@
 func TestIdleGrantMovesToTheShardWithWork(t *testing.T) {
 	limit := work.Size{CPU: 100}
 	a, b := Share{Granted: work.Size{CPU: 50}}, Share{Granted: work.Size{CPU: 50}}
-	b = Balance(limit, b, Demand{Needed: work.Size{CPU: 90}}, []Share{a}, 2)
+	b = Balance(time.Time{}, limit, b, Demand{Needed: work.Size{CPU: 90}}, []Share{a}, 2)
 	assert.Equal(t, b.Wanted.CPU, int64(90))
-	a = Balance(limit, a, Demand{Used: work.Size{CPU: 5}, Needed: work.Size{CPU: 5}}, []Share{b}, 2)
+	a = Balance(time.Time{}, limit, a, Demand{Used: work.Size{CPU: 5}, Needed: work.Size{CPU: 5}}, []Share{b}, 2)
 	assert.Equal(t, a.Granted.CPU, int64(10))
-	b = Balance(limit, b, Demand{Needed: work.Size{CPU: 90}}, []Share{a}, 2)
+	b = Balance(time.Time{}, limit, b, Demand{Needed: work.Size{CPU: 90}}, []Share{a}, 2)
 	assert.Equal(t, b, Share{Granted: work.Size{CPU: 90}})
 }
 
@@ -176,3 +178,49 @@
 	assert.Equal(t, Allowance(low, a, []Share{b}), work.Size{CPU: 30, Mem: 7})
 	assert.Equal(t, Allowance(low, b, []Share{a}), work.Size{CPU: 20})
 }
+
+// Guards against gangs of an account that wait for ever in several shards, since an
+// equal division of its limit is too little for each of them (soak --accounts, seed 32).
+func TestEveryShardGetsItsTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := work.Size{CPU: rapid.Int64Range(1, 100).Draw(t, "limit")}
+		n := rapid.IntRange(1, 4).Draw(t, "shards")
+		s := &store{shares: make([]Share, n)}
+		gangs, runs, order := make([][]int64, n), make([]int64, n), make([]int, n)
+		for i := range gangs {
+			order[i] = i
+			gangs[i] = rapid.SliceOfN(rapid.Int64Range(1, limit.CPU), 0, 4).Draw(t, "gangs")
+		}
+		now := time.Unix(1, 0)
+		for round := 0; slices.ContainsFunc(gangs, func(g []int64) bool { return len(g) > 0 }); round++ {
+			if round > 400 {
+				t.Fatalf("of a limit of %d, gangs still wait: %v; shares %+v", limit.CPU, gangs, s.shares)
+			}
+			for _, i := range rapid.Permutation(order).Draw(t, "order") {
+				now = now.Add(time.Millisecond)
+				if rapid.Bool().Draw(t, "end") {
+					runs[i] = 0
+				}
+				m := &member{id: i}
+				m.read(s)
+				d := Demand{Used: work.Size{CPU: runs[i]}, Needed: work.Size{CPU: runs[i]}}
+				for _, g := range gangs[i] {
+					d.Needed.CPU = min(d.Needed.CPU+g, limit.CPU)
+				}
+				if len(gangs[i]) > 0 {
+					d.Least.CPU = slices.Min(gangs[i])
+				}
+				s.apply(i, write{Balance(now, limit, m.seen[i], d, m.others(), n), m.version})
+				m.read(s)
+				free := Allowance(limit, s.shares[i], m.others()).CPU - runs[i]
+				for k, g := range gangs[i] {
+					if g <= free {
+						runs[i] += g
+						gangs[i] = slices.Delete(gangs[i], k, k+1)
+						break
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/server/account_test.go
+++ b/internal/server/account_test.go
@@ -210,7 +210,7 @@
 		"svc": {Shares: map[string]quota.Share{"a": full}}, "svc2": {Shares: map[string]quota.Share{"a": other}},
 	}}}
 	o.grants.own = lesserShares(map[string]quota.Share{"a": full}, map[string]quota.Share{"a": {}})
-	next, changed := o.nextShares(&cfg, []shard.AccountUse{{Name: "a"}})
+	next, changed := o.nextShares(time.Now(), &cfg, []shard.AccountUse{{Name: "a"}})
 	assert.Equal(t, next["a"], quota.Share{})
 	assert.Assert(t, changed)
 }
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -81,7 +81,7 @@
 	if g.writing || o.handingOver {
 		return
 	}
-	next, changed := o.nextShares(cfg, uses)
+	next, changed := o.nextShares(time.Now(), cfg, uses)
 	if changed || !g.claimed {
 		o.writeGrants(cfg, next)
 	}
@@ -98,10 +98,10 @@
 	return out
 }
 
-// nextShares returns what the shard should have next, and whether that differs
+// nextShares returns what the shard should have next, at a time of day, and whether that differs
 // from what the store has. After a write that failed or conflicted the owner uses
 // less than the store has for it, and others can't get the rest until it is written.
-func (o *owner) nextShares(cfg *work.Config, uses []shard.AccountUse) (next map[string]quota.Share, changed bool) {
+func (o *owner) nextShares(now time.Time, cfg *work.Config, uses []shard.AccountUse) (next map[string]quota.Share, changed bool) {
 	next = make(map[string]quota.Share, len(uses))
 	for _, u := range uses {
 		a := cfg.AccountNamed(u.Name)
@@ -113,7 +113,7 @@
 		if !o.grants.claimed {
 			own = stored
 		}
-		n := quota.Balance(a.Cap, own, u.Demand, o.grants.otherShares(cfg, o.service, u.Name), len(cfg.Services))
+		n := quota.Balance(now, a.Cap, own, u.Demand, o.grants.otherShares(cfg, o.service, u.Name), len(cfg.Services))
 		changed = changed || n != stored
 		next[u.Name] = n
 	}
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -96,6 +96,7 @@
 			u.Waiting += p.waiting
 			n := p.job.account.fitting(u.Demand.Needed, p.Size, p.waiting)
 			u.Demand.Needed = u.Demand.Needed.Plus(p.Size.Times(int64(n)))
+			u.Demand.Least = p.job.account.lesserUnit(u.Demand.Least, p)
 			if p.overQuota {
 				u.Limited++
 			}
@@ -113,6 +114,26 @@
 	a.freed = a.freed || n < 0
 }
 
+// lesserUnit returns the lesser of two needs: least, and what the smallest unit of a
+// step, a task or the whole gang, needs of the limited resources. A unit that the
+// limit can never let through does not count.
+func (a *clientAccount) lesserUnit(least work.Size, p *step) work.Size {
+	var needs [3]int64
+	for i, l := range a.limits() {
+		if l.limit == 0 {
+			continue
+		}
+		if needs[i] = l.need(p); needs[i] > l.limit {
+			return least
+		}
+	}
+	unit := work.Size{CPU: needs[0], Mem: needs[1], GPU: needs[2]}
+	if least != (work.Size{}) && dominantShare(least, a.Cap) <= dominantShare(unit, a.Cap) {
+		return least
+	}
+	return unit
+}
+
 // fitting returns how many of n tasks of a size fit into the limit beside what is
 // needed already. Tasks that one resource leaves no room for need none of the
 // others.
@@ -136,15 +157,7 @@
 		if l.limit == 0 {
 			continue
 		}
-		need := l.of(p.Size)
-		if p.Gang {
-			need *= int64(p.waiting)
-		}
-		// The last task may exceed the limit where nothing smaller is possible.
-		if need > l.limit && need-l.of(p.Size) <= l.limit {
-			need = l.limit
-		}
-		free := l.allowance - l.used
+		need, free := l.need(p), l.allowance-l.used
 		switch {
 		case need == 0:
 		case p.Gang && need > free:
@@ -162,6 +175,20 @@
 	of                     func(work.Size) int64
 }
 
+// need is what a task of the step needs, or the whole gang. The last task may exceed
+// the limit where nothing smaller is possible.
+func (l accountLimit) need(p *step) int64 {
+	size := l.of(p.Size)
+	need := size
+	if p.Gang {
+		need *= int64(p.waiting)
+	}
+	if need > l.limit && need-size <= l.limit {
+		return l.limit
+	}
+	return need
+}
+
 func (a *clientAccount) limits() [3]accountLimit {
 	return [3]accountLimit{
 		{a.Cap.CPU, a.allowance.CPU, a.used.CPU, func(s work.Size) int64 { return s.CPU }},
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -177,3 +177,22 @@
 		})
 	}
 }
+
+// Guards against a need that the limit can never let through, for which the other
+// services would go without for ever.
+func TestLeastNeedIsOfWhatCanEverRun(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 3000}}, 0)
+	gang := tasks(5, 1000)
+	gang.Gang = true
+	w.submit(jobOf("a", "never", gang))
+	w.cycle()
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Least, work.Size{})
+	gang.Tasks = 3
+	w.submit(jobOf("a", "gang", gang))
+	w.cycle()
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Least, work.Size{CPU: 3000})
+	w.submit(jobOf("a", "small", tasks(9, 500)))
+	w.cycle()
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Least, work.Size{CPU: 500})
+}
