--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,10 +7,11 @@
 // minions are delayed, reset, blackholed or blocked in one direction; the store
 // rejects transactions, loses responses, applies writes late and discards its
 // history; minions crash and their capacity shrinks and grows; another writer
-// leaves odd rows of minions; configurations change. Some faults come in series. With --deadly, some jobs crash each minion
-// that starts them. With --accounts, clients have accounts: one submits more than its
-// limit lets through, each new configuration brings new keys and withdraws old ones,
-// and now and then a client uses a key that is withdrawn or of another account.
+// leaves odd rows of minions; configurations change. Some faults come in series.
+// With --deadly, some jobs crash each minion that starts them. With --accounts,
+// clients have accounts: one submits more than its limit lets through, each new
+// configuration brings new keys and withdraws old ones, and now and then a client
+// uses a key that is withdrawn or of another account.
 package main
 
 import (
