A new owner counts the originals of copies; one word for limits

Cause: the original of a copy that a former owner had left on a silent minion counted against its account's limit only once a report listed it: the limit could be exceeded after a change of owner.

Change: what a job's row has as open attempts counts from the takeover until it or its end is reported, or its lease must have ended. work.Account.Cap is Limit, a name only.

Result: TestNextOwnerCountsTheOriginalOfACopy failed before (1000 in use in place of 2000); it and TestLeftoversEndWithTheirLeases pass, with all tests of accounts, copies and leases.

--- a/internal/server/account_test.go
+++ b/internal/server/account_test.go
@@ -25,7 +25,7 @@
 	public.Name, public.Prefix, public.Public = "open", "/open/", true
 	c.Queues = append(c.Queues, second, public)
 	c.Services = append(c.Services, work.Service{Name: "svc2"})
-	c.Accounts = []work.Account{{Name: "a", Keys: []string{"ka", "ka2"}, Weight: 10, Cap: limit}, {Name: "b", Keys: []string{"kb"}, Weight: 10}}
+	c.Accounts = []work.Account{{Name: "a", Keys: []string{"ka", "ka2"}, Weight: 10, Limit: limit}, {Name: "b", Keys: []string{"kb"}, Weight: 10}}
 	return c
 }
 
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -113,7 +113,7 @@
 		if !o.grants.claimed {
 			own = stored
 		}
-		n := quota.Balance(now, a.Cap, own, u.Demand, o.grants.otherShares(cfg, o.service, u.Name), len(cfg.Services))
+		n := quota.Balance(now, a.Limit, own, u.Demand, o.grants.otherShares(cfg, o.service, u.Name), len(cfg.Services))
 		changed = changed || n != stored
 		next[u.Name] = n
 	}
@@ -127,8 +127,8 @@
 	}
 	for i := range cfg.Accounts {
 		a := &cfg.Accounts[i]
-		if a.Cap != (work.Size{}) {
-			o.state.SetAllowance(a.Name, quota.Allowance(a.Cap, o.grants.own[a.Name], o.grants.otherShares(cfg, o.service, a.Name)))
+		if a.Limit != (work.Size{}) {
+			o.state.SetAllowance(a.Name, quota.Allowance(a.Limit, o.grants.own[a.Name], o.grants.otherShares(cfg, o.service, a.Name)))
 		}
 	}
 }
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -18,7 +18,7 @@
 // clientAccount is what a shard knows of a client account.
 type clientAccount struct {
 	work.Account
-	allowance work.Size // may run here at once, of the resources that Cap limits
+	allowance work.Size // may run here at once, of the limited resources
 	used      work.Size // by all runs that may exist
 	share     float64   // of all room that is due to it by its weight
 	active    bool      // has waiting tasks, as of the last decision
@@ -54,7 +54,7 @@
 	}
 	for name, a := range s.accounts {
 		if !listed[name] {
-			a.Cap, a.freed = work.Size{}, true
+			a.Limit, a.freed = work.Size{}, true
 		}
 	}
 }
@@ -80,7 +80,7 @@
 	uses := make(map[string]*AccountUse, len(s.accounts))
 	out := make([]AccountUse, 0, len(s.accounts))
 	for _, a := range s.accounts {
-		if a.Cap != (work.Size{}) {
+		if a.Limit != (work.Size{}) {
 			out = append(out, AccountUse{Name: a.Name, Demand: quota.Demand{Used: a.used, Needed: a.used}, Allowance: a.allowance})
 		}
 	}
@@ -128,7 +128,7 @@
 		}
 	}
 	unit := work.Size{CPU: needs[0], Mem: needs[1], GPU: needs[2]}
-	if least != (work.Size{}) && dominantShare(least, a.Cap) <= dominantShare(unit, a.Cap) {
+	if least != (work.Size{}) && dominantShare(least, a.Limit) <= dominantShare(unit, a.Limit) {
 		return least
 	}
 	return unit
@@ -149,7 +149,7 @@
 // startable returns how many waiting tasks of a step the allowance of its account
 // leaves room for.
 func (a *clientAccount) startable(p *step) int {
-	if a == nil || a.Cap == (work.Size{}) {
+	if a == nil || a.Limit == (work.Size{}) {
 		return p.waiting
 	}
 	n := p.waiting
@@ -191,9 +191,9 @@
 
 func (a *clientAccount) limits() [3]accountLimit {
 	return [3]accountLimit{
-		{a.Cap.CPU, a.allowance.CPU, a.used.CPU, func(s work.Size) int64 { return s.CPU }},
-		{a.Cap.Mem, a.allowance.Mem, a.used.Mem, func(s work.Size) int64 { return s.Mem }},
-		{a.Cap.GPU, a.allowance.GPU, a.used.GPU, func(s work.Size) int64 { return s.GPU }},
+		{a.Limit.CPU, a.allowance.CPU, a.used.CPU, func(s work.Size) int64 { return s.CPU }},
+		{a.Limit.Mem, a.allowance.Mem, a.used.Mem, func(s work.Size) int64 { return s.Mem }},
+		{a.Limit.GPU, a.allowance.GPU, a.used.GPU, func(s work.Size) int64 { return s.GPU }},
 	}
 }
 
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -25,7 +25,7 @@
 
 func TestAccountRunsNoMoreThanItsAllowance(t *testing.T) {
 	w, o := newOwnedCluster(t, 4)
-	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 6000}}, 3000)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 6000}}, 3000)
 	w.submit(jobOf("a", "j", tasks(6, 1000)))
 	w.cycle()
 	assert.Equal(t, w.running(), 3)
@@ -45,7 +45,7 @@
 // since the limit of another is used up; another service would go without.
 func TestNeedCountsOnlyWhatFitsIntoTheLimit(t *testing.T) {
 	w, o := newOwnedCluster(t, 1)
-	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 100_000, Mem: 3000}}, 0)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 100_000, Mem: 3000}}, 0)
 	p := tasks(50, 1000)
 	p.Size.Mem = 1000
 	w.submit(jobOf("a", "j", p))
@@ -58,7 +58,7 @@
 // let it use, and holds that room meanwhile.
 func TestGangBeyondTheLimitReservesNothing(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
-	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 8000}}, 3000)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 8000}}, 3000)
 	gang := tasks(4, 1000)
 	gang.Gang = true
 	w.submit(jobOf("a", "gang", gang), newJob("other", tasks(8, 1000)))
@@ -71,7 +71,7 @@
 // as in use.
 func TestNextOwnerCountsInheritedRuns(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
-	a := work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 4000}}
+	a := work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 4000}}
 	limitAccount(o, a, 4000)
 	w.submit(jobOf("a", "j", tasks(6, 1000)))
 	w.cycle()
@@ -83,6 +83,58 @@
 	assert.Equal(t, w.running(), 4)
 }
 
+// Guards against the original of a copy, on a silent minion, that does not count for
+// the owner that takes over.
+func TestNextOwnerCountsTheOriginalOfACopy(t *testing.T) {
+	w, o := newOwnedCluster(t, 2)
+	a := work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 2000}}
+	limitAccount(o, a, 2000)
+	w.submit(jobOf("a", "j", speculativeTasks(1, 1000)))
+	w.cycle()
+	out, other := w.minions[0], w.minions[1]
+	if len(out.runs) == 0 {
+		out, other = other, out
+	}
+	out.up = false
+	w.cycle()
+	w.cycle()
+	assert.Equal(t, len(out.runs)+len(other.runs), 2)
+	next := w.takeOver()
+	limitAccount(next, a, 2000)
+	used := func() int64 { return next.st.AccountUses()[0].Demand.Used.CPU }
+	assert.Equal(t, used(), int64(2000))
+	w.submit(jobOf("a", "k", tasks(1, 1000)))
+	w.cycle()
+	assert.Equal(t, w.state("k"), Queued)
+	out.up = true
+	w.cycle()
+	w.cycle()
+	w.finishAll()
+	w.cycle()
+	w.cycle()
+	w.finishAll()
+	w.cycle()
+	assert.Equal(t, w.state("k"), Completed)
+	assert.Equal(t, used(), int64(0))
+	assert.Equal(t, len(next.st.leftovers), 0)
+}
+
+// Guards against leftovers that nobody reports, and that count for ever.
+func TestLeftoversEndWithTheirLeases(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 2000}}, 2000)
+	w.submit(jobOf("a", "j", tasks(1, 1000)))
+	w.cycle()
+	p := o.st.jobs["j"].rounds[0].steps[0]
+	p.tasks[0].openAttempts = []int{7}
+	o.st.leaveOver(p, p.tasks[0])
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Used.CPU, int64(2000))
+	o.st.expireLeftovers(o.st.termStart.Add(time.Second))
+	assert.Equal(t, len(o.st.leftovers), 1)
+	o.st.expireLeftovers(o.st.termStart.Add(time.Minute))
+	assert.Equal(t, o.st.AccountUses()[0].Demand.Used.CPU, int64(1000))
+}
+
 // Guards one account's jobs against the flood of another, which has filled the
 // queue before.
 func TestHotAccountDoesNotDelayOthers(t *testing.T) {
@@ -154,7 +206,7 @@
 			w.cycle()
 			var as []work.Account
 			for i := range n {
-				as = append(as, work.Account{Name: fmt.Sprint("a", i), Weight: 1, Cap: work.Size{CPU: 1e6}})
+				as = append(as, work.Account{Name: fmt.Sprint("a", i), Weight: 1, Limit: work.Size{CPU: 1e6}})
 			}
 			o.st.SetAccounts(as)
 			for _, a := range as {
@@ -182,7 +234,7 @@
 // services would go without for ever.
 func TestLeastNeedIsOfWhatCanEverRun(t *testing.T) {
 	w, o := newOwnedCluster(t, 1)
-	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 3000}}, 0)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 3000}}, 0)
 	gang := tasks(5, 1000)
 	gang.Gang = true
 	w.submit(jobOf("a", "never", gang))
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -52,17 +52,16 @@
 // leaseExpiry is the time at which all leases ever sent to the minion have
 // certainly ended.
 func (s *State) leaseExpiry(m *minion) time.Time {
-	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - s.Limits.MaxClockDrift)) }
 	if m.clockAt.IsZero() {
 		// A previous owner that does not know of this term may have renewed for
 		// RenewWindow.
-		end := m.knownSince.Add(s.Limits.RenewWindow + slow(s.Limits.Lease) + leaseMargin)
+		end := m.knownSince.Add(s.Limits.RenewWindow + s.slowClock(s.Limits.Lease) + leaseMargin)
 		if m.hasCarriedRuns {
 			end = end.Add(s.Limits.MaxOrderDelay)
 		}
 		return end
 	}
-	return m.clockAt.Add(slow(time.Duration(m.leaseUntil-m.clock)*time.Millisecond) + leaseMargin)
+	return m.clockAt.Add(s.slowClock(time.Duration(m.leaseUntil-m.clock)*time.Millisecond) + leaseMargin)
 }
 
 // HandleNoReply records that a renewal got no reply.
@@ -81,6 +80,7 @@
 // expire gives up the runs on minions whose leases have all ended, and removes
 // minions that are gone.
 func (s *State) expire(now time.Time) {
+	s.expireLeftovers(now)
 	for id, m := range s.minions {
 		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.leaseExpiry(m)) {
 			continue
--- a/internal/shard/outlook.go
+++ b/internal/shard/outlook.go
@@ -79,8 +79,8 @@
 	if v.runsItsShare(a) {
 		out = append(out, fmt.Sprintf("account %s runs %.3f of the room and %.3f is due to it: the job goes after those of other accounts", a.Name, dominantShare(a.used, v.total), a.share))
 	}
-	if a.Cap != (work.Size{}) {
-		out = append(out, fmt.Sprintf("account %s uses %v and may use %v here, of its limit of %v", a.Name, a.used, a.allowance, a.Cap))
+	if a.Limit != (work.Size{}) {
+		out = append(out, fmt.Sprintf("account %s uses %v and may use %v here, of its limit of %v", a.Name, a.used, a.allowance, a.Limit))
 	}
 	return out
 }
--- a/internal/shard/outlook_test.go
+++ b/internal/shard/outlook_test.go
@@ -41,7 +41,7 @@
 
 func TestOutlookTellsWhatHoldsAJobBack(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
-	limitAccount(o, work.Account{Name: "a", Weight: 1, Cap: work.Size{CPU: 3000}}, 2000)
+	limitAccount(o, work.Account{Name: "a", Weight: 1, Limit: work.Size{CPU: 3000}}, 2000)
 	big := tasks(1, 100_000)
 	big.After = []int{0}
 	ask := func(account string, steps ...work.Step) Outlook {
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -195,6 +195,7 @@
 func (s *State) loadTask(p *step, t *task, in savedTask) {
 	t.attempt, t.failures, t.checkpoint, t.openAttempts = in.Attempt, in.Failures, in.Saved, in.OpenAttempts
 	t.inheritedCopies = len(in.OpenAttempts)
+	s.leaveOver(p, t)
 	p.failures += in.Failures
 	if in.Crash != nil {
 		t.crash = *in.Crash
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -92,6 +92,7 @@
 		r.size, r.step = p.Reserved(), p
 	}
 	s.note(Note{What: UnexpectedRun, Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: m.ID})
+	s.dropLeftover(k)
 	m.add(r)
 	return r
 }
@@ -153,6 +154,7 @@
 		return
 	}
 	t := p.tasks[e.Task.Index]
+	s.dropLeftover(runKey{t.id, e.Attempt})
 	s.markBegun(p.job)
 	if t.phase != Placed || t.attempt != e.Attempt || t.incarnation != m.Incarnation {
 		s.handleStaleEnd(now, m, p, t, e)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -71,6 +71,7 @@
 	termStart        time.Time // when the term began
 	renewalSeq       int64     // sequence number of the last renewal
 	runTimes         map[runTimeKey]*runTimes
+	leftovers        map[runKey]leftover
 	learned          bool // something was learned since it was saved
 	learnedSavedAt   time.Time
 	eligibleShares   map[string]*eligibleShare // by queue
--- a/internal/work/account.go
+++ b/internal/work/account.go
@@ -11,7 +11,7 @@
 	Name   string
 	Keys   []string // any of them identifies the account
 	Weight float64  // jobs a second that are served before what others send beyond theirs, and the share of minions that are full; positive
-	Cap    Size     // of all tasks that run at once, over all services; 0 means no limit
+	Limit  Size     // of all tasks that run at once, over all services; 0 means no limit
 }
 
 // SetAccounts gives the configuration accounts, after which a request to a queue
@@ -45,7 +45,7 @@
 		return errors.New("an account has no name")
 	case !(a.Weight > 0):
 		return fmt.Errorf("account %q: weight %v, want more than 0", a.Name, a.Weight)
-	case a.Cap.CPU < 0 || a.Cap.Mem < 0 || a.Cap.GPU < 0:
+	case a.Limit.CPU < 0 || a.Limit.Mem < 0 || a.Limit.GPU < 0:
 		return fmt.Errorf("account %q: want no negative limit", a.Name)
 	}
 	for _, k := range a.Keys {
--- a/internal/work/account_test.go
+++ b/internal/work/account_test.go
@@ -15,7 +15,7 @@
 		"no weight":        {{Name: "a"}},
 		"negative weight":  {{Name: "a", Weight: -1}},
 		"not a number":     {{Name: "a", Weight: math.NaN()}},
-		"negative limit":   {{Name: "a", Weight: 1, Cap: Size{Mem: -1}}},
+		"negative limit":   {{Name: "a", Weight: 1, Limit: Size{Mem: -1}}},
 		"empty key":        {{Name: "a", Weight: 1, Keys: []string{""}}},
 		"same name":        {good, good},
 		"key of two":       {good, {Name: "b", Keys: []string{"k"}, Weight: 1}},
