Log what waits for the leases of a silent minion, and how long

Cause: the log of an owner did not tell why work on a silent minion waits: for how long, for how many runs, and whether the end of the leases is known or assumed.

Change: the line "minion silent" says so.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -87,7 +87,7 @@
 	{shard.MinionForgotten, "minion", "a minion without a row does not answer and its leases have ended", ""},
 	{shard.MinionPaused, "minion why", "a minion failed too often and gets no new tasks for the time in why, which names the tasks that failed", "whether they fail elsewhere, too; `run ended`, `run stalled` and `start refused` of the minion"},
 	{shard.FillThrottled, "minion why", "fill tasks share a minion with tasks that have a bound on response times; why is the speed that they may have, and what decided it", "the response times of the minion's other tasks, if it is 0 %"},
-	{shard.MinionSilent, "minion", "a lease renewal got no reply", "other minions of its zone at that time"},
+	{shard.MinionSilent, "minion why", "a lease renewal got no reply; why is how many runs wait for the end of its leases, for how long, and how that is known", "other minions of its zone at that time"},
 	{shard.MinionAnswers, "minion", "the first reply of a minion after its silence", ""},
 	{shard.ZoneUnreachable, "minion why", "several minions of an availability zone are slow to answer; the zone gets no new tasks until one answers", "the network to that zone"},
 }
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
 	"jasminestep/internal/work"
@@ -73,10 +74,27 @@
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
 		m.openFates(now)
-		s.note(Note{What: MinionSilent, Minion: l.ID})
+		s.note(Note{What: MinionSilent, Minion: l.ID, Why: s.awaited(now, m)})
 	}
 }
 
+// awaited describes for the log what waits for the leases of a silent minion to
+// end, and for how long.
+func (s *State) awaited(now time.Time, m *minion) string {
+	lasting := 0
+	for _, r := range m.runs {
+		if r.step != nil && r.step.Lasting {
+			lasting++
+		}
+	}
+	source := "sent by this owner"
+	if !m.answered() {
+		source = "assumed, since it has not answered this owner"
+	}
+	left := max(s.leaseExpiry(m).Sub(now), 0).Round(time.Millisecond)
+	return fmt.Sprintf("%d runs, %d of them lasting, wait %v for the end of its leases, %s", len(m.runs), lasting, left, source)
+}
+
 // expire gives up the runs on minions whose leases have all ended, and removes
 // minions that are gone.
 func (s *State) expire(now time.Time) {
