--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -43,3 +44,68 @@
 	p.Lasting = true
 	return p
 }
+
+// restartTime lets the newest owner work until as many runs as before a crash
+// are there again, and returns how long after the crash that was.
+func (w *simCluster) restartTime(crashed time.Time, runs int) time.Duration {
+	for w.running() < runs && w.now.Sub(crashed) < time.Minute {
+		w.pass(simTick)
+		w.cycle()
+	}
+	return w.now.Sub(crashed)
+}
+
+// restartTarget is the time within which work on a lost minion starts again,
+// whoever owns it meanwhile.
+const restartTarget = 7 * time.Second
+
+// TestLostWorkStartsAgainInTimeWhoeverOwnsIt guards against waits for the leases
+// of a lost minion that begin anew with each owner.
+func TestLostWorkStartsAgainInTimeWhoeverOwnsIt(t *testing.T) {
+	losses := map[string][]time.Duration{ // times from the crash at which an owner is replaced
+		"one owner":                  nil,
+		"owner lost at the crash":    {0},
+		"owner lost soon after":      {200 * time.Millisecond},
+		"owner lost near the end":    {5 * time.Second},
+		"two owners lost":            {2 * time.Second, 4 * time.Second},
+		"two owners lost in a row":   {0, 500 * time.Millisecond},
+		"three owners lost in a row": {time.Second, 3 * time.Second, 5 * time.Second},
+	}
+	for name, at := range losses {
+		for kind, p := range stepKinds() {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				w, _ := newOwnedCluster(t, 4)
+				w.submit(newJob("a", p))
+				w.cycle()
+				runs := w.running()
+				for range 50 {
+					w.pass(simTick)
+					w.cycle()
+				}
+				out := w.busiest()
+				out.crash()
+				crashed := w.now
+				for _, d := range at {
+					for w.now.Sub(crashed) < d {
+						w.pass(simTick)
+						w.cycle()
+					}
+					w.takeOver()
+				}
+				took := w.restartTime(crashed, runs)
+				assert.Assert(t, took <= restartTarget, "took %v", took)
+			})
+		}
+	}
+}
+
+// busiest returns the minion with the most runs.
+func (w *simCluster) busiest() *simMinion {
+	most := w.minions[0]
+	for _, b := range w.minions {
+		if len(b.runs) > len(most.runs) {
+			most = b
+		}
+	}
+	return most
+}
