Entries can relate the store's clock to their own

Cause: what an owner knows until when cannot be told to the next one, since the clocks of two processes have nothing in common.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -38,12 +38,14 @@
 	Version int64 // version of the transaction if Done
 	Done    bool
 	Rows    []Row // if a condition failed: the current rows for the keys in If
+	Now     int64 // the store's clock in milliseconds, as of the answer; 0 if unknown
 }
 
 // Range holds the rows that a read returned, as of Version.
 type Range struct {
 	Rows    []Row
 	Version int64
+	Now     int64 // the store's clock in milliseconds, while it answered; 0 if unknown
 }
 
 var (
@@ -100,6 +102,7 @@
 	var out Range
 	for _, r := range all {
 		out.Rows = append(out.Rows, r.Rows...)
+		out.Now = max(out.Now, r.Now)
 		if out.Version == 0 || r.Version < out.Version {
 			out.Version = r.Version
 		}
--- a/internal/table/tabletest/memory.go
+++ b/internal/table/tabletest/memory.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// now is the clock of the store.
+func now() int64 { return time.Now().UnixMilli() }
+
 // part identifies a part of a table.
 type part struct{ table, name string }
 
@@ -101,7 +104,7 @@
 		ok = ok && r.Version == c.Version
 	}
 	if !ok {
-		return table.Result{Rows: current}
+		return table.Result{Rows: current, Now: now()}
 	}
 	if s.rows == nil {
 		s.rows = map[part]map[string]table.Row{}
@@ -126,7 +129,7 @@
 		close(s.changed)
 		s.changed = nil
 	}
-	return table.Result{Version: s.version, Done: true}
+	return table.Result{Version: s.version, Done: true, Now: now()}
 }
 
 // Read implements table.Store.
@@ -136,7 +139,7 @@
 	if err := ctx.Err(); err != nil {
 		return table.Range{}, err
 	}
-	out := table.Range{Version: s.version}
+	out := table.Range{Version: s.version, Now: now()}
 	for name, r := range s.rows[part{tab, in}] {
 		if name >= from && (to == "" || name < to) {
 			out.Rows = append(out.Rows, r)
@@ -198,7 +201,7 @@
 	if after < s.trimmed {
 		return table.Range{}, nil, table.ErrTrimmed
 	}
-	out := table.Range{Version: s.version}
+	out := table.Range{Version: s.version, Now: now()}
 	for _, r := range s.log {
 		if r.Table == tab && r.Version > after {
 			out.Rows = append(out.Rows, r)
