Test: a run on a minion that is cut off counts

Cause: the check that no task runs twice passed over minions that are cut off from their owner, where runs go on; so a lease that is taken for ended too early was not found. Runs that crash are removed from the simulated minion anyway.

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -348,7 +348,7 @@
 	step := w.stepOf(k.task)
 	for _, o := range w.minions {
 		o.tick()
-		if !o.up || step.Speculative {
+		if step.Speculative {
 			continue
 		}
 		for r := range o.runs {
