What owners know of leases outlasts them

Cause: the time by which a silent minion's leases have ended was counted anew by each owner, from its claim: 3 s for which the former owner may have renewed, and a lease. What the former owner knew went with it, and two owners lost in a row meant three full waits.

Change: these times are times of the store's clock and are written. Each write of an owner carries its promise, by when all leases have ended that it may send until the next one; a claim keeps it. One row lists the silent minions with runs and the end of their leases; none is extended while the row, as stored or being written, lists its minion. No renewal costs a write. Leases end at most 0.5 s later than a lease after the last durable write (before, 3 s), so that a minion and its owner that are lost at once are known to be gone in time as well. Waits for late orders use the longest lease that minions grant.

--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -44,17 +44,27 @@
 // write makes rows durable if this entry still owns the shard. Every write
 // changes the seq row and is conditional on its version. Thus a write that got
 // no response can be sent again, and it cannot take effect late and overwrite a
-// later one.
+// later one. It returns when the attempt began that took effect: its promise is
+// the one that a successor reads.
 func (o *owner) write(rows []table.Row, deletes []table.Key) (time.Time, error) {
 	o.writeCount++
 	writeID := fmt.Sprintf("%s.%d.%d", o.s.instanceID, o.term, o.writeCount)
 	tx := table.Tx{
-		If:     []table.Row{{Key: ownerKey(o.service), Version: o.ownerVersion}, {Key: seqKey(o.service), Version: o.seqVersion}},
-		Put:    append([]table.Row{{Key: seqKey(o.service), Value: []byte(writeID)}}, rows...),
+		If:     []table.Row{{Key: ownerKey(o.service), Version: o.ownerVersion}, {Key: seqKey(o.service), Version: o.seq.version}},
+		Put:    append([]table.Row{{}}, rows...),
 		Delete: deletes,
 	}
+	attempts := map[int64]time.Time{} // when those with a promise began, first
 	for logged := false; ; {
 		startTime := monotonicNow()
+		seq := seqRow{Write: writeID, Promise: o.promise(startTime)}
+		if _, ok := attempts[seq.Promise]; !ok {
+			attempts[seq.Promise] = startTime
+		}
+		var err error
+		if tx.Put[0], err = seq.row(o.service); err != nil {
+			return startTime, err
+		}
 		res, err := o.s.relayStore.Do(o.ctx, tx)
 		switch {
 		case o.ctx.Err() != nil:
@@ -67,27 +77,42 @@
 			sleep(o.ctx, writeRetryDelay)
 			continue
 		case res.Done:
-			o.seqVersion = res.Version
+			seq.version = res.Version
 		default:
-			if o.seqVersion = committedVersion(res.Rows, writeID); o.seqVersion == 0 {
+			if seq = committedRow(res.Rows, writeID); seq.version == 0 {
 				return startTime, errDeposed
 			}
 		}
+		o.s.storeClock.observe(res.Now, startTime)
+		o.seq, startTime = seq, attempts[seq.Promise]
 		o.lastWriteNanos.Store(startTime.UnixNano())
 		o.s.metrics.Write(monotonicNow().Sub(startTime))
 		return startTime, nil
 	}
 }
 
-// committedVersion returns the version of the seq row if an earlier attempt of
-// the same write was committed, else 0.
-func committedVersion(rows []table.Row, writeID string) int64 {
+// promise returns the promise of a write that starts at startTime, 0 if the
+// store's clock is not known.
+func (o *owner) promise(startTime time.Time) int64 {
+	promise, ok := o.s.storeClock.now().Latest(o.state.PromisedEnd(startTime))
+	if !ok {
+		return 0
+	}
+	return promise
+}
+
+// committedRow returns the seq row if an earlier attempt of the same write was
+// committed, else an empty one.
+func committedRow(rows []table.Row, writeID string) seqRow {
 	for _, r := range rows {
-		if r.Table == seqTable && string(r.Value) == writeID {
-			return r.Version
+		if r.Table != seqTable {
+			continue
+		}
+		if q := decodeSeqRow(r); q.Write == writeID {
+			return q
 		}
 	}
-	return 0
+	return seqRow{}
 }
 
 // applyEffects does what may be done once a batch is durable.
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -22,7 +22,7 @@
 func (o *owner) releaseShard() {
 	defer o.cancel()
 	next := OwnerRow{Term: o.term, Next: o.s.successor(monotonicNow(), o.service)}
-	if _, err := o.s.replaceOwnerRow(o.ctx, o.service, o.ownerVersion, o.seqVersion, next); err != nil {
+	if _, err := o.s.replaceOwnerRow(o.ctx, o.service, o.ownerVersion, o.seq, next); err != nil {
 		o.s.Log.Warn("shard handover failed", "service", o.service, "why", err.Error())
 		return
 	}
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -45,6 +45,12 @@
 	if err != nil {
 		return fmt.Errorf("read what was learned: %w", err)
 	}
+	leases, err := retryRead(ctx, func() (table.Range, error) {
+		return o.s.relayStore.Read(ctx, shard.LeaseTable, o.service, "", "")
+	})
+	if err != nil {
+		return fmt.Errorf("read leases: %w", err)
+	}
 	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
 	now := monotonicNow()
 	o.applyMinionRows(now, minions.Rows, true)
@@ -56,6 +62,7 @@
 	o.applyJobRows(now, jobs.Rows, saved)
 	o.state.AdoptBundles(saved)
 	o.state.DropOrphans(saved, rowNames(jobs.Rows))
+	o.applyLeases(leases.Rows)
 	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
@@ -70,6 +77,16 @@
 	}
 }
 
+// applyLeases takes over what a former owner knew of silent minions. Without it
+// their runs wait longer.
+func (o *owner) applyLeases(rows []table.Row) {
+	for _, r := range rows {
+		if err := o.state.LoadLeases(r.Value); err != nil {
+			o.s.Log.Error("lease row invalid", "service", o.service, "why", err.Error())
+		}
+	}
+}
+
 // loadTimeout limits the time to read a shard; after it another entry may try.
 const loadTimeout = 10 * time.Second
 
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -14,6 +14,7 @@
 // Timing of calls to minions.
 const (
 	renewWait        = 1000 * time.Millisecond // long-poll wait of a renewal for the end of a run
+	unextendedWait   = 100 * time.Millisecond  // replaces renewWait while the lease may not be extended
 	orderTimeout     = 800 * time.Millisecond  // for a start or stop
 	renewTimeout     = 500 * time.Millisecond  // for a renewal, on top of its long-poll wait
 	lateCallDelay    = 150 * time.Millisecond  // without a response, before a call counts as late
@@ -79,7 +80,10 @@
 
 func (h *minionHandler) renew(n shard.Renewal) {
 	wait := time.Duration(0)
-	if n.Wait {
+	switch {
+	case n.Wait && n.Until == 0:
+		wait = unextendedWait
+	case n.Wait:
 		wait = renewWait
 	}
 	ctx, cancel := context.WithTimeout(h.o.ctx, wait+renewTimeout)
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -39,12 +39,13 @@
 	grants      grants
 	archive     archiveQueue // filled by the control goroutine, emptied by archiveJobs
 
-	ownerVersion, seqVersion int64 // versions of the two rows that every write is conditional on
-	writeCount               int
-	writing                  bool // a write is in progress
-	writingSince             time.Time
-	handingOver              bool
-	done                     chan struct{}
+	ownerVersion int64  // of the owner row, on which every write is conditional
+	seq          seqRow // of the last write, on which the next one is conditional
+	writeCount   int
+	writing      bool // a write is in progress
+	writingSince time.Time
+	handingOver  bool
+	done         chan struct{}
 
 	minionVersion, jobVersion int64 // versions after which the feeds are followed
 
@@ -58,9 +59,9 @@
 	pendingByQueue map[string]int     // number of jobs that have not started, by queue
 }
 
-func newOwner(ctx context.Context, s *Server, service string, row OwnerRow, seq int64) *owner {
+func newOwner(ctx context.Context, s *Server, service string, row OwnerRow, seq seqRow) *owner {
 	o := &owner{
-		s: s, service: service, term: row.Term, posted: make(chan func(time.Time), 4096), ownerVersion: row.version, seqVersion: seq,
+		s: s, service: service, term: row.Term, posted: make(chan func(time.Time), 4096), ownerVersion: row.version, seq: seq,
 		handlers: map[work.Incarnation]*minionHandler{}, advice: adviceRequests{inFlight: map[string]bool{}}, done: make(chan struct{}),
 		jobs: map[string]shard.JobStatus{}, pendingByQueue: map[string]int{},
 	}
@@ -69,10 +70,13 @@
 	o.minionCalls = s.newDispatcher(o)
 	limits := shard.DefaultLimits
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
+	limits.MaxLease = time.Duration(s.Settings.MaxLease) * time.Millisecond
 	limits.MaxRowAge = s.Settings.maxRowAge()
 	limits.RateWindow = time.Duration(s.Settings.RateWindow) * time.Millisecond
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
 	o.state = shard.New(service, row.Term, monotonicNow(), limits)
+	o.state.StoreClock = s.storeClock.now()
+	o.state.Inherit(seq.Promise)
 	o.state.Policy.LearnRunTimes = s.Settings.RunTimes == learnedRunTimes
 	return o
 }
@@ -141,6 +145,7 @@
 // step makes decisions and executes them.
 func (o *owner) step() {
 	now := monotonicNow()
+	o.state.StoreClock = o.s.storeClock.now()
 	o.balanceGrants(now)
 	if !o.handingOver {
 		o.state.PlacementPaused = o.writing && now.Sub(o.writingSince) > slowWriteTimeout
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -113,17 +113,19 @@
 	s.ownerRows[service] = row
 }
 
-// replaceOwnerRow replaces the owner row unless it or the seq row has changed.
-func (s *Server) replaceOwnerRow(ctx context.Context, service string, ownerVersion, seqVersion int64, next OwnerRow) (table.Result, error) {
+// replaceOwnerRow replaces the owner row unless it or the seq row has changed. The
+// promise of the last write stays.
+func (s *Server) replaceOwnerRow(ctx context.Context, service string, ownerVersion int64, last seqRow, next OwnerRow) (table.Result, error) {
 	b, err := json.Marshal(next)
 	if err != nil {
 		return table.Result{}, fmt.Errorf("encode owner row: %w", err)
 	}
+	seq, err := seqRow{Write: fmt.Sprintf("%s.%d.0", next.Life, next.Term), Promise: last.Promise}.row(service)
+	if err != nil {
+		return table.Result{}, err
+	}
 	return s.relayStore.Do(ctx, table.Tx{
-		If: []table.Row{{Key: ownerKey(service), Version: ownerVersion}, {Key: seqKey(service), Version: seqVersion}},
-		Put: []table.Row{
-			{Key: ownerKey(service), Value: b},
-			{Key: seqKey(service), Value: []byte(fmt.Sprintf("%s.%d.0", next.Life, next.Term))},
-		},
+		If:  []table.Row{{Key: ownerKey(service), Version: ownerVersion}, {Key: seqKey(service), Version: last.version}},
+		Put: []table.Row{{Key: ownerKey(service), Value: b}, seq},
 	})
 }
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -183,13 +183,13 @@
 		watch.silentSince = time.Time{}
 		return false
 	}
-	seq, err := s.readSeqVersion(ctx, service)
+	seq, err := s.readSeq(ctx, service)
 	if err != nil {
 		s.Log.Debug("cannot read the version of the owner's last write", "service", service, "why", err.Error())
 		return false
 	}
-	if watch.silentSince.IsZero() || seq != watch.seqVersion {
-		watch.silentSince, watch.seqVersion = now, seq
+	if watch.silentSince.IsZero() || seq.version != watch.seqVersion {
+		watch.silentSince, watch.seqVersion = now, seq.version
 		return false
 	}
 	silent := monotonicNow().Sub(watch.silentSince)
@@ -213,21 +213,21 @@
 	return err == nil && out.Owns && out.Age < maxWriteAge, errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// readSeqVersion reads the version of the seq row, which changes with every
-// write of the owner.
-func (s *Server) readSeqVersion(ctx context.Context, service string) (int64, error) {
+// readSeq reads the seq row, which changes with every write of the owner.
+func (s *Server) readSeq(ctx context.Context, service string) (seqRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, seqReadTimeout)
 	defer cancel()
 	began := monotonicNow()
 	r, err := s.relayStore.ReadDirect(ctx, seqTable, service)
 	if err != nil {
-		return 0, err
+		return seqRow{}, err
 	}
 	s.writeTimes.observe(r.Version, began)
+	s.storeClock.observe(r.Now, began)
 	if len(r.Rows) == 0 {
-		return 0, nil
+		return seqRow{}, nil
 	}
-	return r.Rows[0].Version, nil
+	return decodeSeqRow(r.Rows[0]), nil
 }
 
 // ownsShard reports whether this entry owns any shard.
@@ -264,7 +264,7 @@
 		s.applyOwnerRows(stored.Rows, false)
 		return
 	}
-	seq, err := s.readSeqVersion(claimCtx, service)
+	seq, err := s.readSeq(claimCtx, service)
 	if err != nil {
 		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
@@ -280,14 +280,14 @@
 		s.Log.Info("shard claim lost", "service", service, "term", next.Term, "why", fmt.Sprint(err))
 		return
 	}
-	next.version = res.Version
+	next.version, seq.version = res.Version, res.Version
 	s.Log.Info("shard claimed", "service", service, "term", next.Term, "why", why)
 	s.setOwnerRow(service, next)
-	s.startOwner(ctx, service, next, res.Version)
+	s.startOwner(ctx, service, next, seq)
 }
 
 // startOwner starts making decisions for a shard.
-func (s *Server) startOwner(ctx context.Context, service string, row OwnerRow, seq int64) {
+func (s *Server) startOwner(ctx context.Context, service string, row OwnerRow, seq seqRow) {
 	o := newOwner(ctx, s, service, row, seq)
 	s.mu.Lock()
 	s.localOwners[service] = o
--- a/internal/server/rows.go
+++ b/internal/server/rows.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"strconv"
 	"strings"
@@ -42,4 +44,31 @@
 	return table.Key{Table: entryTable, Part: service, Name: "owner"}
 }
 
+// seqRow is the stored row of the last write of a shard's owner.
+type seqRow struct {
+	Write   string `json:"w"` // names the write
+	Promise int64  `json:"p"` // by when all leases have ended that owners send until the next write, on the store's clock in ms; 0: unknown
+
+	version int64 // of the row in the store; 0 if there is none
+}
+
+// decodeSeqRow decodes the row of a write. Former versions wrote the name alone.
+func decodeSeqRow(r table.Row) seqRow {
+	out := seqRow{}
+	if json.Unmarshal(r.Value, &out) != nil {
+		out = seqRow{Write: string(r.Value)}
+	}
+	out.version = r.Version
+	return out
+}
+
+// row encodes the row.
+func (q seqRow) row(service string) (table.Row, error) {
+	b, err := json.Marshal(q)
+	if err != nil {
+		return table.Row{}, fmt.Errorf("encode seq row: %w", err)
+	}
+	return table.Row{Key: seqKey(service), Value: b}, nil
+}
+
 func seqKey(service string) table.Key { return table.Key{Table: seqTable, Part: service, Name: "seq"} }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -72,6 +72,7 @@
 	metricsServer   *web.Server
 	metrics         *metric.Meter
 	writeTimes      writeTimes // of rows of the store
+	storeClock      storeClock
 	carrier         *carry.Carrier
 	pendingRPCs     atomic.Int64
 
--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -38,6 +38,9 @@
 
 	repliesLost bool // a minion that crashes under a start does not reply to it
 
+	promise  int64  // of the last write of an owner
+	leaseRow []byte // nil if there is none
+
 	minionRows map[string]minionRow // by minion
 	storeDown  bool                 // no row is written
 	feedDown   bool                 // the owner is not shown the rows of minions
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -30,20 +30,21 @@
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
-	m.knownSince, m.failed, m.slowness = now, nil, 0
+	m.failed, m.slowness = nil, 0
+	m.formerEnd, m.lateEnd, m.closed, m.recorded = s.formerEnd, time.Time{}, false, false
 	s.cancelReservations(m)
 	for _, r := range carriedOver {
-		s.carryOver(m, r)
+		s.carryOver(now, m, r)
 	}
 	s.accuse(now, s.postponeCarried(accused))
 }
 
-// carryOver adds a run that the minion's new incarnation may have; its next
-// report settles it.
-func (s *State) carryOver(m *minion, r *run) {
+// carryOver adds a run that the minion's new incarnation may have, with a start
+// that was sent until sent; its next report settles it.
+func (s *State) carryOver(sent time.Time, m *minion, r *run) {
 	r.state, r.renewalMark, r.token = uncertain, max(s.renewalSeq, 1), m.token-1
 	r.confirmedAt, r.speedKnown = time.Time{}, false
-	m.hasCarriedRuns = true
+	m.lateEnd = maxTime(m.lateEnd, s.lateEnd(sent))
 	m.add(r)
 	if t := r.task; t != nil && t.phase == Placed && t.attempt == r.key.attempt {
 		t.incarnation = m.Incarnation
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -32,20 +32,32 @@
 	}
 	s.renewalSeq++
 	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq}
-	if m.clockAt.IsZero() || !m.silentSince.IsZero() || now.Sub(s.lastDurable) > s.Limits.RenewWindow {
+	if m.clockAt.IsZero() || !m.silentSince.IsZero() {
 		// A minion that does not answer only gets a query: a lease extension
 		// that may or may not reach it would delay the time from which its tasks
 		// can start elsewhere.
 		return n, true
 	}
 	n.Wait = true
-	n.Until = m.lease(now, s.Limits)
+	if s.mayExtend(m) {
+		n.Until = s.extendLease(now, m)
+	}
 	return n, true
 }
 
-// lease returns the end of a lease granted now, on the minion's clock.
-func (m *minion) lease(now time.Time, l Limits) int64 {
-	until := m.clock + (now.Sub(m.clockAt) + l.Lease).Milliseconds()
+// mayExtend reports whether a lease of the minion may be extended: a former or
+// next owner does not take it for ended sooner.
+func (s *State) mayExtend(m *minion) bool {
+	return !m.closed && !m.recorded && !s.promised.IsZero()
+}
+
+// extendLease returns the end of a lease granted now, on the minion's clock. It
+// ends within the time that the last durable write promises, even if that clock
+// is slow.
+func (s *State) extendLease(now time.Time, m *minion) int64 {
+	d := now.Sub(m.clockAt) + s.Limits.Lease
+	promised := float64(s.promised.Sub(m.clockAt)-leaseMargin) * (1 - s.Limits.MaxClockDrift)
+	until := m.clock + min(d, time.Duration(promised)).Milliseconds()
 	m.leaseUntil = max(m.leaseUntil, until)
 	return m.leaseUntil
 }
@@ -53,16 +65,29 @@
 // leaseExpiry is the time at which all leases ever sent to the minion have
 // certainly ended.
 func (s *State) leaseExpiry(m *minion) time.Time {
-	if m.clockAt.IsZero() {
-		// A previous owner that does not know of this term may have renewed for
-		// RenewWindow.
-		end := m.knownSince.Add(s.Limits.RenewWindow + s.slowClock(s.Limits.Lease) + leaseMargin)
-		if m.hasCarriedRuns {
-			end = end.Add(s.Limits.MaxOrderDelay)
-		}
-		return end
+	if !m.answered() {
+		return maxTime(m.formerEnd, m.lateEnd)
+	}
+	own := m.clockAt.Add(s.slowClock(time.Duration(m.leaseUntil-m.clock)*time.Millisecond) + leaseMargin)
+	return maxTime(own, m.formerEnd)
+}
+
+// closeLeases keeps the leases of a silent minion from being extended, and has
+// the next owner told when they end.
+func (s *State) closeLeases(m *minion) {
+	if !m.closed {
+		m.closed = true
+		s.leases.changed = s.leases.changed || len(m.runs) > 0
+	}
+}
+
+// reopenLeases lets the leases of a minion that answers be extended, once no
+// next owner relies on their end any more.
+func (s *State) reopenLeases(m *minion) {
+	if m.closed {
+		m.closed = false
+		s.leases.changed = s.leases.changed || m.recorded
 	}
-	return m.clockAt.Add(s.slowClock(time.Duration(m.leaseUntil-m.clock)*time.Millisecond) + leaseMargin)
 }
 
 // HandleNoReply records that a renewal got no reply.
@@ -74,6 +99,7 @@
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
 		m.openFates(now)
+		s.closeLeases(m)
 		s.note(Note{What: MinionSilent, Minion: l.ID, Why: s.awaited(now, m)})
 	}
 }
@@ -89,7 +115,7 @@
 	}
 	source := "sent by this owner"
 	if !m.answered() {
-		source = "assumed, since it has not answered this owner"
+		source = "sent by former owners"
 	}
 	left := max(s.leaseExpiry(m).Sub(now), 0).Round(time.Millisecond)
 	return fmt.Sprintf("%d runs, %d of them lasting, wait %v for the end of its leases, %s", len(m.runs), lasting, left, source)
@@ -109,6 +135,7 @@
 		if len(m.runs) > 0 {
 			doubted := s.doubtRuns(now, m)
 			s.dropRuns(now, m, "its lease ended while its minion did not answer")
+			s.leases.changed = s.leases.changed || m.recorded
 			s.accuse(now, doubted)
 			m.keepUnsettled(doubted)
 		}
--- a/internal/shard/leftover.go
+++ b/internal/shard/leftover.go
@@ -15,8 +15,7 @@
 	if p.job.account == nil {
 		return
 	}
-	// The original may have been ordered late, and renewed by the former owner.
-	until := s.termStart.Add(s.Limits.MaxOrderDelay + s.Limits.RenewWindow + s.slowClock(s.Limits.Lease) + leaseMargin)
+	until := maxTime(s.formerEnd, s.lateEnd(s.termStart))
 	for _, a := range t.openAttempts {
 		if s.leftovers == nil {
 			s.leftovers = map[runKey]leftover{}
@@ -43,6 +42,12 @@
 	}
 }
 
+// lateEnd is when a run has certainly ended whose start was sent until from, and
+// may be carried out late, by the next incarnation of its minion.
+func (s *State) lateEnd(from time.Time) time.Time {
+	return from.Add(s.Limits.MaxOrderDelay + s.slowClock(s.Limits.MaxLease) + leaseMargin)
+}
+
 // slowClock is how long a time on the clock of a minion may take.
 func (s *State) slowClock(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / (1 - s.Limits.MaxClockDrift))
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -21,8 +21,10 @@
 	lastEnd           int64 // number of the last end that was processed
 	runs              map[runKey]*run
 	used              work.Size
-	knownSince        time.Time     // when this incarnation became known
-	hasCarriedRuns    bool          // has runs that may have been meant for the previous incarnation
+	formerEnd         time.Time     // when all leases that former owners sent it have ended
+	lateEnd           time.Time     // when runs meant for its previous incarnation have ended, if it never answers; zero if there are none
+	closed            bool          // its leases are not extended, because it has fallen silent
+	recorded          bool          // the lease row, as it is stored or being written, lists it
 	silentSince       time.Time     // first unanswered renewal since the last reply
 	pausedUntil       time.Time     // gets no new work before this time
 	failed            []failure     // since the last success, oldest first, at most maxFailures
@@ -44,7 +46,7 @@
 }
 
 func (s *State) newMinion(w work.Minion) *minion {
-	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, knownSince: s.termStart}
+	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, formerEnd: s.formerEnd}
 	s.minions[w.ID] = m
 	s.sortedMinions = nil
 	s.epoch++
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -219,7 +219,7 @@
 			return
 		}
 		r.carried = &accusation{run: r, minion: m.ID, fresh: true}
-		s.carryOver(m, r) // its start may have reached the next incarnation of the minion
+		s.carryOver(s.termStart, m, r) // its start may have reached the next incarnation of the minion
 	}
 }
 
@@ -232,6 +232,9 @@
 	if err := s.saveLearned(s.decidedAt); err != nil {
 		return Batch{}, err
 	}
+	if err := s.saveLeases(); err != nil {
+		return Batch{}, err
+	}
 	s.deleteStaleRows()
 	b := s.batch
 	s.batch = Batch{AckedEnds: map[work.Incarnation]int64{}}
@@ -275,14 +278,6 @@
 // writeWeight is the weight of the newest write in the average write time.
 const writeWeight = 0.3
 
-// HandleWritten records that a write that started at began is now durable.
-func (s *State) HandleWritten(now, began time.Time) {
-	s.writeTime += time.Duration(writeWeight * float64(now.Sub(began)-s.writeTime))
-	if began.After(s.lastDurable) {
-		s.lastDurable = began
-	}
-}
-
 // ParseJobState reads the state of a job from its progress row.
 func ParseJobState(row []byte) (JobState, error) {
 	var p progress
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -32,6 +32,7 @@
 		s.note(Note{What: MinionAnswers, Minion: m.ID})
 		s.wakeSteps(m)
 	}
+	s.reopenLeases(m)
 	m.closeFates()
 	s.settle(now, m, false)
 	for _, e := range rep.Ended {
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -89,6 +89,8 @@
 		return "stopped before it was sent"
 	case m.clockAt.IsZero() || !m.silentSince.IsZero():
 		return "its minion stopped answering before it was sent"
+	case !s.mayExtend(m):
+		return "its minion's leases are not extended yet"
 	case now.After(m.rowValidUntil):
 		return "its minion's row is too old"
 	case !m.Capacity.CanFit(m.used):
@@ -117,7 +119,7 @@
 	}
 	o.Minion = m.Minion
 	o.Start.Token = m.token
-	o.Start.Until = m.lease(now, s.Limits)
+	o.Start.Until = s.extendLease(now, m)
 	return true
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -22,7 +22,8 @@
 // Limits are the time limits and sizes that a shard works with.
 type Limits struct {
 	Lease         time.Duration // duration of a lease, from each renewal
-	RenewWindow   time.Duration // how long after its last durable write an owner still renews
+	MaxLease      time.Duration // longest lease that a minion grants, whatever it is sent
+	RenewWindow   time.Duration // leases end at most a lease and this after the owner's last durable write
 	MaxOrderDelay time.Duration // how late a delayed order may still be executed
 	MaxClockDrift float64       // how much slower a minion's clock may run, as a fraction
 	MaxRowAge     time.Duration // how old a minion's row may be for a start that relies on it: the minion may have less room since
@@ -34,7 +35,7 @@
 
 // DefaultLimits suit minions that allow leases of 10 s.
 var DefaultLimits = Limits{
-	Lease: 5 * time.Second, RenewWindow: 3 * time.Second, MaxOrderDelay: 15 * time.Second, MaxClockDrift: 0.02, MaxRowAge: 4 * time.Second, Retention: 150 * time.Second,
+	Lease: 5 * time.Second, MaxLease: 10 * time.Second, RenewWindow: 500 * time.Millisecond, MaxOrderDelay: 15 * time.Second, MaxClockDrift: 0.02, MaxRowAge: 4 * time.Second, Retention: 150 * time.Second,
 	MaxEnds: 500, MaxRows: maxOwnRows, RateWindow: 5 * time.Second,
 }
 
@@ -47,6 +48,7 @@
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
 	RunTimeErrors   RunTimeErrors
+	StoreClock      table.Clock // as of the last answer of the store
 
 	jobs             map[string]*job
 	accounts         map[string]*clientAccount // by name
@@ -81,7 +83,9 @@
 	turnOf           *step                     // the step that has waited longest, while it goes first
 	queryOffset      uint                      // where the next query begins to name minions
 	writeTime        time.Duration             // average duration of a write
-	lastDurable      time.Time                 // start of the last write that became durable
+	formerEnd        time.Time                 // when all leases that former owners sent have ended
+	promised         time.Time                 // when all leases end that are sent under the last durable write; zero before the first
+	leases           leaseRecord
 	batch            Batch
 	actions          Actions
 }
@@ -91,12 +95,16 @@
 
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
-	return &State{
-		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, termStart: now, lastDurable: now,
+	s := &State{
+		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, termStart: now,
 		jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{},
 		baseline: map[string]float64{}, runTimes: map[runTimeKey]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
 		batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
+	if term > 1 {
+		s.formerEnd = now.Add(unrecordedWindow + s.slowClock(l.MaxLease) + leaseMargin)
+	}
+	return s
 }
 
 // Submit adds an accepted job. Repeated calls have no effect.
