--- a/internal/shard/advice_test.go
+++ b/internal/shard/advice_test.go
@@ -117,3 +117,68 @@
 		}
 	}
 }
+
+// Work on a silent minion must not wait for its tickets once its leases have ended.
+func TestTicketsForLostWorkAreThereWhenItsLeaseEnds(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		w, o := newOwnedCluster(t, 3)
+		j := newJob("a", lastingTasks(2))
+		j.Advice = &work.AdviceTiming{Decide: 700 * time.Millisecond, Valid: 2 * time.Second}
+		w.submit(j)
+		a := adviser{w: w}
+		a.work(o, 5*time.Second) // the tickets expire
+		assert.Equal(t, w.running(), 2)
+		w.busiest().crash()
+		crashed := w.now
+		a.work(o, time.Second)
+		if successor {
+			o, a = w.takeOver(), adviser{w: w}
+		}
+		for w.running() < 2 && w.now.Sub(crashed) < time.Minute {
+			a.work(o, simTick)
+		}
+		took := w.now.Sub(crashed)
+		assert.Assert(t, took <= w.limits.Lease+500*time.Millisecond, "successor %v: took %v", successor, took)
+	}
+}
+
+// adviser is a placement service that allows everything, and takes its time.
+type adviser struct {
+	w       *simCluster
+	pending []AdviceQuery
+	due     []time.Time // of the answers to pending
+}
+
+// work lets an owner work for a time.
+func (a *adviser) work(o *simOwner, d time.Duration) {
+	w := a.w
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.pass(simTick)
+		a.answer(o)
+		for _, b := range w.minions {
+			o.renew(b)
+		}
+		o.readStoreClock()
+		o.st.Decide(w.now, w.now, QueryCapacity{Total: 4, Slow: 4, SlowFrom: time.Second})
+		for _, q := range o.st.TakeActions().Queries {
+			a.pending, a.due = append(a.pending, q), append(a.due, w.now.Add(q.Cost))
+		}
+		b, err := o.st.TakeBatch()
+		assert.NilError(w.t.(*testing.T), err)
+		o.batch = &b
+		o.commit(true)
+		w.deliver(len(w.inFlight))
+	}
+}
+
+// answer gives the answers that are due.
+func (a *adviser) answer(o *simOwner) {
+	for len(a.due) > 0 && !a.w.now.Before(a.due[0]) {
+		tickets := map[string]string{}
+		for _, id := range a.pending[0].IDs {
+			tickets[id] = "t"
+		}
+		o.st.HandleAdvice(a.w.now, a.w.now, a.pending[0], tickets, 2*time.Second, nil)
+		a.pending, a.due = a.pending[1:], a.due[1:]
+	}
+}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -86,9 +86,10 @@
 }
 
 // savedEligible lists the minions known to be eligible, so that a successor need
-// not query again. It covers steps that wait and whose queries are slow.
+// not query again. It covers steps that wait, or whose tasks last and so may have
+// to start again at any time, and whose queries are slow.
 func (p *step) savedEligible() []string {
-	if p.waiting == 0 || !p.slowAdvice() {
+	if p.waiting == 0 && !p.Lasting || !p.slowAdvice() {
 		return nil
 	}
 	return slices.Sorted(maps.Keys(p.advice.eligible))
