A new owner does not suspect runs that had long begun

Cause: whether a run had begun, and when, was known to the former owner alone. Its successor took every run of a silent minion for one that had just begun, so that each task was suspected of having crashed the minion.

--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -107,6 +107,41 @@
 	}
 }
 
+// A new owner must not take runs for suspects that had long begun when their
+// minion fell silent: their tasks would wait for a place on trial.
+func TestNextOwnerDoesNotSuspectRunsThatHadLongBegun(t *testing.T) {
+	w, _ := newOwnedCluster(t, 3)
+	w.submit(newJob("old", lastingTasks(3)))
+	w.live(2*time.Second, reborn)
+	out := w.busiest()
+	w.submit(newJob("new", lastingTasks(6)))
+	w.cycle()
+	w.cycle()
+	old, fresh := 0, 0
+	for k := range out.runs {
+		if k.task.Job == "old" {
+			old++
+		} else {
+			fresh++
+		}
+	}
+	assert.Assert(t, old > 0 && fresh > 0)
+	out.up = false
+	w.cycle()
+	o := w.takeOver()
+	for range 160 {
+		w.pass(simTick)
+		w.cycle()
+	}
+	suspected := map[string]int{}
+	for _, n := range o.st.Notes {
+		if n.What == CrashSuspected {
+			suspected[n.Job]++
+		}
+	}
+	assert.DeepEqual(t, suspected, map[string]int{"new": fresh})
+}
+
 func TestDeadlyTaskWithoutRepliesIsGivenUp(t *testing.T) {
 	for name, p := range stepKinds() {
 		for _, how := range []revival{reborn, replaced} {
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"jasminestep/internal/table"
@@ -35,6 +36,8 @@
 	ID    string `json:"i"`
 	Born  int64  `json:"b"`
 	Until int64  `json:"u"` // by when all its leases have ended, on the store's clock in ms
+
+	Fresh []string `json:"f,omitempty"` // runs that had not certainly begun for freshWindow when it fell silent
 }
 
 // leaseRecord tells which minions the row lists.
@@ -52,7 +55,7 @@
 	for _, m := range s.minionsByID() {
 		until, ok := s.StoreClock.Latest(s.leaseExpiry(m))
 		if m.closed && len(m.runs) > 0 && ok && len(rows) < maxSavedLeases {
-			rows = append(rows, savedLease{m.ID, m.Born, until})
+			rows = append(rows, savedLease{m.ID, m.Born, until, m.freshRuns()})
 			m.recorded = true
 		} else if m.recorded {
 			s.leases.leaving = append(s.leases.leaving, m)
@@ -67,6 +70,28 @@
 	return nil
 }
 
+// freshRuns names the runs that are suspected if the minion has crashed.
+func (m *minion) freshRuns() []string {
+	var out []string
+	for k, r := range m.runs {
+		if r.fateOpen || r.confirmedAt.IsZero() {
+			out = append(out, k.String())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// confirmOtherRuns records that the runs that are not fresh had certainly begun
+// long before the minion fell silent.
+func (m *minion) confirmOtherRuns(fresh []string, termStart time.Time) {
+	for k, r := range m.runs {
+		if !slices.Contains(fresh, k.String()) {
+			r.confirmedAt = termStart.Add(-freshWindow)
+		}
+	}
+}
+
 // HandleWritten records that a write that started at began is now durable, with
 // the promise that was made then.
 func (s *State) HandleWritten(now, began time.Time) {
@@ -92,6 +117,7 @@
 			continue
 		}
 		m.closed, m.recorded = true, true
+		m.confirmOtherRuns(l.Fresh, s.termStart)
 		if end, ok := s.StoreClock.Reached(l.Until); ok && end.Before(m.formerEnd) {
 			m.formerEnd = end
 		}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
 	"jasminestep/internal/work"
@@ -22,6 +23,8 @@
 	attempt int
 }
 
+func (k runKey) String() string { return fmt.Sprintf("%s/%d", k.task, k.attempt) }
+
 type run struct {
 	key         runKey
 	size        work.Size // room that the run occupies
