Lasting tasks start where they have a ticket; tickets of all lost work at once

Cause: each silent minion's work was planned by itself, one query after the other; and a waiting task with a ticket for one minion went on to ask for that of the fullest, which had changed when the answer came.

Change: the work of a step on all silent minions is one plan, whose query names further minions with room; a lasting task prefers minions that it has a ticket for.

--- a/internal/shard/advice_test.go
+++ b/internal/shard/advice_test.go
@@ -40,6 +40,30 @@
 	assert.Equal(t, b.Starts[0].Minion.ID, "m1")
 }
 
+// A lasting task must not wait for the ticket of the fullest minion while it has
+// one for another.
+func TestLastingTaskStartsWhereItHasATicket(t *testing.T) {
+	w, o := newOwnedCluster(t, 2)
+	w.submit(newJob("other", tasks(1, 2000)))
+	w.cycle()
+	full := w.busiest()
+	j := newJob("a", lastingTasks(1))
+	j.Advice = &work.AdviceTiming{Decide: 700 * time.Millisecond, Valid: 2 * time.Second}
+	w.submit(j)
+	o.st.Decide(w.now, w.now, QueryCapacity{}) // begins the job
+	a := &o.st.jobs["a"].rounds[0].steps[0].advice
+	a.restore([]string{"m0", "m1"})
+	for _, b := range w.minions {
+		if b != full {
+			a.eligible[b.ID] = ticket{"t", w.now.Add(time.Second), b.Born}
+		}
+	}
+	w.pass(recheckInterval)
+	w.cycle()
+	assert.Equal(t, w.running(), 2)
+	assert.Equal(t, len(full.runs), 1)
+}
+
 func TestAdviceIsAskedAheadOfAShortStepsTurn(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
 	second := tasks(1, 1000)
--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -112,7 +112,11 @@
 	if len(ids) == 0 {
 		return
 	}
-	most := min(len(ids)+extraMinionsPerTask*(p.waiting-len(plan)), minQueryMinions)
+	extra := extraMinionsPerTask * (p.waiting - len(plan))
+	if p.Lasting {
+		extra += spareLastingMinions
+	}
+	most := min(len(ids)+extra, minQueryMinions)
 	for _, m := range v.s.eligibleMinions(p) {
 		if len(ids) >= most {
 			break
@@ -133,6 +137,7 @@
 	queryMinionsPerTask = 4 // minions named per task needed, because many are not eligible
 	spareTicketMinions  = 2 // minions named beyond those of a gang whose tickets are renewed
 	extraMinionsPerTask = 2 // minions named for each task that a plan leaves unplaced
+	spareLastingMinions = 4 // minions named beyond those of a plan for lasting tasks: others may take the room of those meanwhile
 	queryInterval       = 500 * time.Millisecond
 	queryRetryDelay     = 50 * time.Millisecond // after a failed query
 )
--- a/internal/shard/queryahead.go
+++ b/internal/shard/queryahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -58,66 +59,78 @@
 	lostTicketSpare = 300 * time.Millisecond  // which a ticket has to outlast
 )
 
-// lostWork is the work of a step on a silent minion.
+// lostWork is the work of a step on silent minions.
 type lostWork struct {
 	*step
-	runs int
-	end  time.Time // of the leases there
+	runs        int
+	first, last time.Time // ends of the leases there
 }
 
 // queryForLost requests the tickets with which the work on silent minions can
-// start elsewhere as soon as its leases have ended, those first that end first.
+// start elsewhere as soon as its leases have ended, that first which ends first.
 func (v *view) queryForLost() {
-	var all []lostWork
+	lost := map[*step]*lostWork{}
 	for _, m := range v.ms {
-		if end := v.s.leaseExpiry(m); m.closed && len(m.runs) > 0 && end.Sub(v.now) < lostQueryLead {
-			all = append(all, m.lostWork(end)...)
+		if m.closed && len(m.runs) > 0 {
+			v.addLost(lost, m)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b lostWork) int {
-		return cmp.Or(a.end.Compare(b.end), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.round.number, b.round.number), cmp.Compare(a.index, b.index))
+	all := slices.SortedFunc(maps.Values(lost), func(a, b *lostWork) int {
+		return cmp.Or(a.first.Compare(b.first), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.round.number, b.round.number), cmp.Compare(a.index, b.index))
 	})
 	for _, l := range all {
 		if v.s.queryCapacity.Total == 0 {
 			return
 		}
-		v.queryForLostStep(l)
+		if l.first.Sub(v.now) < lostQueryLead {
+			v.queryForLostStep(l)
+		}
 	}
 }
 
-// lostWork returns the work on a silent minion that has to start elsewhere once
-// its leases have ended, if there are queries about it.
-func (m *minion) lostWork(end time.Time) []lostWork {
-	runs := map[*step]int{}
+// addLost adds the work on a silent minion about which there are queries.
+func (v *view) addLost(lost map[*step]*lostWork, m *minion) {
+	end := v.s.leaseExpiry(m)
 	for _, r := range m.runs {
-		if r.isCurrent(m) && !r.stopping && r.step.job.Advice != nil && !r.step.Gang {
-			runs[r.step]++
+		if !r.isCurrent(m) || r.stopping || r.step.job.Advice == nil || r.step.Gang {
+			continue
 		}
+		l := lost[r.step]
+		if l == nil {
+			l = &lostWork{step: r.step, first: end}
+			lost[r.step] = l
+		}
+		l.runs++
+		if end.Before(l.first) {
+			l.first = end
+		}
+		l.last = maxTime(l.last, end)
 	}
-	out := make([]lostWork, 0, len(runs))
-	for p, n := range runs {
-		out = append(out, lostWork{p, n, end})
-	}
-	return out
 }
 
-// queryForLostStep requests the tickets that a plan for the work would lack.
-func (v *view) queryForLostStep(l lostWork) {
+// queryForLostStep requests the tickets that a plan for the work would lack, and
+// with them those of other minions that have room, since until the leases have
+// ended others may take what the plan counts on.
+func (v *view) queryForLostStep(l *lostWork) {
 	p, a := l.step, &l.step.advice
 	ahead := time.Duration(queryAheadShare * float64(p.job.Advice.Valid))
-	if a.inFlight > 0 || v.now.Before(a.nextQuery) || l.end.Sub(v.now) > ahead {
+	if a.inFlight > 0 || v.now.Before(a.nextQuery) || l.last.Sub(v.now) > ahead {
 		return
 	}
-	plan := planTasks(p, v.scoreMinions(p), l.runs)
+	scored := v.scoreMinions(p)
+	lacks := func(sm *scoredMinion) bool {
+		return sm.eligibility != eligible || sm.ticket.expires.Before(l.last.Add(lostTicketSpare))
+	}
 	var ids []string
-	for _, sm := range plan {
-		lacks := sm.eligibility != eligible || sm.ticket.expires.Before(l.end.Add(lostTicketSpare))
-		if lacks && !slices.Contains(ids, sm.ID) {
+	if plan := planTasks(p, scored, l.runs); len(plan) < l.runs {
+		ids = v.unqueriedMinions(p, len(a.eligible) > 0)
+	} else if !slices.ContainsFunc(plan, lacks) {
+		return
+	}
+	for _, sm := range scored {
+		if lacks(sm) && len(ids) < minQueryMinions {
 			ids = append(ids, sm.ID)
 		}
 	}
-	if len(plan) < l.runs {
-		ids = append(ids, v.unqueriedMinions(p, len(a.eligible) > 0)...)
-	}
 	v.s.query(v.now, p, ids)
 }
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -98,7 +98,8 @@
 // setScore sets the sort key of the minion: first whether fill tasks and targets
 // stay apart, then the rack of the data, then the zone of the step's other
 // tasks, then the fullest minion, so that large tasks find room. Fill tasks go
-// where most room is left, urgent tasks to the fastest minions.
+// where most room is left, urgent tasks to the fastest minions. Lasting tasks,
+// which have no zone, go where they need not wait for a ticket.
 func (sm *scoredMinion) setScore(p *step) {
 	if p.shares(sm.minion) {
 		sm.score[0] = sharingPenalty
@@ -113,7 +114,10 @@
 	if p.urgent {
 		sm.score[1] += sm.speedRank()
 	}
-	if p.preferredZone != "" && sm.Zone != p.preferredZone {
+	switch {
+	case p.Lasting && sm.eligibility != eligible:
+		sm.score[2] = 1
+	case p.preferredZone != "" && sm.Zone != p.preferredZone:
 		sm.score[2] = 1
 	}
 	if p.Fill {
