--- a/internal/server/lease_test.go
+++ b/internal/server/lease_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"regexp"
+	"strconv"
 	"testing"
 	"time"
 
@@ -76,3 +79,19 @@
 	assert.Equal(t, seq.version, res.Version)
 	assert.Equal(t, decodeSeqRow(table.Row{Value: []byte("life.3.7")}), seqRow{Write: "life.3.7"}, "as former versions write it")
 }
+
+// TestDeployedLeaseMeetsTheTarget guards against a lease in the deploy file with
+// which lost work cannot start again in time.
+func TestDeployedLeaseMeetsTheTarget(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/entry.json")
+	assert.NilError(t, err)
+	m := regexp.MustCompile(`"lease": (\d+)`).FindSubmatch(b)
+	assert.Assert(t, m != nil)
+	ms, err := strconv.Atoi(string(m[1]))
+	assert.NilError(t, err)
+	limits := shard.DefaultLimits
+	limits.Lease = time.Duration(ms) * time.Millisecond
+	now := monotonicNow()
+	wait := shard.New("svc", 1, now, limits).PromisedEnd(now).Sub(now)
+	assert.Assert(t, wait < restartTarget-500*time.Millisecond, "leases end %v after the last write of a lost owner", wait)
+}
