--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -18,7 +18,7 @@
 func (o *owner) load() error {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	minions, err := retryRead(ctx, func() (table.Range, error) {
+	minions, err := loadRows(ctx, "minions", func() (table.Range, error) {
 		began := monotonicNow()
 		r, err := table.ReadAll(ctx, o.s.relayStore, o.s.Codec.MinionTable)
 		if err == nil {
@@ -27,42 +27,31 @@
 		return r, err
 	})
 	if err != nil {
-		return fmt.Errorf("read minions: %w", err)
+		return err
 	}
-	jobs, err := retryRead(ctx, func() (table.Range, error) { return readJobs(ctx, o.s.relayStore) })
+	jobs, err := loadRows(ctx, "jobs", func() (table.Range, error) { return readJobs(ctx, o.s.relayStore) })
 	if err != nil {
-		return fmt.Errorf("read jobs: %w", err)
+		return err
 	}
-	progress, err := retryRead(ctx, func() (table.Range, error) {
-		return o.s.relayStore.Read(ctx, shard.ProgressTable, o.service, "", "")
-	})
-	if err != nil {
-		return fmt.Errorf("read progress: %w", err)
-	}
-	learned, err := retryRead(ctx, func() (table.Range, error) {
-		return o.s.relayStore.Read(ctx, shard.LearnedTable, o.service, "", "")
-	})
-	if err != nil {
-		return fmt.Errorf("read what was learned: %w", err)
-	}
-	leases, err := retryRead(ctx, func() (table.Range, error) {
-		return o.s.relayStore.Read(ctx, shard.LeaseTable, o.service, "", "")
-	})
-	if err != nil {
-		return fmt.Errorf("read leases: %w", err)
+	own := map[string]table.Range{}
+	for _, name := range []string{shard.ProgressTable, shard.LearnedTable, shard.LeaseTable} {
+		own[name], err = loadRows(ctx, name, func() (table.Range, error) { return o.s.relayStore.Read(ctx, name, o.service, "", "") })
+		if err != nil {
+			return err
+		}
 	}
 	o.minionVersion, o.jobVersion = minions.Version, jobs.Version
 	now := monotonicNow()
 	o.applyMinionRows(now, minions.Rows, true)
-	o.applyLearned(learned.Rows)
-	saved, bad := shard.ReadProgress(progress.Rows)
+	o.applyLearned(own[shard.LearnedTable].Rows)
+	saved, bad := shard.ReadProgress(own[shard.ProgressTable].Rows)
 	for _, name := range bad {
 		o.s.Log.Error("job row invalid", "job", name, "why", "the row holds the progress of several jobs and cannot be decoded")
 	}
 	o.applyJobRows(now, jobs.Rows, saved)
 	o.state.AdoptBundles(saved)
 	o.state.DropOrphans(saved, rowNames(jobs.Rows))
-	o.applyLeases(leases.Rows)
+	o.applyLeases(own[shard.LeaseTable].Rows)
 	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
@@ -102,12 +91,16 @@
 	return table.ReadParts(ctx, s, jobTable, parts)
 }
 
-// retryRead repeats a read until it succeeds or ctx ends.
-func retryRead(ctx context.Context, f func() (table.Range, error)) (table.Range, error) {
+// loadRows repeats a read until it succeeds or ctx ends. what names the rows in
+// the error.
+func loadRows(ctx context.Context, what string, f func() (table.Range, error)) (table.Range, error) {
 	for {
 		r, err := f()
-		if err == nil || ctx.Err() != nil {
-			return r, err
+		if err == nil {
+			return r, nil
+		}
+		if ctx.Err() != nil {
+			return r, fmt.Errorf("read rows of %s: %w", what, err)
 		}
 		sleep(ctx, writeRetryDelay)
 	}
