The row of silent minions holds for other writers and versions too

Cause: a review of the lease row found sequences in which it misled the next owner: rows of another writer with other births let leases be extended while the stored row listed their minion; an owner of a former version leaves the row alone, and so it grew stale; an end that is later than the promise, for runs that a minion may carry out late, was dropped; a minion without an address never fell silent, so its wait began anew; and runs were given up in the first moment of a new owner, before their minions could report ends. The row had no limit in bytes.

Change: what the row lists is kept by incarnation, apart from the minion; the row counts only if the last owner made a promise; later ends count until the minion answers; minions without an address are closed at the load; a new owner waits 0.7 s for a first answer; 40 KB at most.

--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -69,10 +69,12 @@
 // applyLeases takes over what a former owner knew of silent minions. Without it
 // their runs wait longer.
 func (o *owner) applyLeases(rows []table.Row) {
-	for _, r := range rows {
-		if err := o.state.LoadLeases(r.Value); err != nil {
-			o.s.Log.Error("lease row invalid", "service", o.service, "why", err.Error())
-		}
+	var row []byte
+	if len(rows) > 0 {
+		row = rows[0].Value
+	}
+	if err := o.state.LoadLeases(row); err != nil {
+		o.s.Log.Error("lease row invalid", "service", o.service, "why", err.Error())
 	}
 }
 
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -48,7 +48,7 @@
 // mayExtend reports whether a lease of the minion may be extended: a former or
 // next owner does not take it for ended sooner.
 func (s *State) mayExtend(m *minion) bool {
-	return !m.closed && !m.recorded && !s.promised.IsZero()
+	return !m.closed && !s.leaseRow.lists(m.Incarnation) && !s.promised.IsZero()
 }
 
 // extendLease returns the end of a lease granted now, on the minion's clock. It
@@ -72,12 +72,24 @@
 	return maxTime(own, m.formerEnd)
 }
 
+// answerGrace is how long a new owner waits for the first answer of a minion whose
+// leases have ended: it may have ends to report.
+const answerGrace = 700 * time.Millisecond
+
+// givenUpAt is when the runs on a silent minion are given up.
+func (s *State) givenUpAt(m *minion) time.Time {
+	if m.answered() {
+		return s.leaseExpiry(m)
+	}
+	return maxTime(s.leaseExpiry(m), s.termStart.Add(answerGrace))
+}
+
 // closeLeases keeps the leases of a silent minion from being extended, and has
 // the next owner told when they end.
 func (s *State) closeLeases(m *minion) {
 	if !m.closed {
 		m.closed = true
-		s.leases.changed = s.leases.changed || len(m.runs) > 0
+		s.leaseRow.changed = s.leaseRow.changed || len(m.runs) > 0
 	}
 }
 
@@ -86,7 +98,7 @@
 func (s *State) reopenLeases(m *minion) {
 	if m.closed {
 		m.closed = false
-		s.leases.changed = s.leases.changed || m.recorded
+		s.leaseRow.changed = s.leaseRow.changed || s.leaseRow.lists(m.Incarnation)
 	}
 }
 
@@ -126,7 +138,7 @@
 func (s *State) expire(now time.Time) {
 	s.expireLeftovers(now)
 	for id, m := range s.minions {
-		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.leaseExpiry(m)) {
+		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.givenUpAt(m)) {
 			continue
 		}
 		if m.clockAt.IsZero() && m.listed && len(m.runs) == 0 {
@@ -135,7 +147,7 @@
 		if len(m.runs) > 0 {
 			doubted := s.doubtRuns(now, m)
 			s.dropRuns(now, m, "its lease ended while its minion did not answer")
-			s.leases.changed = s.leases.changed || m.recorded
+			s.leaseRow.changed = s.leaseRow.changed || s.leaseRow.lists(m.Incarnation)
 			s.accuse(now, doubted)
 			m.keepUnsettled(doubted)
 		}
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -27,9 +27,9 @@
 	return table.Key{Table: LeaseTable, Part: service, Name: "lease"}
 }
 
-// maxSavedLeases limits the row. Of further minions the next owner knows only
-// what the former one promised.
-const maxSavedLeases = 600
+// maxLeaseBytes limits the row. Of further minions the next owner knows only what
+// the former one promised.
+const maxLeaseBytes = 40 << 10
 
 // savedLease is the encoding of the end of a silent minion's leases.
 type savedLease struct {
@@ -40,33 +40,43 @@
 	Fresh []string `json:"f,omitempty"` // runs that had not certainly begun for freshWindow when it fell silent
 }
 
-// leaseRecord tells which minions the row lists.
-type leaseRecord struct {
-	changed bool      // minions have fallen silent or answered since the row was encoded
-	leaving []*minion // that the row being written no longer lists
+// leaseRow is what is known of the row in the store.
+type leaseRow struct {
+	changed bool                      // minions have fallen silent or answered since it was encoded
+	stored  map[work.Incarnation]bool // that it lists; no lease of theirs is extended
+	writing map[work.Incarnation]bool // that it will list once the batch is written, nil if that leaves it alone
 }
 
+// lists reports whether the row lists a minion, as stored or being written.
+func (r *leaseRow) lists(l work.Incarnation) bool { return r.stored[l] || r.writing[l] }
+
 // saveLeases adds the row of silent minions to the batch if it has changed.
 func (s *State) saveLeases() error {
-	if !s.leases.changed {
+	if !s.leaseRow.changed {
 		return nil
 	}
-	rows := []savedLease{}
+	s.leaseRow.writing = map[work.Incarnation]bool{}
+	row := []byte("[")
 	for _, m := range s.minionsByID() {
 		until, ok := s.StoreClock.Latest(s.leaseExpiry(m))
-		if m.closed && len(m.runs) > 0 && ok && len(rows) < maxSavedLeases {
-			rows = append(rows, savedLease{m.ID, m.Born, until, m.freshRuns()})
-			m.recorded = true
-		} else if m.recorded {
-			s.leases.leaving = append(s.leases.leaving, m)
+		if !m.closed || len(m.runs) == 0 || !ok {
+			continue
 		}
+		b, err := json.Marshal(savedLease{m.ID, m.Born, until, m.freshRuns()})
+		if err != nil {
+			return fmt.Errorf("encode leases: %w", err)
+		}
+		if len(row)+len(b) > maxLeaseBytes {
+			break
+		}
+		if len(row) > 1 {
+			row = append(row, ',')
+		}
+		row = append(row, b...)
+		s.leaseRow.writing[m.Incarnation] = true
 	}
-	b, err := json.Marshal(rows)
-	if err != nil {
-		return fmt.Errorf("encode leases: %w", err)
-	}
-	s.leases.changed = false
-	s.batch.Rows = append(s.batch.Rows, table.Row{Key: LeaseKey(s.Service), Value: b})
+	s.leaseRow.changed = false
+	s.batch.Rows = append(s.batch.Rows, table.Row{Key: LeaseKey(s.Service), Value: append(row, ']')})
 	return nil
 }
 
@@ -97,34 +107,61 @@
 func (s *State) HandleWritten(now, began time.Time) {
 	s.writeTime += time.Duration(writeWeight * float64(now.Sub(began)-s.writeTime))
 	s.promised = maxTime(s.promised, s.PromisedEnd(began))
-	for _, m := range s.leases.leaving {
-		m.recorded = false
+	if s.leaseRow.writing != nil {
+		s.leaseRow.stored, s.leaseRow.writing = s.leaseRow.writing, nil
 	}
-	s.leases.leaving = s.leases.leaving[:0]
 }
 
-// LoadLeases takes over what the row of a former owner says. The minions and
-// their runs must be known.
+// LoadLeases takes over what the row of a former owner says; row is nil if there
+// is none. The minions and their runs must be known.
 func (s *State) LoadLeases(row []byte) error {
+	s.closeUnreachable()
+	if row == nil {
+		return nil
+	}
 	var in []savedLease
 	if err := json.Unmarshal(row, &in); err != nil {
+		s.leaseRow.changed = true // what it lists is unknown
 		return fmt.Errorf("decode leases: %w", err)
 	}
-	s.leases.changed = len(in) > 0
+	s.leaseRow.changed = s.leaseRow.changed || len(in) > 0
+	s.leaseRow.stored = map[work.Incarnation]bool{}
 	for _, l := range in {
-		m := s.current(work.Incarnation{ID: l.ID, Born: l.Born})
-		if m == nil {
-			continue
-		}
-		m.closed, m.recorded = true, true
-		m.confirmOtherRuns(l.Fresh, s.termStart)
-		if end, ok := s.StoreClock.Reached(l.Until); ok && end.Before(m.formerEnd) {
-			m.formerEnd = end
+		inc := work.Incarnation{ID: l.ID, Born: l.Born}
+		s.leaseRow.stored[inc] = true
+		if m := s.current(inc); m != nil {
+			m.closed = true
+			s.inheritLease(m, l)
 		}
 	}
 	return nil
 }
 
+// inheritLease takes over what the row says of one minion. It means nothing if
+// the last owner was of a former version, which leaves the row alone.
+func (s *State) inheritLease(m *minion, l savedLease) {
+	end, ok := s.StoreClock.Reached(l.Until)
+	if !ok || !s.promiseKnown {
+		return
+	}
+	m.confirmOtherRuns(l.Fresh, s.termStart)
+	if end.After(m.formerEnd) {
+		m.lateEnd = end
+	} else {
+		m.formerEnd = end
+	}
+}
+
+// closeUnreachable closes the leases of minions without a known address. Nobody
+// calls them, so they never fall silent.
+func (s *State) closeUnreachable() {
+	for _, m := range s.minions {
+		if m.Address == "" {
+			s.closeLeases(m)
+		}
+	}
+}
+
 // unrecordedWindow is how long owners of former versions renew without the store.
 // Their writes carry no promise.
 const unrecordedWindow = 3 * time.Second
@@ -133,7 +170,7 @@
 // It has to be called before minions are known.
 func (s *State) Inherit(promise int64) {
 	if end, ok := s.StoreClock.Reached(promise); ok && promise > 0 {
-		s.formerEnd = end
+		s.formerEnd, s.promiseKnown = end, true
 	}
 }
 
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -24,7 +24,6 @@
 	formerEnd         time.Time     // when all leases that former owners sent it have ended
 	lateEnd           time.Time     // when runs meant for its previous incarnation have ended, if it never answers; zero if there are none
 	closed            bool          // its leases are not extended, because it has fallen silent
-	recorded          bool          // the lease row, as it is stored or being written, lists it
 	silentSince       time.Time     // first unanswered renewal since the last reply
 	pausedUntil       time.Time     // gets no new work before this time
 	failed            []failure     // since the last success, oldest first, at most maxFailures
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -53,10 +53,8 @@
 		}
 	}
 	o.st.DropOrphans(saved, hasRow)
-	if w.leaseRow != nil {
-		if err := o.st.LoadLeases(w.leaseRow); err != nil {
-			w.fail("load leases: %v", err)
-		}
+	if err := o.st.LoadLeases(w.leaseRow); err != nil {
+		w.fail("load leases: %v", err)
 	}
 	w.owners = append(w.owners, o)
 	return o
--- a/internal/shard/queryahead.go
+++ b/internal/shard/queryahead.go
@@ -90,7 +90,7 @@
 
 // addLost adds the work on a silent minion about which there are queries.
 func (v *view) addLost(lost map[*step]*lostWork, m *minion) {
-	end := v.s.leaseExpiry(m)
+	end := v.s.givenUpAt(m)
 	for _, r := range m.runs {
 		if !r.isCurrent(m) || r.stopping || r.step.job.Advice == nil || r.step.Gang {
 			continue
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -85,7 +85,8 @@
 	writeTime        time.Duration             // average duration of a write
 	formerEnd        time.Time                 // when all leases that former owners sent have ended
 	promised         time.Time                 // when all leases end that are sent under the last durable write; zero before the first
-	leases           leaseRecord
+	promiseKnown     bool                      // formerEnd is what the last owner promised
+	leaseRow         leaseRow
 	batch            Batch
 	actions          Actions
 }
