Entries without a configuration are not ready for callers

Cause: the health check at the address for callers, which the balancer uses, failed only during a planned stop. So a restarted entry was sent requests as soon as it listened, and until it had fetched its configuration it knew no member and refused them as wrong, although DESIGN.md says that an entry serves nothing before.

Change: the health check for callers asks for readiness as well. A request that arrives without a configuration nevertheless is answered unrun with the new reason "starting" (status 503; it was bad-member with 403), so that it may be sent elsewhere.

Evidence: TestRestartedEntryRefusesMembersBeforeItsConfiguration restarts an entry that can reach neither the platform nor other entries.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -45,6 +45,7 @@
 	Serve(ctx context.Context, r *route.Request) route.Answer
 	Config() operator.Cell
 	Leaving() bool
+	Ready() bool                   // false until the entry can answer, and once it is stopping
 	MaxRequestTime() time.Duration // longest time that a request may run
 }
 
@@ -56,8 +57,8 @@
 		out = append(out, rest.Route{Method: m, Path: "/call/:pool", Handler: h})
 	}
 	return append(out, rest.Route{Method: http.MethodGet, Path: "/health", Handler: func(w http.ResponseWriter, _ *http.Request) {
-		if e.Leaving() {
-			web.Fail(w, http.StatusServiceUnavailable, "stopping")
+		if !e.Ready() {
+			web.Fail(w, http.StatusServiceUnavailable, "not ready, or stopping")
 			return
 		}
 		web.Reply(w, http.StatusOK, struct{}{})
@@ -100,6 +101,9 @@
 		return nil, &a
 	}
 	cell := e.Config()
+	if cell.Version == 0 {
+		return refuse(route.EntryStarting)
+	}
 	member := r.Header.Get(HeaderMember)
 	if _, ok := cell.Find(member); !ok {
 		return refuse(route.UnknownMember)
@@ -146,6 +150,7 @@
 	route.AnswerLost:         "no whole answer came back in time",
 	route.AnswerDiscarded:    "it ran and was answered before; the answer is no longer kept",
 	route.EntryPaused:        "this entry was paused and is not yet sure of what it holds",
+	route.EntryStarting:      "this entry has no configuration yet",
 	route.UnknownMember:      "Step-Member names no member",
 	route.BadKey:             "Step-Key: want a UUID of version 7, optionally with a zone and a dot before it",
 	route.BadDeadline:        "Step-Deadline: want milliseconds above zero",
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -52,6 +52,7 @@
 	AnswerLost         Reason = "lost"         // no complete answer arrived
 	AnswerDiscarded    Reason = "forgotten"    // the request was answered, but the answer is no longer stored
 	EntryPaused        Reason = "paused"       // this entry was paused and has not confirmed its assignments yet
+	EntryStarting      Reason = "starting"     // this entry has no configuration yet
 	UnknownMember      Reason = "bad-member"   // no such member
 	BadKey             Reason = "bad-key"      // malformed key
 	TooLarge           Reason = "too-large"    // the body exceeds the size limit
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -226,6 +226,25 @@
 	rollingRestart(x)
 }
 
+// A request was refused as bad-member by a restarted entry that had no configuration yet.
+func TestRestartedEntryRefusesMembersBeforeItsConfiguration(t *testing.T) {
+	x := startSite(t, smallSite(60))
+	id := slices.Sorted(maps.Keys(x.settings))[0]
+	set := x.settings[id]
+	assert.NilError(t, x.Process(id).Stop(t.Context()))
+	x.Net.Cut(set.IP(), "127.") // it can learn no configuration, but is reached by callers
+	assert.NilError(t, x.StartEntry(id))
+	x.balancer.check(t.Context())
+	var tot, direct RequestStats
+	for i := range 40 {
+		x.balancer.Request(x.Ledger, &tot, "p", "m", i%2 == 0, 1, 100)
+	}
+	assert.Check(t, tot.Answered == 40, "the balancer must use the other entries: %v", tot.Reasons)
+	restarted := &Balancer{cli: x.balancer.cli, entries: []Endpoints{{Caller: set.Caller}}}
+	restarted.Request(x.Ledger, &direct, "p", "m", false, 1, 100)
+	assert.DeepEqual(t, direct.Reasons, map[string]int{"unrun starting": 1})
+}
+
 func rollingRestart(x *siteTest) {
 	t := x.T
 	ctx, stop := context.WithCancel(context.Background())
