A promise never means a longer wait than none; leases of several lengths in the test

Change: the wait without a promise is the longest. TestLeasesHoldThroughChangesOfOwner gives each owner a lease of its own, 2 to 9 s.

--- a/internal/shard/leasefuzz_test.go
+++ b/internal/shard/leasefuzz_test.go
@@ -15,7 +15,11 @@
 func TestLeasesHoldThroughChangesOfOwner(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newSimCluster(rt, 4)
-		w.takeOver()
+		claim := func() { // by an entry with settings of its own
+			w.limits.Lease = time.Duration(rapid.IntRange(2, 9).Draw(rt, "lease")) * time.Second
+			w.takeOver()
+		}
+		claim()
 		w.submit(newJob("a", tasks(4, 1000)), newJob("b", lastingTasks(3)))
 		w.cycle()
 		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
@@ -27,7 +31,7 @@
 				w.record("%s reached: %v", b.ID, b.up)
 			case 2:
 				if !w.storeDown {
-					w.takeOver()
+					claim()
 				}
 			case 3:
 				w.storeDown = !w.storeDown
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -167,10 +167,13 @@
 const unrecordedWindow = 3 * time.Second
 
 // Inherit takes over the promise of the former owner, which is 0 if it made none.
-// It has to be called before minions are known.
+// No promise means a longer wait than none does. It has to be called before
+// minions are known.
 func (s *State) Inherit(promise int64) {
-	if end, ok := s.StoreClock.Reached(promise); ok && promise > 0 {
-		s.formerEnd, s.promiseKnown = end, true
+	end, ok := s.StoreClock.Reached(promise)
+	s.promiseKnown = ok && promise > 0
+	if s.promiseKnown && end.Before(s.formerEnd) {
+		s.formerEnd = end
 	}
 }
 
