Absences of lasting tasks: histogram by cause, lines at 6 s

An absence begins when the minion falls silent or the run ends, and ends when the next run has certainly begun. What the task waits for is sampled each 20 ms: lease, answer, lesser (work that may wait has the room), room, minion (none may run it), account, start. When it began outlasts the owner, in the task's progress and in the row of silent minions. Metric step_absence_seconds, log lines "lasting task away" at 6 s and "lasting task back".

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -35,6 +35,7 @@
 	{"step_jobs", "jobs", "jobs of the zone, by state"},
 	{"step_tasks", "tasks", "tasks of the zone, by state"},
 	{"step_task_wait_seconds", "seconds", "time from a task's acceptance to its first start"},
+	{"step_absence_seconds", "seconds", "time for which a task that lasts was away, by how that began (lost, failed, drained, stopped) and by what it waited for longest"},
 	{"step_owner", "1", "1 while this entry owns its zone"},
 	{"step_epoch", "1", "epoch of the zone's owner"},
 	{"step_seq", "rows", "sequence number of the last row of the zone's journal that this entry has applied"},
@@ -56,6 +57,7 @@
 var synchronous = map[string]bool{
 	"step_requests": true, "step_retries": true, "step_request_seconds": true,
 	"step_slot_wait_seconds": true, "step_write_seconds": true, "step_task_wait_seconds": true,
+	"step_absence_seconds": true,
 }
 
 // Meter holds the instruments of one entry. Use New.
@@ -69,10 +71,13 @@
 	slotWait om.Float64Histogram
 	write    om.Float64Histogram
 	taskWait om.Float64Histogram
+	absence  om.Float64Histogram
 }
 
 var buckets = om.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 1.7, 3, 7, 15, 60, 300)
 
+var absenceBuckets = om.WithExplicitBucketBoundaries(.5, 1, 2, 4, 6, 8, 10, 15, 30, 60)
+
 // New returns a meter with its own registry.
 func New() (*Meter, error) {
 	m := &Meter{registry: prometheus.NewRegistry()}
@@ -81,13 +86,14 @@
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
 	m.meter = sdk.NewMeterProvider(sdk.WithReader(ex)).Meter("jasminestep")
-	var errs [6]error
+	var errs [7]error
 	m.requests, errs[0] = m.meter.Int64Counter("step_requests")
 	m.retries, errs[1] = m.meter.Int64Counter("step_retries")
 	m.latency, errs[2] = m.meter.Float64Histogram("step_request_seconds", buckets)
 	m.slotWait, errs[3] = m.meter.Float64Histogram("step_slot_wait_seconds", buckets)
 	m.write, errs[4] = m.meter.Float64Histogram("step_write_seconds", buckets)
 	m.taskWait, errs[5] = m.meter.Float64Histogram("step_task_wait_seconds", buckets)
+	m.absence, errs[6] = m.meter.Float64Histogram("step_absence_seconds", absenceBuckets)
 	for _, err := range errs {
 		if err != nil {
 			return nil, fmt.Errorf("metrics: %w", err)
@@ -121,6 +127,12 @@
 // Write records the duration of a journal write.
 func (m *Meter) Write(d time.Duration) { m.write.Record(context.Background(), d.Seconds()) }
 
+// Absence records for how long a task that lasts was away, how that began and what
+// it waited for longest.
+func (m *Meter) Absence(start, cause string, d time.Duration) {
+	m.absence.Record(context.Background(), d.Seconds(), om.WithAttributes(attribute.String("start", start), attribute.String("cause", cause)))
+}
+
 // TaskWait records the time from a task's acceptance to its first start.
 func (m *Meter) TaskWait(d time.Duration) { m.taskWait.Record(context.Background(), d.Seconds()) }
 
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -30,6 +30,7 @@
 	m.Wait(time.Second)
 	m.Write(time.Second)
 	m.TaskWait(time.Second)
+	m.Absence("lost", "lease", time.Second)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	b, err := io.ReadAll(w.Body)
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -189,12 +189,17 @@
 	go o.commit(b)
 }
 
-// logNotes logs the notes of the last decisions.
+// logNotes logs the notes of the last decisions, and records the absences that
+// have ended.
 func (o *owner) logNotes() {
 	for _, n := range groupNotes(o.state.Notes) {
 		o.s.Log.Info(string(n.What), "service", o.service, "term", o.term, "job", n.Job, "task", n.Task, "attempt", n.Attempt, "minion", n.Minion, "why", n.Why)
 	}
 	o.state.Notes = o.state.Notes[:0]
+	for _, a := range o.state.Absences {
+		o.s.metrics.Absence(string(a.Start), a.Cause.String(), a.Took)
+	}
+	o.state.Absences = o.state.Absences[:0]
 }
 
 func (o *owner) updateJobs(statuses []shard.JobStatus) {
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -98,6 +98,13 @@
 	s.note(Note{What: RunStalled, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: now.Sub(r.progressAt).String()})
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -31,7 +31,7 @@
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
 	m.failed, m.slowness = nil, 0
-	m.formerEnd, m.lateEnd, m.closed = s.formerEnd, time.Time{}, false
+	m.formerEnd, m.lateEnd, m.closed, m.formerSilence = s.formerEnd, time.Time{}, false, time.Time{}
 	s.cancelReservations(m)
 	for _, r := range carriedOver {
 		s.carryOver(now, m, r)
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -45,6 +45,7 @@
 	crash           crashRecord      // what is known of minions that crashed under it
 	openFates       int              // its runs with fateOpen
 	unsettled       int              // accusations of it in minion.unsettled, on any minion
+	absence         *absence         // nil unless a lasting task is absent
 }
 
 // step is one step of one round.
@@ -207,6 +208,10 @@
 	return p.adviceTime() + p.runTime + after
 }
 
+// mustRun reports whether the tasks of the step have value for as long as they run,
+// and go before work that may wait.
+func (p *step) mustRun() bool { return p.Lasting && !p.Fill }
+
 // id returns the ID of the step; its Index is not used.
 func (p *step) id() work.TaskID {
 	return work.TaskID{Job: p.job.ID, Round: p.round.number, Step: p.index}
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -111,6 +111,7 @@
 	if m.silentSince.IsZero() {
 		m.silentSince, s.checkedAt = now, time.Time{}
 		m.openFates(now)
+		s.beginAbsences(now, m)
 		s.closeLeases(m)
 		s.note(Note{What: MinionSilent, Minion: l.ID, Why: s.awaited(now, m)})
 	}
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -37,6 +37,8 @@
 	Born  int64  `json:"b"`
 	Until int64  `json:"u"` // by when all its leases have ended, on the store's clock in ms
 
+	Silent int64 `json:"s,omitempty"` // when it fell silent, likewise
+
 	Fresh []string `json:"f,omitempty"` // runs that had not certainly begun for freshWindow when it fell silent
 }
 
@@ -62,7 +64,7 @@
 		if !m.closed || len(m.runs) == 0 || !ok {
 			continue
 		}
-		b, err := json.Marshal(savedLease{m.ID, m.Born, until, m.freshRuns()})
+		b, err := json.Marshal(savedLease{m.ID, m.Born, until, s.silentAt(m), m.freshRuns()})
 		if err != nil {
 			return fmt.Errorf("encode leases: %w", err)
 		}
@@ -80,6 +82,17 @@
 	return nil
 }
 
+// silentAt is when a minion fell silent, on the store's clock in ms; 0 if that is
+// unknown.
+func (s *State) silentAt(m *minion) int64 {
+	since := m.lostSince(time.Time{})
+	at, ok := s.StoreClock.Latest(since)
+	if since.IsZero() || !ok {
+		return 0
+	}
+	return at
+}
+
 // freshRuns names the runs that are suspected if the minion has crashed.
 func (m *minion) freshRuns() []string {
 	var out []string
@@ -145,6 +158,9 @@
 		return
 	}
 	m.confirmOtherRuns(l.Fresh, s.termStart)
+	if at, ok := s.StoreClock.Reached(l.Silent); ok && l.Silent > 0 {
+		m.formerSilence = minTime(at, s.termStart)
+	}
 	if end.After(m.formerEnd) {
 		m.lateEnd = end
 	} else {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -25,6 +25,7 @@
 	lateEnd           time.Time     // when runs meant for its previous incarnation have ended, if it never answers; zero if there are none
 	closed            bool          // its leases are not extended, because it has fallen silent
 	silentSince       time.Time     // first unanswered renewal since the last reply
+	formerSilence     time.Time     // when it fell silent, if that was under a former owner and it has not answered since
 	pausedUntil       time.Time     // gets no new work before this time
 	failed            []failure     // since the last success, oldest first, at most maxFailures
 	failedAt          time.Time     // when the last of them was recorded
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -24,6 +24,8 @@
 	RunStalled      Event = "run stalled"          // the run makes no progress and is stopped
 	RunEvacuated    Event = "run evacuated"        // the run is stopped because it would not end before its minion leaves
 	CopyQueued      Event = "copy of run queued"   // a second run of a speculative task waits; the first may continue
+	TaskAbsent      Event = "lasting task away"    // its last run has been gone for long
+	TaskReturns     Event = "lasting task back"    // a run of it has begun after a long absence
 	UnexpectedRun   Event = "unexpected run found" // a minion has a run that its owner did not order or gave up
 )
 
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -31,6 +31,13 @@
 	Saved        string       `json:"c,omitempty"`
 	OpenAttempts []int        `json:"o,omitempty"`
 	Crash        *crashRecord `json:"x,omitempty"`
+	Away         *savedAway   `json:"w,omitempty"`
+}
+
+// savedAway is the encoding of an absence.
+type savedAway struct {
+	Since int64        `json:"s"` // on the store's clock in ms
+	Start AbsenceStart `json:"h"`
 }
 
 type savedRound struct {
@@ -71,7 +78,7 @@
 		var ts []savedTask
 		if p.unfinished > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash()})
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash(), t.savedAway()})
 			}
 		}
 		out.Steps = append(out.Steps, ts)
@@ -201,6 +208,9 @@
 	if in.Crash != nil {
 		t.crash = *in.Crash
 	}
+	if in.Away != nil && in.Phase == Waiting {
+		s.inheritAbsence(p, t, in.Away)
+	}
 	switch in.Phase {
 	case Finished:
 		t.phase, p.succeeded = Finished, true
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -21,6 +21,7 @@
 		s.evacuate(now)
 		s.startCopies(now)
 		s.ignoreCommonFailures()
+		s.sampleAbsences(now)
 	}
 	s.endTrials(now)
 	s.dropForgotten(now)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -24,7 +24,7 @@
 	case rep.Born != 0 && rep.Born < m.Born:
 		return
 	}
-	m.clock, m.clockAt = rep.Clock, now
+	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
 	m.zone.answered()
 	if !m.silentSince.IsZero() {
 		m.silentSince = time.Time{}
@@ -70,6 +70,7 @@
 		}
 		r.listed, r.carried = true, nil
 		r.confirm(now)
+		s.endAbsence(now, r)
 		if r.step != nil {
 			s.markBegun(r.step.job)
 		}
@@ -174,8 +175,10 @@
 		}
 		s.finishTask(now, p, t)
 	case e.How == work.Failed:
+		s.beginAbsence(now, now, p, t, RunFailed)
 		s.handleFailure(now, m, p, t, r)
 	default:
+		s.beginAbsence(now, now, p, t, stoppedBy(m))
 		s.requeue(p, t)
 		s.stopGang(now, p)
 	}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -84,6 +84,9 @@
 		return
 	}
 	s.note(Note{What: RunLost, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: t.incarnation.ID, Why: why})
+	if !r.confirmedAt.IsZero() {
+		s.beginAbsence(now, s.lostSince(now, t.incarnation), r.step, t, MinionLost)
+	}
 	s.requeue(r.step, t)
 	if r.step.Gang && (r.state == unsent || r.state == sent) && s.repairGang(now, r.step) {
 		return // the run has certainly not begun
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -148,6 +148,7 @@
 			r.state = live
 		}
 		r.confirm(now)
+		s.endAbsence(now, r)
 		if r.step != nil {
 			s.markBegun(r.step.job)
 		}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -48,6 +48,7 @@
 	PlacementPaused bool   // no placements, because earlier ones cannot be made durable
 	Notes           []Note // decisions since the caller last cleared them
 	RunTimeErrors   RunTimeErrors
+	Absences        []Absence   // absences that have ended since the caller last cleared them
 	StoreClock      table.Clock // as of the last answer of the store
 
 	jobs             map[string]*job
@@ -87,6 +88,7 @@
 	promised         time.Time                 // when all leases end that are sent under the last durable write; zero before the first
 	promiseKnown     bool                      // formerEnd is what the last owner promised
 	leaseRow         leaseRow
+	absences         []*absence // of lasting tasks, at present
 	batch            Batch
 	actions          Actions
 }
