Leases of a draining minion end soon after it may leave

What callers saw: a task on a minion that drained and went was away for the rest of a lease of 5.5 s that reached beyond the time for which the minion had said that it stays. Cause: a lease for a draining minion was as long as any. Now it ends half a second after that time, by which its runs have been stopped, and is 2 s at least, since a minion may stay for longer and is renewed each second.

--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -55,13 +55,26 @@
 // ends within the time that the last durable write promises, even if that clock
 // is slow.
 func (s *State) extendLease(now time.Time, m *minion) int64 {
-	d := now.Sub(m.clockAt) + s.Limits.Lease
+	d := now.Sub(m.clockAt) + s.leaseFor(now, m)
 	promised := float64(s.promised.Sub(m.clockAt)-leaseMargin) * (1 - s.Limits.MaxClockDrift)
 	until := m.clock + min(d, time.Duration(promised)).Milliseconds()
 	m.leaseUntil = max(m.leaseUntil, until)
 	return m.leaseUntil
 }
 
+// minDrainLease is the shortest lease of a minion that drains: it may stay for longer
+// than it has said, and is renewed each second.
+const minDrainLease = 2 * time.Second
+
+// leaseFor is the duration of a lease granted now. That of a minion that drains ends
+// soon after it may leave, so that its runs are not waited for any longer.
+func (s *State) leaseFor(now time.Time, m *minion) time.Duration {
+	if !m.Draining {
+		return s.Limits.Lease
+	}
+	return min(s.Limits.Lease, max(m.leavesAt.Add(overrunTolerance).Sub(now), minDrainLease))
+}
+
 // leaseExpiry is the time at which all leases ever sent to the minion have
 // certainly ended.
 func (s *State) leaseExpiry(m *minion) time.Time {
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -163,3 +163,31 @@
 	}
 	assert.NilError(t, o.st.LoadLeases([]byte(`[{"i":"unknown","b":1,"u":-5}]`)))
 }
+
+// passDrains lets a tick pass, in which minions that drain come nearer to their end.
+func (w *simCluster) passDrains() {
+	w.pass(simTick)
+	for _, b := range w.minions {
+		if b.Draining {
+			b.Remaining = max(b.Remaining-simTick, 0)
+		}
+	}
+}
+
+// A lease that outlasts the minion made its tasks wait for the rest of it.
+func TestLeaseOfADrainingMinionEndsSoonAfterIt(t *testing.T) {
+	w, o := newOwnedCluster(t, 2)
+	long := tasks(1, 1000)
+	long.Estimate = 5 * time.Second
+	w.submit(newJob("a", long))
+	w.cycle()
+	out := w.busiest()
+	w.drain(out, 6*time.Second)
+	for range 120 {
+		w.passDrains()
+		w.cycle()
+	}
+	out.crash()
+	left := o.st.leaseExpiry(o.st.minions[out.ID]).Sub(w.now)
+	assert.Assert(t, left < 3*time.Second, "%v", left)
+}
