Lasting tasks find their next place before smaller work takes it

What callers saw: a task that is to last was away for 8 to 41 s after the loss or the planned removal of its minion, with room for it on minions that may run it.

Cause, of one class: what must run lost room and time to what may wait. A lasting step took only room that was free when it looked, while what freed up a little at a time went to smaller work; it asked about minions with room only, one or two at a time, after the loss; and a drain stopped it first and looked for a place later.

Reservations count the tasks that a step with a limit per minion already has there.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -76,6 +76,7 @@
 	{shard.TaskReturns, "job task attempt minion why", "a run of a lasting task that had been away for over 6 s has begun; why is for what it waited", "the same"},
 	{shard.UnexpectedRun, "job task attempt minion", "a minion has a run that its owner did not order or gave up; it is stopped", "the minion, if it repeats: it executes orders late"},
 
+	{shard.RunEvicted, "job task attempt minion why", "a run that may wait is stopped to make room for a lasting task, whose step is in why", "how full the minions are that may run lasting tasks"},
 	{shard.CrashUnderRun, "job task attempt minion why", "a run was there when its minion crashed; why is how long it had lasted, and whether it was on trial", "other runs on that minion: one of them may have crashed it"},
 	{shard.CrashSuspected, "job task attempt minion why", "the same, but whether the run had begun, or its minion has crashed, is unknown", "the minion's lines before it"},
 	{shard.TrialBegun, "job task attempt minion", "a suspect is placed where nothing else begins meanwhile", ""},
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -121,7 +121,7 @@
 		return
 	}
 	p.advice.inFlight--
-	p.checkAt = time.Time{}
+	p.checkAt, p.aheadAt = time.Time{}, time.Time{}
 	if err != nil {
 		for _, id := range a.IDs {
 			if _, ok := p.advice.eligible[id]; !ok {
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -28,18 +28,25 @@
 			}
 			need := r.remaining(now)
 			switch {
+			case r.step.mustRun():
+				continue // see moveDrained
 			case r.step.Lasting:
 			case r.step.Checkpoints && need > left:
 			case need > left+overrunTolerance:
 			default:
 				continue
 			}
-			s.note(Note{What: RunEvacuated, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: left.Round(time.Millisecond).String()})
+			s.noteEvacuation(now, m, r)
 			s.evict(now, m, r)
 		}
 	}
 }
 
+func (s *State) noteEvacuation(now time.Time, m *minion, r *run) {
+	left := m.leavesAt.Sub(now) - evacuationMargin
+	s.note(Note{What: RunEvacuated, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: left.Round(time.Millisecond).String()})
+}
+
 // evict stops a run and the rest of its gang.
 func (s *State) evict(now time.Time, m *minion, r *run) {
 	r.stopping = true
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -65,12 +65,14 @@
 	incomplete      bool          // some members of a gang were refused; the others wait for them at their minions
 	failedAttempt   int           // attempt of a gang whose failure has been counted
 	gangPlacedAt    time.Time     // when the current attempt of a gang was placed
+	leaving         int           // its runs on minions that drain, or whose leases end soon; only of steps that must run
 	runTime         time.Duration // expected run time of a task
 	criticalPath    time.Duration // longest chain of queries and expected run times from this step on
 	urgent          bool          // it may use room that others have reserved
 	preferredZone   string        // availability zone that its tasks should share; empty if none is chosen
 
 	queued          bool              // in State.queue
+	aheadAt         time.Time         // when places for its leaving runs are looked for next
 	checkAt         time.Time         // time of the next check by a decision
 	notBefore       time.Time         // no check before this time, even if there is more room
 	deferredCost    time.Duration     // cost of a query that could not be issued; 0 if there is none
@@ -79,6 +81,7 @@
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
 	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
+	shortSince      time.Time         // since when some of its tasks could run and have not been placed
 	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
 	overQuota       bool              // the allowance of its account has no room for all its waiting tasks; as of its last check
 	noTurnBefore    time.Time         // it is not given the turn at queries before this time, because it had nothing to query about
@@ -208,6 +211,10 @@
 	return p.adviceTime() + p.runTime + after
 }
 
+// wanted is for how many tasks the step looks for places: those that wait, and those
+// whose minions drain or are lost.
+func (p *step) wanted() int { return p.waiting + p.leaving }
+
 // mustRun reports whether the tasks of the step have value for as long as they run,
 // and go before work that may wait.
 func (p *step) mustRun() bool { return p.Lasting && !p.Fill }
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -23,6 +23,7 @@
 	RunLost         Event = "run lost"             // the run was given up; its task waits again
 	RunStalled      Event = "run stalled"          // the run makes no progress and is stopped
 	RunEvacuated    Event = "run evacuated"        // the run is stopped because it would not end before its minion leaves
+	RunEvicted      Event = "run evicted"          // the run is stopped to make room for a lasting task
 	CopyQueued      Event = "copy of run queued"   // a second run of a speculative task waits; the first may continue
 	TaskAbsent      Event = "lasting task away"    // its last run has been gone for long
 	TaskReturns     Event = "lasting task back"    // a run of it has begun after a long absence
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -19,6 +19,7 @@
 		s.checkedAt = now
 		s.expire(now)
 		s.evacuate(now)
+		s.findLeaving(now)
 		s.startCopies(now)
 		s.ignoreCommonFailures()
 		s.sampleAbsences(now)
@@ -30,6 +31,7 @@
 	v.pruneReservations()
 	due := s.due(now, wall)
 	s.weighAccounts()
+	v.placeAhead()
 	v.placeAll(s.longestWaitFirst(now, due))
 	v.queryAhead()
 }
@@ -136,6 +138,9 @@
 	v.start(p, clean, plan)
 	if p.waiting > 0 && p.job.account.startable(p) >= p.waiting && v.mayReserve(p) {
 		v.reserveRoom(p, nil)
+		if v.evictsFor(p) {
+			v.makeRoom(p)
+		}
 	}
 }
 
@@ -170,7 +175,7 @@
 	} else {
 		ready, ok = v.reserve(p)
 	}
-	if ok && !v.renewReservedTickets(p, ready) {
+	if ok && !v.renewReservedTickets(p, ready) && !p.mustRun() {
 		v.releaseReservations(p)
 	}
 }
--- a/internal/shard/policy.go
+++ b/internal/shard/policy.go
@@ -15,11 +15,12 @@
 	ReserveByTaskSize bool    // the smaller its tasks, the less room a gang may reserve
 	ParallelQueries   bool    // several queries about a wide gang at once
 	QueryAhead        bool    // queries are issued before a step is ready
+	Evict             bool    // work that may wait makes room for lasting tasks
 	GangQueryMinions  int     // minions named in a query about a gang; 0: as for any other step
 }
 
 // DefaultPolicy is the policy of a new State.
-var DefaultPolicy = Policy{UrgentFirst: true, ShareZone: true, SpeculativeCopies: true, LearnRunTimes: true, WorthlessYield: true, QueryAhead: true, ParallelQueries: true, ReserveByTaskSize: true, MaxReserved: 0.25, LateFactor: 0.3, GangQueryMinions: 100}
+var DefaultPolicy = Policy{UrgentFirst: true, ShareZone: true, SpeculativeCopies: true, LearnRunTimes: true, WorthlessYield: true, QueryAhead: true, ParallelQueries: true, ReserveByTaskSize: true, Evict: true, MaxReserved: 0.25, LateFactor: 0.3, GangQueryMinions: 100}
 
 // roomWeight is the weight of a size, in GPUs: its GPUs if it has any, otherwise
 // its cores divided by coresPerGPU.
--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -25,8 +25,8 @@
 // queryUnqueried queries minions that no query has named yet, and reports whether
 // it did.
 func (v *view) queryUnqueried(p *step) bool {
-	ids := v.unqueriedMinions(p, len(p.advice.eligible) > 0)
-	if len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery && v.now.Sub(p.waitsSince) < p.querySaving() {
+	ids := v.unqueriedMinions(p, len(p.advice.eligible) > 0 && !p.mustRun())
+	if !p.mustRun() && len(p.advice.eligible) >= enoughEligible*p.waiting && len(ids) < minUsefulQuery && v.now.Sub(p.waitsSince) < p.querySaving() {
 		return false
 	}
 	return v.s.query(v.now, p, ids)
@@ -75,6 +75,11 @@
 		return true
 	}
 	ids := p.reservedIDs()
+	for _, m := range v.s.stayingMinions(p) {
+		if !slices.Contains(ids, m.ID) {
+			ids = append(ids, m.ID)
+		}
+	}
 	cost := a.Decide + a.Each*time.Duration(len(ids)+spareTicketMinions)
 	if ready > cost {
 		p.notBefore = v.now.Add(min(ready-cost, recheckInterval))
@@ -208,6 +213,9 @@
 	if p.Gang && s.Policy.GangQueryMinions > 0 {
 		return s.Policy.GangQueryMinions
 	}
+	if p.mustRun() {
+		return maxQueryMinions
+	}
 	need := p.waiting
 	if p.PerMinion != 1 {
 		need = (need + 1) / 2
--- a/internal/shard/queryahead.go
+++ b/internal/shard/queryahead.go
@@ -92,7 +92,7 @@
 func (v *view) addLost(lost map[*step]*lostWork, m *minion) {
 	end := v.s.givenUpAt(m)
 	for _, r := range m.runs {
-		if !r.isCurrent(m) || r.stopping || r.step.job.Advice == nil || r.step.Gang {
+		if !r.isCurrent(m) || r.stopping || r.step.job.Advice == nil || r.step.Gang || r.step.mustRun() {
 			continue
 		}
 		l := lost[r.step]
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -64,13 +64,13 @@
 	cs, kept := s.candidates[:0], s.queue[:0]
 	for _, p := range s.queue {
 		if p.waiting == 0 || p.job.state.Terminal() {
-			p.queued = false
+			p.queued, p.shortSince = false, time.Time{}
 			s.releaseTicketHolds(p)
 			continue
 		}
 		kept = append(kept, p)
 		if !p.runnable() {
-			p.waitsSince = time.Time{}
+			p.waitsSince, p.shortSince = time.Time{}, time.Time{}
 			continue
 		}
 		s.noteWait(now, p)
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -8,21 +8,24 @@
 	"jasminestep/internal/work"
 )
 
-// A gang that does not fit, and a task of half a minion or more, reserve room on
-// the minions that are expected to have enough of it free soonest, judging by
-// the progress that their runs report. Nothing else is placed in that room.
+// A lasting task or a gang that does not fit, and a task of half a minion or more,
+// reserve room on the minions that are expected to have enough of it free soonest,
+// judging by the progress that their runs report. Nothing else is placed in that
+// room, but for lasting tasks, which may use what others have reserved.
 // Without reservations a large task waits for as long as smaller ones keep
 // arriving. With them part of the room is idle while the minions drain, so only
 // a share of all room is reserved; more than that only if there is no other
 // reservation. The share is smaller for gangs of small tasks: several of them fit
-// on a minion, so they find room whenever a run ends.
+// on a minion, so they find room whenever a run ends. Lasting tasks reserve what
+// they need, since their work would otherwise be lost to what may wait.
 
 // minReservationGain is how much sooner another choice of minions has to be free
 // before a step moves its reservation.
 const minReservationGain = 300 * time.Millisecond
 
 // urgentSlack is the slack below which a small step may use room that others
-// have reserved, and the time for which a lasting one waits before it does.
+// have reserved, and the time for which a lasting one waits before it uses room
+// that is held for tickets.
 const urgentSlack = time.Second
 
 // reservation is room on a minion that is reserved for tasks of a step.
@@ -37,24 +40,44 @@
 	n      int // tasks
 }
 
-// reservedByOthers is the room of the minion that steps other than p have
-// reserved.
+// reservedByOthers is the room of the minion that steps other than p have reserved
+// and p may not use.
 func (m *minion) reservedByOthers(p *step) work.Size {
+	return m.reserved(func(q *step) bool { return q != p && (!p.mustRun() || q.mustRun()) })
+}
+
+// reservedByLasting is the room of the minion that lasting steps other than p have
+// reserved.
+func (m *minion) reservedByLasting(p *step) work.Size {
+	return m.reserved(func(q *step) bool { return q != p && q.mustRun() })
+}
+
+// reserved is the room of the minion that steps have reserved for which by holds.
+func (m *minion) reserved(by func(*step) bool) work.Size {
 	var s work.Size
 	for _, r := range m.reservations {
-		if r.step != p {
+		if by(r.step) {
 			s = s.Plus(r.step.Reserved().Times(int64(r.n)))
 		}
 	}
 	return s
 }
 
+// limitedRoom is the weight of room that n tasks of the step reserve, as far as
+// the share that may be reserved limits it.
+func (p *step) limitedRoom(n int) float64 {
+	if p.mustRun() {
+		return 0
+	}
+	return roomWeight(p.Reserved()) * float64(n)
+}
+
 // mayReserve reports whether the step reserves room when it does not fit.
 func (v *view) mayReserve(p *step) bool {
 	if v.s.Policy.MaxReserved == 0 {
 		return false
 	}
-	return p.Gang || 2*p.Size.GPU >= v.largest.GPU && p.Size.GPU > 0 || 2*p.Size.CPU >= v.largest.CPU
+	return p.mustRun() || p.Gang || 2*p.Size.GPU >= v.largest.GPU && p.Size.GPU > 0 || 2*p.Size.CPU >= v.largest.CPU
 }
 
 // pruneReservations cancels the reservations of steps that no longer wait and
@@ -68,12 +91,14 @@
 			continue
 		}
 		for i := len(m.reservations) - 1; i >= 0; i-- {
-			if p := m.reservations[i].step; !p.runnable() || p.job.state.Terminal() || !m.usable(v.now) {
+			if p := m.reservations[i].step; !p.runnable() && p.leaving == 0 || p.job.state.Terminal() || !m.usable(v.now) {
 				p.cancelReservation(m)
 				v.s.wakeSteps(m)
 			}
 		}
-		v.reservedRoom += roomWeight(m.reservedByOthers(nil))
+		for _, r := range m.reservations {
+			v.reservedRoom += r.step.limitedRoom(r.n)
+		}
 	}
 }
 
@@ -114,7 +139,7 @@
 		room := m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom)
 		es := v.expectedEnds(m)
 		in := time.Duration(0)
-		for k := range p.maxOnEmpty(m) {
+		for k := range p.maxOnEmpty(m) - p.runsOn(m) {
 			want := need.Times(int64(k + 1))
 			for len(es) > 0 && !room.CanFit(want) {
 				room, in, es = room.Plus(es[0].size), es[0].in, es[1:]
@@ -131,20 +156,21 @@
 	return out
 }
 
-// reserve reserves room for the waiting tasks of a step: for a whole gang or
+// reserve reserves room for the tasks of a step that want it: for a whole gang or
 // none of it, so that two gangs never wait for each other's room. It returns
 // when the last of the room is expected to be free; ok is false if nothing is
 // reserved.
 func (v *view) reserve(p *step) (ready time.Duration, ok bool) {
-	if p.Gang && !p.hasReservations && v.exceedsReservable(p, p.waiting) {
+	wanted := p.wanted()
+	if p.Gang && !p.hasReservations && v.exceedsReservable(p, wanted) {
 		return 0, false
 	}
 	all := v.slots(p)
-	if p.Gang && len(all) < p.waiting {
+	if p.Gang && len(all) < wanted {
 		v.releaseReservations(p)
 		return 0, false
 	}
-	chosen := all[:min(len(all), p.waiting)]
+	chosen := all[:min(len(all), wanted)]
 	if old := v.reservedSlots(p, all); len(old) == len(chosen) && len(old) > 0 && old[len(old)-1].freeIn < chosen[len(chosen)-1].freeIn+minReservationGain {
 		return old[len(old)-1].freeIn, true
 	}
@@ -164,7 +190,10 @@
 // exceedsReservable reports whether other reservations leave too little for n
 // tasks of the step.
 func (v *view) exceedsReservable(p *step, n int) bool {
-	more := roomWeight(p.Reserved()) * float64(n)
+	if p.mustRun() {
+		return false
+	}
+	more := p.limitedRoom(n)
 	share := v.s.Policy.MaxReserved
 	if p.Gang && v.s.Policy.ReserveByTaskSize {
 		share /= float64(v.perLargest(p))
@@ -204,7 +233,7 @@
 	if !p.hasReservations {
 		p.hasReservations, p.reservedAt = true, v.now
 	}
-	v.reservedRoom += roomWeight(p.Reserved())
+	v.reservedRoom += p.limitedRoom(1)
 	if i := slices.IndexFunc(p.reservations, func(r stepReservation) bool { return r.minion == m }); i >= 0 {
 		p.reservations[i].n++
 		m.reservations[slices.IndexFunc(m.reservations, func(r reservation) bool { return r.step == p })].n++
@@ -233,7 +262,7 @@
 func (v *view) releaseReservations(p *step) {
 	for len(p.reservations) > 0 {
 		r := p.reservations[0]
-		v.reservedRoom -= roomWeight(p.Reserved()) * float64(r.n)
+		v.reservedRoom -= p.limitedRoom(r.n)
 		p.cancelReservation(r.minion)
 		if p.reservedAt.Before(v.now) {
 			v.s.wakeSteps(r.minion) // other steps have been refused that room
@@ -262,7 +291,7 @@
 }
 
 // expectedEnds lists when the runs of a minion are expected to end, earliest
-// first. Runs of lasting steps are left out.
+// first. Runs that must go on are left out.
 func (v *view) expectedEnds(m *minion) []expectedEnd {
 	if es, ok := v.endCache[m]; ok {
 		return es
@@ -272,8 +301,8 @@
 	}
 	es := make([]expectedEnd, 0, len(m.runs))
 	for _, r := range m.runs {
-		if r.step != nil && !r.step.Lasting {
-			es = append(es, expectedEnd{r.remaining(v.now), r.size})
+		if r.step != nil && !r.step.mustRun() {
+			es = append(es, expectedEnd{r.expectedIn(v.now), r.size})
 		}
 	}
 	slices.SortFunc(es, func(a, b expectedEnd) int { return cmp.Compare(a.in, b.in) })
@@ -281,6 +310,19 @@
 	return es
 }
 
+// stopTime is how long a run that is stopped usually takes to end.
+const stopTime = 400 * time.Millisecond
+
+// expectedIn is the time until the run is expected to end, by itself or because it
+// is stopped.
+func (r *run) expectedIn(now time.Time) time.Duration {
+	left := r.remaining(now)
+	if r.stopping {
+		return min(left, stopTime)
+	}
+	return left
+}
+
 // remaining estimates how long a run continues, from its reported progress or,
 // before there is any, from the client's estimate.
 func (r *run) remaining(now time.Time) time.Duration {
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
+	"strings"
 	"time"
 
 	"jasminestep/internal/work"
@@ -23,6 +25,10 @@
 	attempt int
 }
 
+func (k runKey) compare(o runKey) int {
+	return cmp.Or(strings.Compare(k.task.Job, o.task.Job), cmp.Compare(k.task.Round, o.task.Round), cmp.Compare(k.task.Step, o.task.Step), cmp.Compare(k.task.Index, o.task.Index), cmp.Compare(k.attempt, o.attempt))
+}
+
 func (k runKey) String() string { return fmt.Sprintf("%s/%d", k.task, k.attempt) }
 
 type run struct {
@@ -99,6 +105,7 @@
 	t.phase = Waiting
 	t.incarnation = work.Incarnation{}
 	p.waiting++
+	p.leaving = max(p.leaving-1, 0)
 	s.enqueue(p)
 	s.markChanged(p.job)
 }
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -73,8 +73,8 @@
 		}
 		sm := scoredMinion{minion: m, eligibility: elig, ticket: t, roomLeft: m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom), taskCount: p.runsOn(m)}
 		if !sm.roomLeft.CanFit(need) && p.urgent {
-			sm.roomLeft = m.free()
-			if !p.Lasting {
+			sm.roomLeft = m.free().Minus(m.reservedByLasting(p))
+			if !p.mustRun() {
 				sm.roomLeft = sm.roomLeft.Minus(m.heldRoom)
 			}
 			sm.usesReserved = true
@@ -146,7 +146,7 @@
 
 // maxOnEmpty is how many tasks of the step an empty minion can take.
 func (p *step) maxOnEmpty(m *minion) int {
-	n := countFitting(m.Capacity, p.Reserved(), p.waiting)
+	n := countFitting(m.Capacity, p.Reserved(), p.wanted())
 	if p.PerMinion > 0 {
 		n = min(n, p.PerMinion)
 	}
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -34,7 +34,9 @@
 	}
 	for _, sm := range plan {
 		if sm.eligibility != eligible {
-			v.holdForTickets(p, []*scoredMinion{sm})
+			if !p.mustRun() || !v.mayReserve(p) {
+				v.holdForTickets(p, []*scoredMinion{sm})
+			}
 			continue
 		}
 		t := ts[next]
@@ -54,6 +56,9 @@
 	t.phase, t.attempt, t.incarnation = Placed, attempt, m.Incarnation
 	p.waiting--
 	p.waitsSince = time.Time{}
+	if p.waiting == 0 {
+		p.shortSince = time.Time{}
+	}
 	r := &run{key: runKey{t.id, attempt}, size: p.Reserved(), step: p, task: t, state: unsent, renewalMark: s.renewalSeq + 1, placedAt: v.now, speed: fullSpeed, speedKnown: true}
 	m.add(r)
 	s.throttleRuns(v.now, m)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -88,6 +88,7 @@
 	promised         time.Time                 // when all leases end that are sent under the last durable write; zero before the first
 	promiseKnown     bool                      // formerEnd is what the last owner promised
 	leaseRow         leaseRow
+	leaving          []*leavingStep
 	absences         []*absence // of lasting tasks, at present
 	batch            Batch
 	actions          Actions
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -11,6 +11,9 @@
 
 // noteWait notes why a step with runnable tasks still waits.
 func (s *State) noteWait(now time.Time, p *step) {
+	if p.shortSince.IsZero() {
+		p.shortSince = now
+	}
 	if p.waitsSince.IsZero() {
 		p.waitsSince, p.waitNotedAt = now, now
 	}
