No lasting task moves while nothing can be made durable

Cause: a drain stopped a lasting run whose next place was ready although placements were paused, so its task was away until the store answered. Now such a run goes on until shortly before its minion leaves, and no work is evicted for tasks that are held back. TestDrainStopsNoLastingTaskWhileTheStoreIsDown failed before.

--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -302,3 +302,19 @@
 		assert.Assert(t, l.longest[id] <= drainTarget, "%s: %v", id, l.longest[id])
 	}
 }
+
+// A task that is stopped while nothing can be made durable starts nowhere.
+func TestDrainStopsNoLastingTaskWhileTheStoreIsDown(t *testing.T) {
+	l := newLoadedOwner(t, 3, "m0", "m1", "m2")
+	l.settle(advisedJob("a", lastingTasks(1)), nil)
+	l.cluster.drain(l.cluster.minion(l.hosts("a")[0]), 6*time.Second)
+	l.run(l.queryTime / 2)
+	l.st.PlacementPaused = true
+	l.run(3 * time.Second)
+	assert.Equal(t, l.runsOf("a"), 1)
+	assert.Equal(t, l.longest["a"], time.Duration(0))
+	l.st.PlacementPaused = false
+	l.run(3 * time.Second)
+	assert.Equal(t, l.runsOf("a"), 1)
+	assert.Assert(t, l.longest["a"] <= drainTarget, "away for %v", l.longest["a"])
+}
--- a/internal/shard/leaving.go
+++ b/internal/shard/leaving.go
@@ -86,32 +86,32 @@
 		if l.job.state.Terminal() {
 			continue
 		}
-		if l.waiting == 0 && !v.now.Before(l.aheadAt) {
-			l.aheadAt = v.now.Add(aheadInterval)
-			v.prepare(l.step)
-		}
-		if !l.evictsAt.IsZero() && !v.now.Before(l.evictsAt) {
-			v.makeRoom(l.step)
+		if !v.s.PlacementPaused {
+			v.prepare(l)
 		}
 		v.moveDrained(l)
 	}
 }
 
-// prepare asks for what is to be known of further minions, and reserves room with
-// valid tickets for the tasks of the step that want it.
-func (v *view) prepare(p *step) {
-	if v.s.PlacementPaused {
-		return
+// prepare asks for what is to be known of further minions, reserves room with valid
+// tickets for the tasks of the step that want it, and has other work make room if
+// their minions leave soon.
+func (v *view) prepare(l *leavingStep) {
+	if l.waiting == 0 && !v.now.Before(l.aheadAt) {
+		l.aheadAt = v.now.Add(aheadInterval)
+		v.queryMore(candidate{step: l.step})
+		v.reserveRoom(l.step, nil)
+	}
+	if !l.evictsAt.IsZero() && !v.now.Before(l.evictsAt) {
+		v.makeRoom(l.step)
 	}
-	v.queryMore(candidate{step: p})
-	v.reserveRoom(p, nil)
 }
 
 // moveDrained stops as many draining runs of a step as it has places that are
 // ready, and those that can't wait any longer.
 func (v *view) moveDrained(l *leavingStep) {
 	ready := v.readyPlaces(l.step) - l.waiting - v.s.stoppingRuns(l.step)
-	if l.Gang && (ready < l.leaving || !v.hasTickets(l.step)) {
+	if v.s.PlacementPaused || l.Gang && (ready < l.leaving || !v.hasTickets(l.step)) {
 		ready = 0
 	}
 	slices.SortFunc(l.drained, func(a, b drainedRun) int { return a.compare(b) })
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -138,7 +138,7 @@
 	v.start(p, clean, plan)
 	if p.waiting > 0 && p.job.account.startable(p) >= p.waiting && v.mayReserve(p) {
 		v.reserveRoom(p, nil)
-		if v.evictsFor(p) {
+		if len(clean)+len(suspects) > 0 && v.evictsFor(p) {
 			v.makeRoom(p)
 		}
 	}
