Rare log lines have bounds of their own and are repeated

Change: server.IsRare tells which messages are rare. Each has a token bucket of its own, and all share queue space that others cannot take. The last of them, at most 200 of 32 KB, the most frequent message giving way first, are written again as one line "earlier lines" at least once in each 1000 lines and at Close. Close also writes how many lines were dropped since the last line.

Measured: TestBothEndsOfOutputTellOfItsMiddle fails without the repetition, with one that comes too late, and with one only in Close; TestFloodDropsNoRareLine without the bucket or the queue space.

--- a/cmd/jasminestep/entry.go
+++ b/cmd/jasminestep/entry.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	proc.SetTimeToForceQuit(forceQuitTimeout)
-	out := logline.New(os.Stdout)
+	out := logline.New(os.Stdout, server.IsRare)
 	defer out.Close(logFlushTimeout)
 	log := hclog.New(&hclog.LoggerOptions{Name: "jasminestep", Level: hclog.LevelFromString(set.Level), JSONFormat: true, Output: out})
 	web.UseLog(log)
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -26,7 +28,7 @@
 
 func TestBlockedOutputDoesNotBlockWriters(t *testing.T) {
 	s := &blockedWriter{unblock: make(chan struct{})}
-	l := New(s)
+	l := New(s, nil)
 	began := time.Now()
 	now := began
 	for range 3 * queueLines {
@@ -49,7 +51,7 @@
 
 func TestVolumeIsBounded(t *testing.T) {
 	var out bytes.Buffer
-	l := New(&out)
+	l := New(&out, nil)
 	now := time.Now()
 	for range 10 * burstLines {
 		l.enqueue(now, []byte("line\n"))
@@ -59,3 +61,118 @@
 	assert.Assert(t, strings.Count(out.String(), "\n") <= burstLines+2)
 	assert.Assert(t, strings.Contains(out.String(), `"lines":54000`))
 }
+
+func isRare(message string) bool { return strings.HasPrefix(message, "rare") }
+
+// feed queues lines slowly enough that none is over a limit, and returns the time
+// of the last one.
+func feed(l *Writer, now time.Time, n int, line string) time.Time {
+	for range n {
+		for len(l.lines) > queueLines/2 {
+			time.Sleep(time.Millisecond)
+		}
+		now = now.Add(time.Millisecond)
+		l.enqueue(now, []byte(line))
+	}
+	return now
+}
+
+// A collector that keeps only both ends of an output finds the rare line from its
+// middle, whether the process was stopped or killed.
+func TestBothEndsOfOutputTellOfItsMiddle(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, isRare)
+	now := feed(l, time.Now(), 10_000, `{"@message":"usual"}`+"\n")
+	now = feed(l, now, 1, `{"@message":"rare","n":1}`+"\n")
+	feed(l, now, 9_999, `{"@message":"usual"}`+"\n")
+	l.Close(time.Minute)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	for killed := range repeatLines { // so many lines before the end
+		all := lines[:len(lines)-killed]
+		ends := strings.Join(append(all[:1000:1000], all[len(all)-1000:]...), "\n")
+		assert.Assert(t, strings.Contains(ends, `"lines":[{"@message":"rare","n":1}]}`), "%d lines", len(all))
+	}
+	assert.Equal(t, strings.Count(out.String(), "usual"), 19_999)
+	assert.Assert(t, len(lines) <= 20_000+10_000/(repeatLines-2)+1, len(lines))
+}
+
+func TestFloodDropsNoRareLine(t *testing.T) {
+	s := &blockedWriter{unblock: make(chan struct{})}
+	l := New(s, isRare)
+	now := time.Now()
+	for i := range 2 * queueLines {
+		now = now.Add(100 * time.Microsecond) // over the rate, then over the queue
+		l.enqueue(now, []byte(`{"@message":"usual"}`+"\n"))
+		if i%(2*queueLines/rareBurstLines) == 0 {
+			l.enqueue(now, fmt.Appendf(nil, "{\"@message\":\"rare\",\"n\":%d}\n", i))
+		}
+	}
+	close(s.unblock)
+	l.Close(time.Minute)
+	got, dropped := 0, 0
+	for line := range strings.Lines(s.got.String()) {
+		var f struct {
+			Message string `json:"@message"`
+			Lines   any    `json:"lines"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &f))
+		if f.Message == "rare" {
+			got++
+		}
+		if n, ok := f.Lines.(float64); ok {
+			dropped += int(n)
+		}
+	}
+	assert.Equal(t, got, (2*queueLines-1)/(2*queueLines/rareBurstLines)+1)
+	assert.Equal(t, strings.Count(s.got.String(), "usual")+dropped, 2*queueLines)
+	assert.Assert(t, dropped > 0)
+}
+
+func TestRareMessagesDoNotDropEachOther(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, isRare)
+	now := time.Now()
+	for range 2 * burstLines {
+		l.enqueue(now, []byte(`{"@message":"rare flood"}`+"\n"))
+	}
+	l.enqueue(now, []byte(`{"@message":"rare"}`+"\n"))
+	l.Close(time.Minute)
+	assert.Assert(t, strings.Contains(out.String(), "\n{\"@message\":\"rare\"}\n"))
+	assert.Assert(t, strings.Contains(out.String(), fmt.Sprintf(`"lines":%d}`, burstLines-rareBurstLines)))
+}
+
+// Rare lines over all bounds, with a reader that stands still, are dropped and
+// counted, and nothing blocks.
+func TestVolumeOfRareLinesIsBounded(t *testing.T) {
+	s := &blockedWriter{unblock: make(chan struct{})}
+	l := New(s, isRare)
+	now := time.Now()
+	n := 2 * cap(l.lines)
+	for range n {
+		now = now.Add(20 * time.Millisecond)
+		l.enqueue(now, []byte(`{"@message":"rare"}`+"\n"))
+	}
+	close(s.unblock)
+	l.Close(time.Minute)
+	written := strings.Count(s.got.String(), "\n{\"@message\":\"rare\"}") + 1
+	assert.Assert(t, written <= queueLines+rareQueueLines+1, written)
+	assert.Assert(t, strings.Contains(s.got.String(), fmt.Sprintf(`"lines":%d}`, n-written)))
+}
+
+func TestKeptLinesAreBounded(t *testing.T) {
+	var k kept
+	k.add("claimed", []byte(`{"@message":"claimed"}`+"\n"))
+	k.add("broken", []byte(`{"@message":"broken`))
+	k.add("many fields", []byte(`{"fields":[`+strings.Repeat("1,", keptBytes)+`1]}`))
+	for i := range 3 * keptLines {
+		k.add("lost", fmt.Appendf(nil, `{"@message":"lost","n":%d,"task":%q,"why":"short"}`, i, strings.Repeat("é,", i*2)))
+		assert.Assert(t, len(k.lines) <= keptLines && len(k.join()) <= keptBytes+len(k.lines))
+	}
+	var got []map[string]any
+	assert.NilError(t, json.Unmarshal(append(append([]byte("["), k.join()...), ']'), &got))
+	assert.Equal(t, got[0]["@message"], "claimed") // the others do not displace it
+	last := got[len(got)-1]
+	assert.Equal(t, fmt.Sprint(last["n"], last["why"]), fmt.Sprint(3*keptLines-1, "short"))
+	task, _ := last["task"].(string)
+	assert.Assert(t, strings.HasPrefix(task, "é,é,") && strings.HasSuffix(task, "…"), task)
+}
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -28,6 +28,7 @@
 	{"store unreachable", "", "neither this entry nor another one that it can reach has access to the store", "the store and the entry's network"},
 	{"entry row not written", "why", "the entry's own row could not be written; it is retried", "the store"},
 	{"log lines dropped", "lines", "log lines were left out because their reader is slow or there were too many", "the log collector; counts from this log are too low"},
+	{"earlier lines", "lines", "the last lines of rare events again, for readers that keep only part of the log; the longest are shortened", ""},
 
 	{"job accepted", "job queue account fresh version", "a job is durable; fresh is false if it already was", ""},
 	{"cancellation accepted", "job", "a cancellation is durable", ""},
@@ -105,3 +106,19 @@
 	}
 	return LogEvent{}, false
 }
+
+// rareEvents are the messages that few lines have and that decide what the others
+// mean.
+var rareEvents = map[shard.Event]bool{
+	"entry started": true, "entry stopping": true, "entry stopped": true, "configuration applied": true,
+	"feed lost": true, "feed regained": true, "store unreachable": true,
+	"shard claimed": true, "shard claim failed": true, "shard claim lost": true, "shard loaded": true, "owner deposed": true,
+	"shard handed over": true, "shard handover failed": true, "shard write failed": true,
+	shard.StepWaits: true, shard.RunLost: true, shard.RunEvacuated: true, shard.TaskAbsent: true, shard.TaskReturns: true,
+	shard.MinionDraining: true, shard.MinionRestarted: true, shard.MinionReplaced: true, shard.MinionForgotten: true,
+	shard.MinionPaused: true, shard.MinionSilent: true, shard.MinionAnswers: true, shard.ZoneUnreachable: true,
+}
+
+// IsRare reports whether lines of a message are written and repeated even if there
+// are too many others.
+func IsRare(message string) bool { return rareEvents[shard.Event(message)] }
--- a/internal/server/events_test.go
+++ b/internal/server/events_test.go
@@ -37,7 +37,7 @@
 // Every logged message must be listed in LogEvents, and every listed message
 // must be logged.
 func TestEventsAreDocumented(t *testing.T) {
-	used := map[string]bool{"log lines dropped": true}
+	used := map[string]bool{"log lines dropped": true, "earlier lines": true} // by package logline
 	for _, m := range logCallPattern.FindAllStringSubmatch(readSources(t, "*.go")+readSources(t, "../../cmd/jasminestep/entry.go"), -1) {
 		used[m[1]] = true
 	}
@@ -84,3 +84,11 @@
 	_, ok = FindLogEvent("no such message")
 	assert.Check(t, !ok)
 }
+
+func TestRareEventsAreListed(t *testing.T) {
+	for name := range rareEvents {
+		_, ok := FindLogEvent(name)
+		assert.Check(t, ok && IsRare(string(name)), "%q is not logged by an entry", name)
+	}
+	assert.Check(t, !IsRare(string(shard.RunEnded)))
+}
