explain reads the lines that are repeated

Cause: a log that lacks its middle has the lines that decide only in lines "earlier lines".

Change: explain takes these apart and leaves out what it has read before from the same source. Every event that it shows for owners and minions is a rare one.

Measured: TestExplainReadsEarlierLines fails without either.

--- a/cmd/jasminestep/explain.go
+++ b/cmd/jasminestep/explain.go
@@ -100,6 +100,7 @@
 		r = f
 	}
 	var out []logLine
+	seen := map[logLine]bool{}
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, 1<<20)
 	for s.Scan() {
@@ -108,14 +109,20 @@
 		if i < 0 {
 			continue
 		}
-		l := logLine{source: file}
-		if json.Unmarshal([]byte(text[i:]), &l) != nil {
-			continue // not written by jasminestep
-		}
+		source := file
 		if f := strings.Fields(text[:i]); len(f) > 0 {
-			l.source = f[len(f)-1]
+			source = f[len(f)-1]
+		}
+		for _, l := range decodeLines([]byte(text[i:]), source) {
+			k := l.key()
+			if seen[k] {
+				continue
+			}
+			if server.IsRare(string(l.Event)) {
+				seen[k] = true
+			}
+			out = append(out, l.splitTasks()...)
 		}
-		out = append(out, l.splitTasks()...)
 	}
 	if err := s.Err(); err != nil {
 		return nil, fmt.Errorf("explain: read %s: %w", file, err)
@@ -123,6 +130,38 @@
 	return out, nil
 }
 
+// decodeLines decodes a line, or the lines that it repeats. Lines that were not
+// written by jasminestep are left out.
+func decodeLines(text []byte, source string) []logLine {
+	l := logLine{source: source}
+	if json.Unmarshal(text, &l) != nil {
+		return nil
+	}
+	if l.Event != "earlier lines" {
+		return []logLine{l}
+	}
+	var earlier struct {
+		Lines []json.RawMessage `json:"lines"`
+	}
+	if json.Unmarshal(text, &earlier) != nil {
+		return nil
+	}
+	var out []logLine
+	for _, t := range earlier.Lines {
+		out = append(out, decodeLines(t, source)...)
+	}
+	return out
+}
+
+// key returns what a line and its repetitions have in common, also if they are
+// shortened.
+func (l logLine) key() logLine {
+	l.Task, _, _ = strings.Cut(l.Task, ",")
+	l.Minion, _, _ = strings.Cut(l.Minion, ",")
+	l.Why = ""
+	return l
+}
+
 // splitTasks splits a line about several tasks into one line for each task.
 func (l logLine) splitTasks() []logLine {
 	tasks, minions := strings.Split(l.Task, ","), strings.Split(l.Minion, ",")
--- a/cmd/jasminestep/explain_test.go
+++ b/cmd/jasminestep/explain_test.go
@@ -5,9 +5,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"jasminestep/internal/logline"
 	"jasminestep/internal/server"
 	"jasminestep/internal/shard"
 )
@@ -67,3 +70,38 @@
 		assert.Check(t, ok, "%q is not logged by an entry", name)
 	}
 }
+
+// A repeated line counts once, and also if the line itself is not in the log.
+func TestExplainReadsEarlierLines(t *testing.T) {
+	var out strings.Builder
+	w := logline.New(&out, server.IsRare)
+	log := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: w})
+	log.Info("job accepted", "job", "a")
+	log.Info(string(shard.MinionSilent), "minion", "m1", "why", "2 runs <wait>")
+	log.Info(string(shard.RunLost), "job", "a", "task", "a.0.0.0"+strings.Repeat(",a.0.0.1", 100), "minion", "m1"+strings.Repeat(",m1", 100))
+	for range 2000 {
+		log.Info(string(shard.RunEnded), "job", "b")
+	}
+	log.Info(string(shard.JobEnded), "job", "a", "task", "", "minion", "m1")
+	w.Close(time.Minute)
+	whole := strings.SplitAfter(out.String(), "\n")
+	file := filepath.Join(t.TempDir(), "log")
+	for _, lines := range [][]string{whole, append(whole[:1:1], whole[len(whole)-1000:]...)} {
+		assert.NilError(t, os.WriteFile(file, []byte(strings.Join(lines, "")), 0o600))
+		all, err := readLog(file)
+		assert.NilError(t, err)
+		count := map[shard.Event]int{}
+		for _, l := range jobLines(all, "a") {
+			if l.Event != shard.RunLost || l.Task == "a.0.0.0" || strings.HasSuffix(l.Task, "…") {
+				count[l.Event]++
+			}
+		}
+		assert.DeepEqual(t, count, map[shard.Event]int{"job accepted": 1, shard.MinionSilent: 1, shard.RunLost: 1, shard.JobEnded: 1})
+	}
+}
+
+func TestRelatedEventsAreRepeated(t *testing.T) {
+	for name := range relatedEvents {
+		assert.Check(t, server.IsRare(string(name)), "%q is missing at the end of a long log", name)
+	}
+}
