--- a/internal/logline/kept.go
+++ b/internal/logline/kept.go
@@ -10,7 +10,7 @@
 // Limits on what is kept.
 const (
 	keptLines      = 200
-	keptBytes      = 32 << 10
+	keptBytes      = 15 << 10 // collectors split longer lines than 16 KB
 	keptLineBytes  = 600 // longer lines are shortened
 	keptFieldBytes = 32  // shorter fields are not shortened
 )
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -114,7 +114,7 @@
 	"feed lost": true, "feed regained": true, "store unreachable": true,
 	"shard claimed": true, "shard claim failed": true, "shard claim lost": true, "shard loaded": true, "owner deposed": true,
 	"shard handed over": true, "shard handover failed": true, "shard write failed": true,
-	shard.StepWaits: true, shard.RunLost: true, shard.RunEvacuated: true, shard.TaskAbsent: true, shard.TaskReturns: true,
+	shard.StepWaits: true, shard.RunLost: true, shard.RunEvacuated: true, shard.RunEvicted: true, shard.TaskAbsent: true, shard.TaskReturns: true,
 	shard.MinionDraining: true, shard.MinionRestarted: true, shard.MinionReplaced: true, shard.MinionForgotten: true,
 	shard.MinionPaused: true, shard.MinionSilent: true, shard.MinionAnswers: true, shard.ZoneUnreachable: true,
 }
