Leases of two lengths: long where nothing has to start again soon

Cause: leases of 5.5 s let lost lasting tasks start again in time, but end all work in a zone that is cut off for 5.3 to 6.1 s, also in services in which no task lasts.

State.lease chooses the length, from the state only. The length that a write promises is fixed in TakeBatch and lasts until HandleWritten, so that what counts as promised is what the write carried; a promise never goes back below that of an earlier durable write, under which longer leases may be out. Leases become long again within what a durable write has promised, as extendLease bounds them.

--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -70,6 +70,7 @@
 	o.minionCalls = s.newDispatcher(o)
 	limits := shard.DefaultLimits
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
+	limits.BatchLease = time.Duration(min(s.Settings.BatchLease, s.Settings.MaxLease)) * time.Millisecond
 	limits.MaxLease = time.Duration(s.Settings.MaxLease) * time.Millisecond
 	limits.MaxRowAge = s.Settings.maxRowAge()
 	limits.RateWindow = time.Duration(s.Settings.RateWindow) * time.Millisecond
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -24,6 +24,7 @@
 	Orders           string  `json:"orders"`
 	Grace            int64   `json:"grace"`
 	Lease            int64   `json:"lease"`
+	BatchLease       int64   `json:"batch"`
 	MaxLease         int64   `json:"most"`
 	JobRetention     int64   `json:"keep"`
 	Heartbeat        int64   `json:"beat"`
@@ -61,6 +62,7 @@
 	newSetting("first", "true, false", "false", "", "first start of the whole system: owners are chosen once all entries are known"),
 	newSetting("grace", "ms", "6000", "1000 to 600000", "time for a planned stop before the process is killed"),
 	newSetting("lease", "ms", "5000", "1000 to 9000", "duration of the lease of a run, counted from each renewal"),
+	newSetting("batch", "ms", "as lease", "lease to 9000", "duration of the lease of a run, counted from each renewal, in a service without lasting tasks"),
 	newSetting("most", "ms", "10000", "1000 to 600000", "maximum lease that minions grant; a longer lease is shortened to it"),
 	newSetting("keep", "ms", "150000", "1000 to 86400000", "retention time of the outcome of an ended job"),
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
@@ -126,6 +128,7 @@
 	}{
 		{"grace", s.Grace, 1000, 600_000},
 		{"lease", s.Lease, 1000, 9000},
+		{"batch", s.BatchLease, s.Lease, 9000},
 		{"most", s.MaxLease, 1000, 600_000},
 		{"keep", s.JobRetention, 1000, 86_400_000},
 		{"beat", s.Heartbeat, 10, 60_000},
@@ -163,6 +166,9 @@
 			*f.p = f.def.Milliseconds()
 		}
 	}
+	if s.BatchLease == 0 {
+		s.BatchLease = s.Lease
+	}
 	if s.MaxDirectMinions == 0 {
 		s.MaxDirectMinions = 64
 	}
--- a/internal/shard/archive.go
+++ b/internal/shard/archive.go
@@ -42,6 +42,7 @@
 		return
 	}
 	delete(s.jobs, j.ID)
+	delete(s.lastingJobs, j.ID)
 	s.staleRows = append(s.staleRows, ProgressKey(s.Service, j.ID))
 }
 
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -21,6 +21,9 @@
 		if rapid.Bool().Draw(rt, "bundles") {
 			w.limits.MaxRows = 0
 		}
+		if rapid.Bool().Draw(rt, "batch leases") {
+			w.limits.BatchLease = 8500 * time.Millisecond
+		}
 		w.takeOver()
 		names := 0
 		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -217,7 +217,24 @@
 
 // mustRun reports whether the tasks of the step have value for as long as they run,
 // and go before work that may wait.
-func (p *step) mustRun() bool { return p.Lasting && !p.Fill }
+func (p *step) mustRun() bool { return mustRun(*p.Step) }
+
+func mustRun(p work.Step) bool { return p.Lasting && !p.Fill }
+
+// awaitsLasting reports whether the job has tasks that must run and have not ended.
+func (j *job) awaitsLasting() bool {
+	if j.state.Terminal() {
+		return false
+	}
+	for _, r := range j.rounds {
+		for _, p := range r.steps {
+			if p.mustRun() && p.unfinished > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
 
 // id returns the ID of the step; its Index is not used.
 func (p *step) id() work.TaskID {
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -66,13 +66,24 @@
 // than it has said, and is renewed each second.
 const minDrainLease = 2 * time.Second
 
+// lease is the duration of leases at present: short while tasks that must run would
+// wait for their end, else long enough to outlast a cut of a zone.
+func (s *State) lease() time.Duration {
+	for _, j := range s.lastingJobs {
+		if j.awaitsLasting() {
+			return s.Limits.Lease
+		}
+	}
+	return max(s.Limits.Lease, s.Limits.BatchLease)
+}
+
 // leaseFor is the duration of a lease granted now. That of a minion that drains ends
 // soon after it may leave, so that its runs are not waited for any longer.
 func (s *State) leaseFor(now time.Time, m *minion) time.Duration {
 	if !m.Draining {
-		return s.Limits.Lease
+		return s.lease()
 	}
-	return min(s.Limits.Lease, max(m.leavesAt.Add(overrunTolerance).Sub(now), minDrainLease))
+	return min(s.lease(), max(m.leavesAt.Add(overrunTolerance).Sub(now), minDrainLease))
 }
 
 // leaseExpiry is the time at which all leases ever sent to the minion have
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -116,7 +116,7 @@
 }
 
 // HandleWritten records that a write that started at began is now durable, with
-// the promise that was made then.
+// the promise that was made then: it has to be called before the next TakeBatch.
 func (s *State) HandleWritten(now, began time.Time) {
 	s.writeTime += time.Duration(writeWeight * float64(now.Sub(began)-s.writeTime))
 	s.promised = maxTime(s.promised, s.PromisedEnd(began))
@@ -195,7 +195,11 @@
 
 // PromisedEnd returns when all leases have ended that former owners have sent, and
 // that this one sends under a write that starts at began: the promise that this
-// write has to carry. It may be called from any goroutine.
+// write has to carry. It never goes back below what a durable write has promised:
+// longer leases may have been sent under that one. What it depends on changes only in
+// TakeBatch, HandleWritten and Inherit, so it may be called from any goroutine from
+// TakeBatch until HandleWritten.
 func (s *State) PromisedEnd(began time.Time) time.Time {
-	return maxTime(s.formerEnd, began.Add(s.slowClock(s.Limits.Lease+s.Limits.RenewWindow)+leaseMargin))
+	lease := max(s.Limits.Lease, s.promiseLease)
+	return maxTime(s.formerEnd, maxTime(s.promised, began.Add(s.slowClock(lease+s.Limits.RenewWindow)+leaseMargin)))
 }
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -247,6 +247,7 @@
 		return Batch{}, err
 	}
 	s.deleteStaleRows()
+	s.promiseLease = s.lease()
 	b := s.batch
 	s.batch = Batch{AckedEnds: map[work.Incarnation]int64{}}
 	return b, nil
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -12,6 +12,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,7 @@
 // Limits are the time limits and sizes that a shard works with.
 type Limits struct {
 	Lease         time.Duration // duration of a lease, from each renewal
+	BatchLease    time.Duration // the same while no step must run, if longer
 	MaxLease      time.Duration // longest lease that a minion grants, whatever it is sent
 	RenewWindow   time.Duration // leases end at most a lease and this after the owner's last durable write
 	MaxOrderDelay time.Duration // how late a delayed order may still be executed
@@ -86,6 +88,8 @@
 	writeTime        time.Duration             // average duration of a write
 	formerEnd        time.Time                 // when all leases that former owners sent have ended
 	promised         time.Time                 // when all leases end that are sent under the last durable write; zero before the first
+	promiseLease     time.Duration             // duration of leases that writes promise, if longer than Limits.Lease; set by TakeBatch
+	lastingJobs      map[string]*job           // those of jobs with steps that must run
 	promiseKnown     bool                      // formerEnd is what the last owner promised
 	leaseRow         leaseRow
 	leaving          []*leavingStep
@@ -102,7 +106,7 @@
 	s := &State{
 		Service: service, Term: term, Limits: l, Policy: DefaultPolicy, termStart: now,
 		jobs: map[string]*job{}, forgottenIDs: map[string]bool{}, minions: map[string]*minion{}, zones: map[string]*zone{},
-		baseline: map[string]float64{}, runTimes: map[runTimeKey]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
+		lastingJobs: map[string]*job{}, baseline: map[string]float64{}, runTimes: map[runTimeKey]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
 		batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
 	if term > 1 {
@@ -119,6 +123,9 @@
 	n := &job{Job: j, state: Queued, rounds: map[int]*round{}, arrivedAt: now, account: s.accountNamed(j.Account)}
 	n.excess = n.account != nil && !n.account.takePermit(now, s.Limits.RateWindow)
 	s.jobs[j.ID] = n
+	if slices.ContainsFunc(j.Steps, mustRun) {
+		s.lastingJobs[j.ID] = n
+	}
 	s.upcoming = append(s.upcoming, n)
 	s.publishNow(n)
 	s.note(Note{What: JobReceived, Job: j.ID})
