Moves leave time for slow stops

Stops may take 0.9 s; a lasting run without another place is stopped 1.5 s before its minion leaves (was 1.1 s), and one that moves needs a ticket that outlasts such a stop, as far as tickets are valid for that long. A run that has ended since the last look is not stopped.

--- a/internal/logline/kept.go
+++ b/internal/logline/kept.go
@@ -11,8 +11,8 @@
 const (
 	keptLines      = 200
 	keptBytes      = 15 << 10 // collectors split longer lines than 16 KB
-	keptLineBytes  = 600 // longer lines are shortened
-	keptFieldBytes = 32  // shorter fields are not shortened
+	keptLineBytes  = 600      // longer lines are shortened
+	keptFieldBytes = 32       // shorter fields are not shortened
 )
 
 // kept holds the last lines of each message. The zero value is empty.
--- a/internal/shard/leaving.go
+++ b/internal/shard/leaving.go
@@ -13,11 +13,11 @@
 
 // Times of a move.
 const (
-	lostReserveLead = 1500 * time.Millisecond                            // before the end of the leases of a lost minion, from which on places are reserved
-	lastStop        = stopTime + 400*time.Millisecond + evacuationMargin // before a draining minion leaves, for its lasting runs to be stopped and reported
-	drainEvictLead  = lastStop + 1200*time.Millisecond                   // before a draining minion leaves, from which on other work makes room for its lasting runs
-	moveTicketTime  = stopTime + 400*time.Millisecond                    // that a ticket has to be valid for when a run is stopped in order to move
-	aheadInterval   = 30 * time.Millisecond                              // between two looks for the places of a step
+	lostReserveLead = 1500 * time.Millisecond          // before the end of the leases of a lost minion, from which on places are reserved
+	slowStop        = 900 * time.Millisecond           // that a stop may take
+	lastStop        = slowStop + 2*evacuationMargin    // before a draining minion leaves, for its lasting runs to be stopped and reported
+	drainEvictLead  = lastStop + 1200*time.Millisecond // before a draining minion leaves, from which on other work makes room for its lasting runs
+	aheadInterval   = 30 * time.Millisecond            // between two looks for the places of a step
 )
 
 // leavingStep is a step with lasting runs on minions that drain, or whose leases end
@@ -116,7 +116,7 @@
 	}
 	slices.SortFunc(l.drained, func(a, b drainedRun) int { return a.compare(b) })
 	for _, r := range l.drained {
-		if r.stopping || r.state != live {
+		if r.stopping || r.state != live || r.minion.runs[r.key] != r.run {
 			continue
 		}
 		if ready <= 0 && v.now.Before(r.stopBy) {
@@ -153,7 +153,11 @@
 // the minion.
 func (v *view) hasTicket(p *step, m *minion) bool {
 	elig, t := p.eligibility(v.now, m)
-	return elig == eligible && (p.job.Advice == nil || !t.expires.Before(v.now.Add(moveTicketTime)))
+	if elig != eligible || p.job.Advice == nil {
+		return elig == eligible
+	}
+	need := min(slowStop+evacuationMargin, time.Duration(queryAheadShare*float64(p.job.Advice.Valid)))
+	return !t.expires.Before(v.now.Add(need))
 }
 
 // hasTickets reports whether a gang that is stopped now could start again as a whole.
