Lasting work loses no room: what a review of the change found

The histogram counted a gang with one place of two as about to start.

persistentObstacle is lastingObstacle under a name that says what it is.

--- a/internal/shard/absence.go
+++ b/internal/shard/absence.go
@@ -101,7 +101,7 @@
 	if t.absence == nil || t.absence.stored == 0 {
 		return nil
 	}
-	return &savedAway{t.absence.stored, t.absence.start}
+	return &savedAway{t.absence.stored, t.absence.start, t.absence.attempt}
 }
 
 // inheritAbsence takes over an absence that a former owner has recorded. What the
@@ -113,7 +113,7 @@
 	}
 	s.beginAbsence(s.termStart, minTime(since, s.termStart), p, t, in.Start)
 	if a := t.absence; a != nil {
-		a.stored = in.Since
+		a.stored, a.attempt = in.Since, in.Attempt
 		a.by[AwaitsLease], a.by[AwaitsOther] = 0, a.by[AwaitsLease]
 	}
 }
@@ -159,6 +159,7 @@
 	}
 	s.sampleAbsence(now, a, AwaitsStart)
 	s.recordAbsence(now, a)
+	s.markChanged(a.step.job) // its row tells of the absence
 	if took := now.Sub(a.since); took >= absenceNoteAfter {
 		s.note(Note{What: TaskReturns, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: r.task.incarnation.ID, Why: a.describe(now)})
 	}
@@ -229,43 +230,52 @@
 	if p.overQuota {
 		return AwaitsAccount
 	}
-	allowed, roomy, ready, lesser := 0, 0, 0, 0
+	need := 1
+	if p.Gang {
+		need = p.waiting
+	}
+	var allowed, ready, free, freed int // minions, and places on them
 	for _, m := range s.eligibleMinions(p) {
-		if p.lastingObstacle(now, m) != noObstacle {
+		if p.persistentObstacle(now, m) != noObstacle {
 			continue
 		}
 		allowed++
-		elig, _ := p.eligibility(now, m)
-		switch {
-		case m.roomBeside(p).CanFit(p.Reserved()):
-			roomy++
-			if elig == eligible {
-				ready++
-			}
-		case m.roomWithoutLesser().CanFit(p.Reserved()):
-			lesser++
+		n := p.places(m, m.roomBeside(p))
+		if elig, _ := p.eligibility(now, m); elig == eligible {
+			ready += n
 		}
+		free += n
+		freed += p.places(m, m.roomWithoutLesser())
 	}
 	switch {
-	case ready > 0:
+	case ready >= need:
 		return AwaitsStart
-	case roomy > 0 || p.advice.inFlight > 0 && lesser == 0:
+	case free >= need:
 		return AwaitsAnswer
-	case lesser > 0:
+	case freed >= need:
 		return AwaitsLesser
+	case p.advice.inFlight > 0 || s.hasUnqueried(now, p):
+		return AwaitsAnswer
 	case allowed > 0:
 		return AwaitsRoom
-	case s.hasUnqueried(now, p):
-		return AwaitsAnswer
 	}
 	return AwaitsMinion
 }
 
+// places is how many tasks of the step fit into room on a minion.
+func (p *step) places(m *minion, room work.Size) int {
+	n := countFitting(room, p.Reserved(), p.waiting)
+	if p.PerMinion > 0 {
+		n = min(n, p.PerMinion-p.runsOn(m))
+	}
+	return max(n, 0)
+}
+
 // hasUnqueried reports whether a query could name further minions that suit the
 // step.
 func (s *State) hasUnqueried(now time.Time, p *step) bool {
 	return p.job.Advice != nil && slices.ContainsFunc(s.minionsByID(), func(m *minion) bool {
-		return !p.advice.queried[m.ID] && p.lastingObstacle(now, m) == noObstacle
+		return !p.advice.queried[m.ID] && p.persistentObstacle(now, m) == noObstacle
 	})
 }
 
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -49,3 +49,9 @@
 		v.start(p, missing, plan)
 	}
 }
+
+// brokenUp reports whether some members of a gang wait while others may still run,
+// which are stopped so that all start again. A former owner may not have done so.
+func (p *step) brokenUp() bool {
+	return p.Gang && 0 < p.waiting && p.waiting < p.unfinished && !p.incomplete && p.ready()
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -81,7 +81,7 @@
 	reservedAt      time.Time         // when the first of that room was reserved
 	missesObjective bool              // it will miss its objective
 	waitsSince      time.Time         // since when it could run and none of its tasks has been placed; zero if it can't or has just been
-	shortSince      time.Time         // since when some of its tasks could run and have not been placed
+	shortSince      time.Time         // since when it has been short of places: unlike waitsSince, until all its tasks are placed
 	waitNotedAt     time.Time         // when its waiting was last noted, or when it began
 	overQuota       bool              // the allowance of its account has no room for all its waiting tasks; as of its last check
 	noTurnBefore    time.Time         // it is not given the turn at queries before this time, because it had nothing to query about
--- a/internal/shard/makeroom.go
+++ b/internal/shard/makeroom.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jasminestep/internal/work"
 )
 
-// Work that may wait makes room for lasting tasks that have waited for evictAfter.
-// By then every minion that may run them has been found full, and what ends soon
-// has ended.
+// Work that may wait makes room for lasting tasks that have waited for evictAfter,
+// where room is reserved for them. What ends soon has ended by then.
 
 // evictAfter is how long a lasting task waits before other work makes room for it.
 const evictAfter = 500 * time.Millisecond
@@ -24,10 +25,10 @@
 	}
 }
 
-// makeRoomOn stops the runs on a minion whose loss is smallest until the room that
-// lasting steps have reserved there fits.
+// makeRoomOn stops the runs on a minion whose loss is smallest until the room that p
+// has reserved there fits, beside that of the lasting steps that it does not go before.
 func (v *view) makeRoomOn(m *minion, p *step) {
-	need := m.reservedByLasting(nil)
+	need := m.reserved(func(q *step) bool { return q == p || q.mustRun() && !p.goesBefore(q) })
 	room := m.free()
 	for _, r := range m.runs {
 		if r.stopping {
@@ -37,18 +38,34 @@
 	if room.CanFit(need) {
 		return
 	}
-	for _, r := range v.evictable(m) {
-		room = room.Plus(r.size)
+	for _, r := range smallestLoss(v.evictable(m), room, need) {
 		v.s.note(Note{What: RunEvicted, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID, Why: "for " + p.id().StepID()})
 		v.s.evict(v.now, m, r)
-		if room.CanFit(need) {
-			return
+	}
+}
+
+// smallestLoss selects the first of the runs with which need fits into the room, without
+// those that it does not take; none if need does not fit at all.
+func smallestLoss(rs []*run, room, need work.Size) []*run {
+	n := 0
+	for n < len(rs) && !room.CanFit(need) {
+		room = room.Plus(rs[n].size)
+		n++
+	}
+	if !room.CanFit(need) {
+		return nil
+	}
+	out := slices.Clone(rs[:n])
+	for i := n - 1; i >= 0; i-- {
+		if left := room.Minus(out[i].size); left.CanFit(need) {
+			room, out = left, slices.Delete(out, i, i+1)
 		}
 	}
+	return out
 }
 
 // evictable lists the runs of a minion that may wait, those first whose stop
-// loses least.
+// loses least. Lasting fill tasks may have a limit on how many are interrupted.
 func (v *view) evictable(m *minion) []*run {
 	var out []*run
 	for _, r := range m.runs {
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -157,8 +157,10 @@
 	if m.Address == "" {
 		defer s.announce(m)
 	}
+	if !m.Draining || m.Remaining != w.Remaining { // else it is the same row, read again
+		m.leavesAt = now.Add(w.Remaining)
+	}
 	m.Minion = w
-	m.leavesAt = now.Add(w.Remaining)
 	m.listed = true
 	m.rowValidUntil = maxTime(m.rowValidUntil, validUntil)
 	s.zoneOf(m)
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -67,7 +67,7 @@
 // obstacle returns why a task of the step is not placed on m, for a start that
 // is sent at a later time.
 func (p *step) obstacle(now, send time.Time, m *minion) obstacle {
-	if o := p.lastingObstacle(now, m); o != noObstacle {
+	if o := p.persistentObstacle(now, m); o != noObstacle {
 		return o
 	}
 	switch {
@@ -81,9 +81,9 @@
 	return noObstacle
 }
 
-// lastingObstacle is obstacle without what ends soon: trials, and the wait for a
+// persistentObstacle is obstacle without what ends soon: trials, and the wait for a
 // new row.
-func (p *step) lastingObstacle(now time.Time, m *minion) obstacle {
+func (p *step) persistentObstacle(now time.Time, m *minion) obstacle {
 	if o := m.obstacle(now); o != noObstacle {
 		return o
 	}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -36,8 +36,9 @@
 
 // savedAway is the encoding of an absence.
 type savedAway struct {
-	Since int64        `json:"s"` // on the store's clock in ms
-	Start AbsenceStart `json:"h"`
+	Since   int64        `json:"s"` // on the store's clock in ms
+	Start   AbsenceStart `json:"h"`
+	Attempt int          `json:"a"` // of the run that is gone
 }
 
 type savedRound struct {
@@ -208,7 +209,7 @@
 	if in.Crash != nil {
 		t.crash = *in.Crash
 	}
-	if in.Away != nil && in.Phase == Waiting {
+	if in.Away != nil && in.Phase != Finished {
 		s.inheritAbsence(p, t, in.Away)
 	}
 	switch in.Phase {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -123,6 +123,9 @@
 		if v.reserveRoom(p, plan); !p.hasReservations {
 			v.queryMore(c)
 		}
+		if v.evictsFor(p) && !v.s.PlacementPaused {
+			v.makeRoom(p)
+		}
 		return
 	}
 	if len(trials)+len(plan) < min(len(suspects)+len(clean), n) {
@@ -136,7 +139,7 @@
 	}
 	v.start(p, suspects, trials)
 	v.start(p, clean, plan)
-	if p.waiting > 0 && p.job.account.startable(p) >= p.waiting && v.mayReserve(p) {
+	if p.waiting > 0 && v.mayReserve(p) && v.startsEnough(p) {
 		v.reserveRoom(p, nil)
 		if len(clean)+len(suspects) > 0 && v.evictsFor(p) {
 			v.makeRoom(p)
@@ -144,6 +147,13 @@
 	}
 }
 
+// startsEnough reports whether the account of a step may start enough of it to
+// reserve room: any task that must run, else all that wait.
+func (v *view) startsEnough(p *step) bool {
+	n := p.job.account.startable(p)
+	return n >= p.waiting || p.mustRun() && n > 0
+}
+
 // isUrgent reports whether a step may use room that others have reserved.
 func (v *view) isUrgent(c candidate) bool {
 	switch {
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -71,6 +71,9 @@
 		kept = append(kept, p)
 		if !p.runnable() {
 			p.waitsSince, p.shortSince = time.Time{}, time.Time{}
+			if p.brokenUp() {
+				s.stopGang(now, p)
+			}
 			continue
 		}
 		s.noteWait(now, p)
--- a/internal/shard/reservation.go
+++ b/internal/shard/reservation.go
@@ -40,10 +40,16 @@
 	n      int // tasks
 }
 
+// goesBefore reports whether the step may use what another has reserved: it must run,
+// and the other may wait, or none of its tasks is away yet.
+func (p *step) goesBefore(q *step) bool {
+	return p.mustRun() && (!q.mustRun() || p.waiting > 0 && q.waiting == 0)
+}
+
 // reservedByOthers is the room of the minion that steps other than p have reserved
 // and p may not use.
 func (m *minion) reservedByOthers(p *step) work.Size {
-	return m.reserved(func(q *step) bool { return q != p && (!p.mustRun() || q.mustRun()) })
+	return m.reserved(func(q *step) bool { return q != p && !p.goesBefore(q) })
 }
 
 // reservedByLasting is the room of the minion that lasting steps other than p have
@@ -80,6 +86,12 @@
 	return p.mustRun() || p.Gang || 2*p.Size.GPU >= v.largest.GPU && p.Size.GPU > 0 || 2*p.Size.CPU >= v.largest.CPU
 }
 
+// wantsRoom reports whether the step may have reservations. A gang that must run keeps
+// them while the rest of it is being stopped.
+func (p *step) wantsRoom() bool {
+	return p.runnable() || p.leaving > 0 || p.mustRun() && p.waiting > 0 && p.ready()
+}
+
 // pruneReservations cancels the reservations of steps that no longer wait and
 // those on unusable minions, and sums up the rest.
 func (v *view) pruneReservations() {
@@ -91,7 +103,7 @@
 			continue
 		}
 		for i := len(m.reservations) - 1; i >= 0; i-- {
-			if p := m.reservations[i].step; !p.runnable() && p.leaving == 0 || p.job.state.Terminal() || !m.usable(v.now) {
+			if p := m.reservations[i].step; !p.wantsRoom() || p.job.state.Terminal() || !m.usable(v.now) {
 				p.cancelReservation(m)
 				v.s.wakeSteps(m)
 			}
@@ -128,18 +140,27 @@
 	return 0
 }
 
+// slotObstacle returns why no room is reserved for the step on a minion. A task that
+// must run does not wait for an obstacle to end.
+func (v *view) slotObstacle(p *step, m *minion) obstacle {
+	if p.mustRun() {
+		return p.obstacle(v.now, v.send, m)
+	}
+	return p.persistentObstacle(v.now, m)
+}
+
 // slots lists where tasks of the step could run, earliest first.
 func (v *view) slots(p *step) []slot {
 	var out []slot
 	need := p.Reserved()
 	for _, m := range v.s.eligibleMinions(p) {
-		if p.lastingObstacle(v.now, m) != noObstacle {
+		if v.slotObstacle(p, m) != noObstacle {
 			continue
 		}
 		room := m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom)
 		es := v.expectedEnds(m)
 		in := time.Duration(0)
-		for k := range p.maxOnEmpty(m) - p.runsOn(m) {
+		for k := range p.mostMore(m) {
 			want := need.Times(int64(k + 1))
 			for len(es) > 0 && !room.CanFit(want) {
 				room, in, es = room.Plus(es[0].size), es[0].in, es[1:]
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -144,6 +144,15 @@
 	return true
 }
 
+// mostMore is how many further tasks of the step a minion can take once nothing else
+// is there.
+func (p *step) mostMore(m *minion) int {
+	if p.PerMinion > 0 {
+		return min(p.maxOnEmpty(m), p.PerMinion-p.runsOn(m))
+	}
+	return p.maxOnEmpty(m)
+}
+
 // maxOnEmpty is how many tasks of the step an empty minion can take.
 func (p *step) maxOnEmpty(m *minion) int {
 	n := countFitting(m.Capacity, p.Reserved(), p.wanted())
