Lost services and gangs claim room, so batch tasks do not keep them out

Cause: a lost task took only room that was free when it was looked at. What freed up a little at a time went to smaller batch tasks, a single task had no reservation, and of gangs only one at a time; nothing made batch tasks leave. Jobs without a kind were not taken for batch when quotas are reclaimed.

Change: a task of a service or a gang that stopped for no reason of its own is ranked before what has not begun (urgency still goes first, now for every policy in the order of the queue and not in the rank) and claims room for itself on one worker. An empty kind counts as batch.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -229,14 +229,21 @@
 func (c *Controller) taskRequest(j *book.Job, t *book.Task) *place.TaskRequest {
 	s := &j.Spec
 	return &place.TaskRequest{
-		Task: t.ID, Job: j.ID, Member: s.Member, Kind: s.Kind, Size: s.Size,
+		Task: t.ID, Job: j.ID, Member: s.Member, Kind: cmp.Or(s.Kind, operator.Batch), Size: s.Size,
 		Worth: s.Value(), Urgency: s.Urgency, Submitted: time.UnixMilli(j.Accepted),
 		NotBefore: time.UnixMilli(t.After), Rack: s.Rack, Spread: s.Spread || s.Kind == operator.Service,
-		Avoid:           t.Avoid,
+		Avoid: t.Avoid, Resumes: resumes(j, t),
 		ExpectedRuntime: c.Runtimes.Estimate(s.Member+"/"+s.Lineage(), time.Duration(s.Runtime)*time.Millisecond),
 	}
 }
 
+// resumes reports whether a queued task of a service or a gang ran, or was to run,
+// and stopped for no reason of its own.
+func resumes(j *book.Job, t *book.Task) bool {
+	lasts := j.Spec.Kind == operator.Service || j.Spec.Kind == operator.Gang
+	return lasts && (t.Cause == book.Lost || t.Cause == book.Preempted || t.Cause == book.Refused)
+}
+
 // enqueue adds a task to the queue. A gang is added as one item, once none of
 // its tasks is live.
 func (c *Controller) enqueue(j *book.Job, t *book.Task) {
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -281,10 +281,11 @@
 }
 
 // relievePressure throttles or preempts tasks on workers short of resources
-// and to meet quotas.
+// and to meet quotas and claims.
 func (c *Controller) relievePressure(now time.Time) {
 	steps := place.MitigateOvercommit(&c.Cluster)
 	steps = append(steps, place.ReclaimQuota(&c.Cluster, &c.Queue, c.members, now)...)
+	steps = append(steps, place.ReclaimClaimed(&c.Cluster, now)...)
 	for _, s := range steps {
 		_, t := c.State.Task(s.Task)
 		if t == nil || t.State != book.Running {
@@ -297,6 +298,11 @@
 		}
 		c.requestStop(now, t, book.Preempted)
 	}
+	c.Cluster.KeepClaims(func(task string) bool {
+		j, t := c.State.Task(task)
+		waits := t != nil && (t.State == book.Queued && resumes(j, t) || t.State == book.Stopping)
+		return waits && !j.Cancelled && j.Moved == ""
+	})
 }
 
 // endUnplaceable ends items that do not fit any worker of the zone. The VM
--- a/internal/place/cluster.go
+++ b/internal/place/cluster.go
@@ -25,8 +25,9 @@
 	Tasks         map[string]*Alloc
 	Unschedulable bool // accepts no new tasks: quarantined, leaving or unreachable
 
-	reservation *Reservation // at most one gang reserves a worker
-	bucket      int          // bucket in Cluster.index, -1 if not indexed
+	claimed     operator.Size // sum of the claims
+	reservation *Reservation  // at most one gang reserves a worker
+	bucket      int           // bucket in Cluster.index, -1 if not indexed
 	bucketPos   int
 }
 
@@ -53,6 +54,7 @@
 	Worth           float64
 	Urgency         operator.Urgency
 	Submitted       time.Time
+	Resumes         bool          // it ran, and stopped for no reason of its own
 	NotBefore       time.Time     // earliest time of placement
 	ExpectedRuntime time.Duration // zero if unknown
 	Rack            string        // required rack; empty: any
@@ -82,6 +84,7 @@
 	MemberUsage map[string]operator.Size
 
 	index      [accelClasses * cpuClasses][]*Worker
+	claims     map[string]*claim         // by task
 	rackTasks  map[string]map[string]int // job → rack → number of tasks, for Spread
 	version    uint64                    // incremented when a task may fit that did not fit before
 	scanOffset int                       // rotates the start of the scan within a bucket
@@ -91,6 +94,7 @@
 	if c.Workers == nil {
 		c.Workers = map[string]*Worker{}
 		c.Allocs = map[string]*Alloc{}
+		c.claims = map[string]*claim{}
 		c.MemberUsage = map[string]operator.Size{}
 		c.rackTasks = map[string]map[string]int{}
 	}
@@ -234,7 +238,7 @@
 
 // fits reports whether a can be placed on w now.
 func (c *Cluster) fits(a *TaskRequest, w *Worker, now time.Time) bool {
-	if w.Unschedulable || !a.Size.Fits(w.Free()) || a.Rack != "" && a.Rack != w.Rack {
+	if w.Unschedulable || !a.Size.Fits(c.roomFor(a, w)) || a.Rack != "" && a.Rack != w.Rack {
 		return false
 	}
 	return w.reservation == nil || w.reservation.admits(a, now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -20,7 +20,7 @@
 // Decide places up to limit tasks of q on c and removes them from the queue.
 // Policy P determines the order of the items and the choice of workers. Gangs
 // are placed as a whole or not at all; a gang that does not fit may get a
-// reservation.
+// reservation, and an item that resumes claims room.
 func Decide[P Policy](c *Cluster, q *Queue, members map[string]operator.Member, now time.Time, limit int) []Placement {
 	var p P
 	c.init()
@@ -48,6 +48,7 @@
 			continue
 		}
 		q.Remove(it.Key())
+		c.unclaimAll(it.Requests)
 		out = append(out, placed...)
 	}
 	q.sorted = remaining
@@ -63,23 +64,28 @@
 		return placeGang(c, q, p, it, now)
 	}
 	a := it.Requests[0]
-	sh := shape{a.Size, a.Rack}
-	if failed[sh] {
-		return nil
+	sh := shape{size: a.Size, rack: a.Rack}
+	search := !failed[sh] || c.claims[a.Task] != nil
+	var w *Worker
+	if search {
+		w = c.findWorker(a, now, p.FullestFirst(), func(w *Worker) float64 { return p.Score(c, w, a) })
 	}
-	w := c.findWorker(a, now, p.FullestFirst(), func(w *Worker) float64 { return p.Score(c, w, a) })
-	if w == nil {
-		// A short task may still be placed on reserved workers before the gang
-		// starts. A failed search therefore rules out other requests of the
-		// same shape, and later attempts, only if there are no reservations.
-		if len(q.reservations) == 0 {
-			failed[sh] = true
-			it.failedVersion = c.version + 1
-		}
-		return nil
+	if w != nil {
+		c.Allocate(a, w, expectedEnd(a, now))
+		return []Placement{{a.Task, w.ID}}
+	}
+	toClaim := shape{size: a.Size, rack: a.Rack, claim: true}
+	if a.Resumes && (c.claims[a.Task] != nil || !failed[toClaim]) {
+		failed[toClaim] = !c.Claim(it.Requests, now) || failed[toClaim]
 	}
-	c.Allocate(a, w, expectedEnd(a, now))
-	return []Placement{{a.Task, w.ID}}
+	// A short task may still be placed on reserved workers before the gang
+	// starts. A failed search therefore rules out other requests of the
+	// same shape, and later attempts, only if there are no reservations.
+	if search && len(q.reservations) == 0 {
+		failed[sh] = true
+		it.failedVersion = c.version + 1
+	}
+	return nil
 }
 
 func placeGang[P Policy](c *Cluster, q *Queue, p P, it *Item, now time.Time) []Placement {
@@ -93,7 +99,9 @@
 			}
 			c.version = version // the released capacity was free before, so nothing new may fit
 			it.failedVersion = c.version + 1
-			q.reserve(c, it, now)
+			if !it.resumes() || !c.Claim(it.Requests, now) {
+				q.reserve(c, it, now)
+			}
 			return nil
 		}
 		c.Allocate(a, w, expectedEnd(a, now))
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -13,7 +13,7 @@
 	Busy     int `json:"busy"`     // large enough, but in use
 	Small    int `json:"small"`    // total capacity too small
 	Held     int `json:"held"`     // quarantined, leaving or unreachable
-	Reserved int `json:"reserved"` // reserved for a gang
+	Reserved int `json:"reserved"` // reserved for a gang, or claimed by tasks that resume
 	Rack     int `json:"rack"`     // not in the required rack
 }
 
@@ -30,7 +30,7 @@
 			e.Held++
 		case !a.Size.Fits(w.Free()):
 			e.Busy++
-		case w.reservation != nil && !w.reservation.admits(a, now):
+		case !c.fits(a, w, now):
 			e.Reserved++
 		default:
 			e.Fit++
--- a/internal/place/mitigation.go
+++ b/internal/place/mitigation.go
@@ -9,7 +9,7 @@
 )
 
 // Mitigation is an action on a task to relieve an overcommitted worker, or to
-// reclaim capacity for another member's quota.
+// reclaim capacity for another member's quota or for a claim.
 type Mitigation struct {
 	Task   string
 	Action Action
@@ -66,7 +66,8 @@
 }
 
 // reclaimDelay is how long an item within its member's quota must have waited
-// before borrowed capacity is reclaimed for it.
+// before borrowed capacity is reclaimed for it, and how long a claim waits for
+// batch tasks to end by themselves.
 const reclaimDelay = 2 * time.Second
 
 // ReclaimQuota returns which task to checkpoint for an item that has waited
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -138,6 +138,56 @@
 	}
 }
 
+func TestResumingTaskGoesFirst(t *testing.T) {
+	for _, p := range Policies {
+		c, q := newCluster(1, 1000), &Queue{}
+		addTask(q, smallTask("large", 2000))
+		addTask(q, smallTask("small", 1000))
+		a := smallTask("resumes", 1000)
+		a.Kind, a.Resumes, a.Submitted = operator.Service, true, at(9)
+		addTask(q, a)
+		got := p.Decide(c, q, nil, at(10), 100)
+		assert.Assert(t, len(got) == 1 && got[0].Task == "resumes", p.Name)
+	}
+}
+
+// Guards against a claim that stays on a worker which can't meet it any more.
+func TestClaimMovesOffUnschedulableWorker(t *testing.T) {
+	c, q := newCluster(2, 1000), &Queue{}
+	addTask(q, smallTask("b0", 1000))
+	addTask(q, smallTask("b1", 1000))
+	a := smallTask("resumes", 1000)
+	a.Kind, a.Resumes = operator.Service, true
+	p := PolicyByName("pack")
+	p.Decide(c, q, nil, at(0), 100)
+	addTask(q, a)
+	p.Decide(c, q, nil, at(1), 100)
+	first := ReclaimClaimed(c, at(4))
+	assert.Equal(t, len(first), 1)
+	w := c.Allocs[first[0].Task].Worker
+	c.SetWorker(w.ID, w.Rack, w.Capacity, true)
+	p.Decide(c, q, nil, at(5), 100)
+	assert.Equal(t, len(ReclaimClaimed(c, at(6))), 0, "before reclaimDelay has passed")
+	next := ReclaimClaimed(c, at(8))
+	assert.Assert(t, len(next) == 1 && next[0].Task != first[0].Task)
+}
+
+// Guards against batch tasks that leave although that makes no room.
+func TestClaimSparesWhatIsNotInTheWay(t *testing.T) {
+	c, q := &Cluster{}, &Queue{}
+	c.SetWorker("w", "r", operator.Size{CPU: 1000, Accel: 1}, false)
+	accel, resumes := smallTask("accel", 100), smallTask("resumes", 100)
+	accel.Size.Accel, accel.Worth, resumes.Size.Accel = 1, 9, 1
+	resumes.Resumes = true
+	p := PolicyByName("pack")
+	addTask(q, accel)
+	addTask(q, smallTask("cheap", 100))
+	p.Decide(c, q, nil, at(0), 100)
+	addTask(q, resumes)
+	p.Decide(c, q, nil, at(1), 100)
+	assert.DeepEqual(t, ReclaimClaimed(c, at(4)), []Mitigation{{"accel", Checkpoint}})
+}
+
 func TestSpreadOverRacks(t *testing.T) {
 	c, q := newCluster(8, 10000), &Queue{}
 	for i := range 4 {
@@ -249,6 +299,7 @@
 				a := smallTask(fmt.Sprintf("t%d", n), 0)
 				a.Size, a.Submitted = size.Draw(t, "size"), now
 				a.ExpectedRuntime = time.Duration(rapid.IntRange(0, 60).Draw(t, "est")) * time.Second
+				a.Resumes = rapid.Bool().Draw(t, "resumes")
 				addTask(q, a)
 			},
 			"gang": func(t *rapid.T) {
@@ -299,6 +350,10 @@
 	shares := map[string]operator.Size{}
 	var total operator.Size
 	indexed := 0
+	claimed := map[*Worker]operator.Size{}
+	for _, cl := range c.claims {
+		claimed[cl.worker] = claimed[cl.worker].Add(cl.request.Size)
+	}
 	for id, w := range c.Workers {
 		var used operator.Size
 		for _, al := range w.Tasks {
@@ -308,6 +363,9 @@
 		if used != w.Used {
 			t.Fatalf("worker %s: used %+v, tasks sum to %+v", id, w.Used, used)
 		}
+		if w.claimed != claimed[w] {
+			t.Fatalf("worker %s: claimed %+v, claims sum to %+v", id, w.claimed, claimed[w])
+		}
 		if !w.Unschedulable {
 			total = total.Add(w.Capacity)
 		}
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -29,8 +29,8 @@
 // Policy ranks queued items and scores the workers that fit them.
 // Implementations are stateless; Decide is instantiated for each.
 type Policy interface {
-	// Rank returns the priority of an item; items with higher ranks are placed
-	// first.
+	// Rank returns the priority of an item among those of the same urgency that
+	// have not begun, or that resume; items with higher ranks are placed first.
 	Rank(v *PolicyView, it *Item) float64
 	// Score rates a worker that fits; the one with the highest score is chosen.
 	Score(c *Cluster, w *Worker, a *TaskRequest) float64
@@ -68,9 +68,6 @@
 	return Policies[0]
 }
 
-// urgencyWeight exceeds the sum of all other terms of a rank.
-const urgencyWeight = 1e9
-
 // Pack maximizes the worth of the placed tasks per capacity used.
 type Pack struct{}
 
@@ -82,7 +79,7 @@
 	gain := a.Worth / (cost + epsilon)
 	fair := 1 / (v.WeightedShare(a.Member) + minShare)
 	waited := v.Now.Sub(a.Submitted)
-	return float64(a.Urgency)*urgencyWeight + gain*fair*ageFactor(waited, packAgeUnit) + overdueBonus(waited, packMaxWait)
+	return gain*fair*ageFactor(waited, packAgeUnit) + overdueBonus(waited, packMaxWait)
 }
 
 // Score prefers workers whose free resources have the same proportions as the
@@ -111,7 +108,7 @@
 	waited := v.Now.Sub(a.Submitted).Seconds()
 	response := 1 + waited/run
 	fair := 1 / (1 + v.WeightedShare(a.Member))
-	return float64(a.Urgency)*urgencyWeight + response*fair/run + overdueBonus(v.Now.Sub(a.Submitted), responseRatioMaxWait)
+	return response*fair/run + overdueBonus(v.Now.Sub(a.Submitted), responseRatioMaxWait)
 }
 
 // Score prefers workers with much free capacity. Stranded accelerators weigh
@@ -130,9 +127,9 @@
 // FIFO is the baseline of first come, first served with best fit.
 type FIFO struct{}
 
-// Rank orders items by urgency, then by time of submission.
+// Rank orders items by time of submission.
 func (FIFO) Rank(v *PolicyView, it *Item) float64 {
-	return float64(it.Requests[0].Urgency)*urgencyWeight + v.Now.Sub(it.Requests[0].Submitted).Seconds()
+	return v.Now.Sub(it.Requests[0].Submitted).Seconds()
 }
 
 // Score is best fit.
@@ -148,9 +145,9 @@
 // fit.
 type ShortestFirst struct{}
 
-// Rank orders items by urgency, then by expected run time.
+// Rank orders items by expected run time.
 func (ShortestFirst) Rank(_ *PolicyView, it *Item) float64 {
-	return float64(it.Requests[0].Urgency)*urgencyWeight - expectedRuntime(it.Requests[0]).Seconds()
+	return -expectedRuntime(it.Requests[0]).Seconds()
 }
 
 // Score is best fit.
@@ -189,7 +186,7 @@
 	return 1 + x*x
 }
 
-// overdueBonus outweighs everything but urgency once an item has waited longer
+// overdueBonus outweighs the rest of a rank once an item has waited longer
 // than maxWait: from then on the oldest item is placed first.
 func overdueBonus(waited, maxWait time.Duration) float64 {
 	return overdueGain * max(0, (waited-maxWait).Seconds())
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,10 +29,16 @@
 	return it.Requests[0].Task
 }
 
+// resumes reports whether all tasks of the item ran before.
+func (it *Item) resumes() bool {
+	return !slices.ContainsFunc(it.Requests, func(a *TaskRequest) bool { return !a.Resumes })
+}
+
 // shape identifies single-task requests for which a search has the same result.
 type shape struct {
-	size operator.Size
-	rack string
+	size  operator.Size
+	rack  string
+	claim bool // a search for room to claim
 }
 
 // Queue holds the items that wait for placement. The zero value is empty.
@@ -119,14 +126,19 @@
 	q.unranked = nil
 }
 
+// compareRank orders items by urgency, then those that resume before those that
+// have not begun, then by rank.
 func compareRank(a, b *Item) int {
-	switch {
-	case a.rank > b.rank:
-		return -1
-	case a.rank < b.rank:
+	if d := cmp.Compare(b.Requests[0].Urgency, a.Requests[0].Urgency); d != 0 {
+		return d
+	}
+	if x := a.resumes(); x != b.resumes() {
+		if x {
+			return -1
+		}
 		return 1
 	}
-	return 0
+	return cmp.Compare(b.rank, a.rank)
 }
 
 // mergeByRank merges two sorted lists. Items of a precede items of b with the
@@ -137,7 +149,7 @@
 	}
 	out := make([]*Item, 0, len(a)+len(b))
 	for len(a) > 0 && len(b) > 0 {
-		if a[0].rank >= b[0].rank {
+		if compareRank(a[0], b[0]) <= 0 {
 			out, a = append(out, a[0]), a[1:]
 		} else {
 			out, b = append(out, b[0]), b[1:]
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -35,9 +35,10 @@
 )
 
 // admits reports whether a may use a reserved worker: it belongs to the gang,
-// is more urgent, or is expected to end before the gang starts.
+// precedes the gang, or is expected to end before the gang starts.
 func (r *Reservation) admits(a *TaskRequest, now time.Time) bool {
-	if a.Job == r.Item.Requests[0].Job || a.Urgency > r.Item.Requests[0].Urgency {
+	g := r.Item.Requests[0]
+	if a.Job == g.Job || a.Urgency > g.Urgency || a.Urgency == g.Urgency && a.Resumes && !g.Resumes {
 		return true
 	}
 	return a.Kind != operator.Service && a.ExpectedRuntime > 0 && now.Add(a.ExpectedRuntime).Before(r.ExpectedStart)
@@ -133,7 +134,7 @@
 // many. Unless some fit now, this is when all tasks of w but services are
 // expected to have ended.
 func freeAt(w *Worker, size operator.Size, now time.Time) (at time.Time, room int64) {
-	free, at := w.Free(), now
+	free, at := w.unclaimed(), now
 	if n := TasksThatFit(free, size); n > 0 {
 		return now, n
 	}
