Services on leaving or overcommitted workers move into room that is free first

Cause: a leaving worker got nothing new, but its services ran until it was removed, and then waited for the lag of the VM list and a lease (15.25 s) and for room. A service of least worth on an overcommitted worker was stopped before there was another place, and before batch tasks of more worth; with one worker it was stopped again and again.

Change: such a service claims room elsewhere, runs on until that is free, and is then stopped and started there. Without another place, or on a worker out of reach, it runs on. Overcommitted workers give up services last. Gangs on a leaving worker run on until it is gone, as before.

--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -55,6 +55,7 @@
 	epoch int64
 	size  operator.Size
 	gone  bool
+	leave bool
 	tasks map[string]*simAttempt
 }
 
@@ -103,7 +104,7 @@
 	var r VMList
 	for id, x := range w.workers {
 		if !x.gone {
-			r.VMs = append(r.VMs, platform.VM{ID: id, Zone: "z", Role: "worker", Addr: id, CPU: x.size.CPU})
+			r.VMs = append(r.VMs, platform.VM{ID: id, Zone: "z", Role: "worker", Addr: id, CPU: x.size.CPU, Leaving: x.leave})
 		}
 	}
 	sort.Slice(r.VMs, func(i, j int) bool { return r.VMs[i].ID < r.VMs[j].ID })
@@ -274,6 +275,19 @@
 	}}, w.now)
 }
 
+// calm lets a second pass in which nothing is late or lost.
+func (w *simulation) calm() {
+	for _, m := range w.messages {
+		m.do(w.workers[m.to])
+	}
+	w.messages = nil
+	for _, id := range sortedKeys(w.workers) {
+		w.sync(w.lastOwner(), w.workers[id], true)
+	}
+	w.advance(time.Second)
+	w.step(w.lastOwner(), 0)
+}
+
 // TestRunOnce steps owners, workers and messages in any order: late, lost and
 // repeated messages, deposed owners that continue, worker restarts, expired
 // leases and workers that disappear.
@@ -348,6 +362,12 @@
 				}
 				w.listWorkers(w.lastOwner())
 			},
+			"leave": func(t *rapid.T) {
+				x := pickWorker(t)
+				x.leave = !x.leave
+				w.listWorkers(w.lastOwner())
+			},
+			"calm":     func(*rapid.T) { w.calm() },
 			"time":     func(t *rapid.T) { w.advance(delay.Draw(t, "time")) },
 			"takeover": func(*rapid.T) { w.takeOver() },
 			"":         func(*rapid.T) { w.checkInvariants() },
@@ -361,6 +381,7 @@
 func (w *simulation) settle() {
 	w.messages = nil
 	for _, x := range w.workers {
+		x.leave = false
 		if x.gone {
 			x.gone, x.tasks = false, map[string]*simAttempt{}
 			x.boot++
--- a/internal/control/lasting_test.go
+++ b/internal/control/lasting_test.go
@@ -127,6 +127,11 @@
 // lose makes the worker of a task silent for good.
 func (l *load) lose(task string) { l.silent[l.runs[task].worker] = l.now + 9.9 }
 
+func (l *load) leave(id string) {
+	i := slices.IndexFunc(l.vms, func(vm platform.VM) bool { return vm.ID == id })
+	l.vms[i].Leaving = true
+}
+
 // checkAbsences bounds all absences, which are counted from the end of the lease
 // if a worker was lost.
 func (l *load) checkAbsences(most float64) {
@@ -169,3 +174,73 @@
 	l.play(60)
 	l.checkAbsences(8)
 }
+
+// Guards against a service that runs on a leaving worker until it is removed.
+func TestDrainMovesServicesIntoRoomMadeFirst(t *testing.T) {
+	for _, runtime := range []int64{0, 2000, 3_600_000} {
+		t.Run(fmt.Sprintf("beside %v", time.Duration(runtime)*time.Millisecond), func(t *testing.T) {
+			l := newLoad(t, 4)
+			id := l.submit(0, operator.Job{Kind: operator.Service, Tasks: 2})
+			l.play(1)
+			l.batch = operator.Job{Size: operator.Size{CPU: 300}, Runtime: runtime}
+			l.play(10)
+			left := l.runs[book.TaskID(id, 0)].worker
+			l.leave(left)
+			l.play(20)
+			assert.Assert(t, l.runs[book.TaskID(id, 0)].worker != left)
+			l.checkAbsences(0.5)
+		})
+	}
+}
+
+// Guards against a drain that stops what has no other place, or a gang.
+func TestDrainLeavesWhatCannotMove(t *testing.T) {
+	for kind, workers := range map[operator.Kind]int{operator.Service: 2, operator.Gang: 4} {
+		l := newLoad(t, workers)
+		id := l.submit(0, operator.Job{Kind: kind, Tasks: 2})
+		l.play(5)
+		l.leave(l.runs[book.TaskID(id, 0)].worker)
+		l.play(30)
+		assert.Assert(t, len(l.runs) == 2 && l.task(id, 0).Attempt == 1 && l.task(id, 1).Attempt == 1)
+	}
+}
+
+// Guards against a stop that cannot be confirmed.
+func TestDrainLeavesServiceOnUnreachableWorker(t *testing.T) {
+	l := newLoad(t, 2)
+	id := l.submit(0, operator.Job{Kind: operator.Service})
+	l.play(5)
+	l.lose(book.TaskID(id, 0))
+	l.leave(l.runs[book.TaskID(id, 0)].worker)
+	l.play(30)
+	assert.Equal(t, l.task(id, 0).State, book.Running)
+}
+
+// Guards against room that is kept for a cancelled service.
+func TestCancelledServiceKeepsNoClaim(t *testing.T) {
+	l := newLoad(t, 2)
+	id := l.submit(0, operator.Job{Kind: operator.Service, Cut: operator.Move})
+	l.play(1)
+	l.batch = operator.Job{Size: operator.Size{CPU: 300}, Runtime: 3_600_000}
+	l.play(10)
+	l.leave(l.runs[book.TaskID(id, 0)].worker)
+	l.play(12)
+	l.c.Handle(Cancel{ID: id, Member: "m", Deadline: sec(60), Reply: make(chan Answer, 1)}, sec(l.now))
+	l.play(20)
+	assert.Assert(t, !l.c.Cluster.ClaimReady(book.TaskID(id, 0)))
+	assert.Equal(t, len(l.runs), 3, "the batch tasks that fit beside no claim")
+}
+
+// Guards against an overcommitted service that is stopped before it has another
+// place.
+func TestOvercommittedServiceIsStoppedOnlyForAnotherPlace(t *testing.T) {
+	for _, workers := range []int{1, 2} {
+		l := newLoad(t, workers)
+		id := l.submit(0, operator.Job{Kind: operator.Service, Size: operator.Size{CPU: 500}})
+		l.play(1)
+		l.report(1, l.runs[book.TaskID(id, 0)].worker, false, worker.AttemptStatus{Task: book.TaskID(id, 0), Attempt: 1, State: "running", Usage: operator.Size{CPU: 1100}})
+		l.play(10)
+		assert.Equal(t, l.task(id, 0).Attempt, workers)
+		l.checkAbsences(2)
+	}
+}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -206,11 +206,16 @@
 	}
 }
 
+// reachable reports whether a worker has reported recently.
+func (c *Controller) reachable(v *WorkerVM, now time.Time) bool {
+	return now.Sub(v.LastReport) <= c.Timing.reportTimeout()
+}
+
 // unavailable reports whether a worker cannot receive new tasks at present.
 func (c *Controller) unavailable(v *WorkerVM, now time.Time) bool {
 	_, held := c.State.Quarantined[v.ID]
 	probing := held && !v.probeAt.IsZero() && !now.Before(v.probeAt)
-	return v.Addr == "" || v.Leaving || !v.UnlistedSince.IsZero() || v.Boot == 0 || now.Sub(v.LastReport) > c.Timing.reportTimeout() || held && !probing
+	return v.Addr == "" || v.Leaving || !v.UnlistedSince.IsZero() || v.Boot == 0 || !c.reachable(v, now) || held && !probing
 }
 
 // Explain requests the reason why a job is queued.
--- a/internal/control/step.go
+++ b/internal/control/step.go
@@ -234,7 +234,7 @@
 		w := c.Cluster.Workers[id]
 		gone := !v.UnlistedSince.IsZero() && now.Sub(v.UnlistedSince) > c.Timing.VMListLag+c.Timing.TaskLease+c.Timing.ClockSkew
 		lapsed := now.After(v.LatestLease.Add(c.Timing.ClockSkew))
-		if !gone && (!lapsed || now.Sub(v.LastReport) <= c.Timing.reportTimeout()) {
+		if !gone && (!lapsed || c.reachable(v, now)) {
 			continue
 		}
 		for _, task := range sortedKeys(w.Tasks) {
@@ -265,7 +265,7 @@
 		if now.Before(c.nextStop[id]) || n >= maxStops {
 			continue
 		}
-		_, t := c.State.Task(id)
+		j, t := c.State.Task(id)
 		if t == nil || t.State != book.Stopping {
 			delete(c.nextStop, id)
 			continue
@@ -273,7 +273,7 @@
 		n++
 		c.nextStop[id] = now.Add(stopRetryInterval)
 		how := worker.ModeStop
-		if t.Cause == book.Preempted {
+		if t.Cause == book.Preempted && j.Spec.Kind != operator.Service {
 			how = worker.ModeCheckpoint
 		}
 		c.addEffect(c.stopEffect(t.Worker, t.ID, t.Attempt, how))
@@ -281,30 +281,66 @@
 }
 
 // relievePressure throttles or preempts tasks on workers short of resources
-// and to meet quotas and claims.
+// and to meet quotas and claims, and moves services off workers that are short of
+// resources or leave.
 func (c *Controller) relievePressure(now time.Time) {
 	steps := place.MitigateOvercommit(&c.Cluster)
 	steps = append(steps, place.ReclaimQuota(&c.Cluster, &c.Queue, c.members, now)...)
 	steps = append(steps, place.ReclaimClaimed(&c.Cluster, now)...)
+	steps = append(steps, c.leavingServices()...)
+	moving := map[string]bool{}
 	for _, s := range steps {
-		_, t := c.State.Task(s.Task)
+		j, t := c.State.Task(s.Task)
 		if t == nil || t.State != book.Running {
 			continue
 		}
-		if s.Action == place.Throttle {
+		switch s.Action {
+		case place.Throttle:
 			c.addEffect(c.stopEffect(t.Worker, t.ID, t.Attempt, worker.ModeThrottle))
 			c.addToTimeline(now, "throttle", t.ID, t.Worker)
-			continue
+		case place.Move:
+			moving[t.ID] = true
+			c.move(now, j, t)
+		default:
+			c.requestStop(now, t, book.Preempted)
 		}
-		c.requestStop(now, t, book.Preempted)
 	}
 	c.Cluster.KeepClaims(func(task string) bool {
 		j, t := c.State.Task(task)
-		waits := t != nil && (t.State == book.Queued && resumes(j, t) || t.State == book.Stopping)
+		waits := t != nil && (t.State == book.Queued && resumes(j, t) || t.State == book.Stopping || t.State == book.Running && moving[task])
 		return waits && !j.Cancelled && j.Moved == ""
 	})
 }
 
+// leavingServices returns the services on workers that leave.
+func (c *Controller) leavingServices() (out []place.Mitigation) {
+	for _, id := range sortedKeys(c.WorkerVMs) {
+		if !c.WorkerVMs[id].Leaving {
+			continue
+		}
+		for _, task := range sortedKeys(c.Cluster.Workers[id].Tasks) {
+			if c.Cluster.Allocs[task].Request.Kind == operator.Service {
+				out = append(out, place.Mitigation{Task: task, Action: place.Move})
+			}
+		}
+	}
+	return out
+}
+
+// move claims room for a running service on another worker. Once that is free,
+// it stops the service, which then starts there. A service whose worker is out of
+// reach runs on, since its end could not be confirmed.
+func (c *Controller) move(now time.Time, j *book.Job, t *book.Task) {
+	if c.TransferZone != "" || !c.reachable(c.WorkerVMs[t.Worker], now) {
+		return
+	}
+	a := c.taskRequest(j, t)
+	a.Resumes = true
+	if c.Cluster.Claim([]*place.TaskRequest{a}, now) && c.Cluster.ClaimReady(t.ID) {
+		c.requestStop(now, t, book.Preempted)
+	}
+}
+
 // endUnplaceable ends items that do not fit any worker of the zone. The VM
 // list lags and a suitable worker may be about to appear, so it waits for
 // unplaceableDelay first.
--- a/internal/place/claim.go
+++ b/internal/place/claim.go
@@ -55,6 +55,12 @@
 	return true
 }
 
+// ClaimReady reports whether the room that is claimed for the task is free.
+func (c *Cluster) ClaimReady(task string) bool {
+	cl := c.claims[task]
+	return cl != nil && !cl.worker.Unschedulable && cl.worker.claimed.Fits(cl.worker.Free())
+}
+
 // KeepClaims drops the claims of all tasks for which keep is false.
 func (c *Cluster) KeepClaims(keep func(task string) bool) {
 	for task := range c.claims {
--- a/internal/place/mitigation.go
+++ b/internal/place/mitigation.go
@@ -15,20 +15,21 @@
 	Action Action
 }
 
-// Action is a way to reduce the resource usage of a task.
+// Action is a way to reduce what a task uses on its worker.
 type Action string
 
 // The actions, from the mildest to the most severe.
 const (
 	Throttle   Action = "throttle"
 	Checkpoint Action = "checkpoint"
-	Stop       Action = "stop"
+	Move       Action = "move"
 )
 
 // MitigateOvercommit returns actions for workers whose tasks have outgrown
-// their capacity. On each worker it picks the task of least worth. The task is
+// their capacity. On each worker it picks the task of least worth, a service only
+// if there is nothing else. The task is
 // throttled first. If that was not enough, it is checkpointed; a service, which
-// cannot resume from a checkpoint, is stopped to be restarted elsewhere. Each
+// cannot resume from a checkpoint, is to be moved to another worker. Each
 // call returns at most one action per worker, so that its effect shows before
 // the next.
 func MitigateOvercommit(c *Cluster) []Mitigation {
@@ -46,7 +47,7 @@
 			al.Throttled = true
 			out = append(out, Mitigation{al.Request.Task, Throttle})
 		case al.Request.Kind == operator.Service:
-			out = append(out, Mitigation{al.Request.Task, Stop})
+			out = append(out, Mitigation{al.Request.Task, Move})
 		default:
 			out = append(out, Mitigation{al.Request.Task, Checkpoint})
 		}
@@ -58,13 +59,25 @@
 func lowestWorth(w *Worker) *Alloc {
 	var lowest *Alloc
 	for _, al := range w.Tasks {
-		if lowest == nil || al.Request.Worth < lowest.Request.Worth || al.Request.Worth == lowest.Request.Worth && al.Request.Task < lowest.Request.Task {
+		if lowest == nil || compareYield(al, lowest) < 0 {
 			lowest = al
 		}
 	}
 	return lowest
 }
 
+// compareYield orders allocations by what is given up first: services last, then
+// by worth.
+func compareYield(x, y *Alloc) int {
+	if service := x.Request.Kind == operator.Service; service != (y.Request.Kind == operator.Service) {
+		if service {
+			return 1
+		}
+		return -1
+	}
+	return compareWorth(x, y)
+}
+
 // reclaimDelay is how long an item within its member's quota must have waited
 // before borrowed capacity is reclaimed for it, and how long a claim waits for
 // batch tasks to end by themselves.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -259,6 +259,18 @@
 	assert.Equal(t, len(MitigateOvercommit(c)), 0)
 }
 
+func TestMitigateOvercommitSparesServices(t *testing.T) {
+	c, q := newCluster(1, 1000), &Queue{}
+	service, batch := smallTask("service", 500), smallTask("batch", 500)
+	service.Kind, batch.Worth = operator.Service, 9
+	addTask(q, service)
+	addTask(q, batch)
+	PolicyByName("pack").Decide(c, q, nil, at(0), 100)
+	c.ObserveUsage("service", operator.Size{CPU: 700})
+	assert.DeepEqual(t, MitigateOvercommit(c), []Mitigation{{"batch", Throttle}})
+	assert.DeepEqual(t, MitigateOvercommit(c), []Mitigation{{"batch", Checkpoint}})
+}
+
 func TestInfeasible(t *testing.T) {
 	c := newCluster(2, 1000)
 	assert.Assert(t, Infeasible(c, &Item{Requests: []*TaskRequest{smallTask("big", 1001)}}) != "")
