--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -73,7 +73,7 @@
 	{shard.RunStalled, "job task attempt minion why", "a run makes no progress and is stopped; why is for how long", "the minion's other runs"},
 	{shard.RunEvacuated, "job task attempt minion why", "a run is stopped because it would not end before its minion leaves; why is the remaining time", ""},
 	{shard.CopyQueued, "job task attempt minion why", "a second run of a speculative task waits, because the minion of the first does not answer; the first may continue", "`minion silent`, `zone unreachable`"},
-	{shard.TaskAbsent, "job task attempt minion why", "a lasting task has been away for 6 s, and again each 10 s; why is how that began, for what it has waited and now waits, and what its minions lack", "what it waits for: lease: the minion that was lost; answer: the placement service; lesser: work that may wait holds the room, a fault of ours if it lasts; room: too few minions for what lasts; minion: no minion may run it; account: its limit"},
+	{shard.TaskAbsent, "job task attempt minion why", "a lasting task has been away for 6 s, and again each 10 s; why is how that began, for what it has waited and now waits, and what its minions lack", "what it waits for: lease: the minion that was lost; answer: the placement service; preemptible: work that may wait holds the room, a fault of ours if it lasts; room: too few minions for what lasts; minion: no minion may run it; account: its limit"},
 	{shard.TaskReturns, "job task attempt minion why", "a run of a lasting task that had been away for over 6 s has begun; why is for what it waited", "the same"},
 	{shard.UnexpectedRun, "job task attempt minion", "a minion has a run that its owner did not order or gave up; it is stopped", "the minion, if it repeats: it executes orders late"},
 
--- a/internal/shard/absence.go
+++ b/internal/shard/absence.go
@@ -30,18 +30,18 @@
 
 // What absent tasks wait for.
 const (
-	AwaitsLease   AbsenceCause = iota // the end of the leases of its former minion
-	AwaitsAnswer                      // an answer of the placement service
-	AwaitsLesser                      // room that work which may wait occupies or has reserved
-	AwaitsRoom                        // room that other lasting work occupies
-	AwaitsMinion                      // a minion that may run it: none is there
-	AwaitsAccount                     // the limit of its account
-	AwaitsStart                       // its next start, which is being written or sent
-	AwaitsOther                       // anything else, like the other members of its gang or a trial
-	absenceCauses                     // number of causes
+	AwaitsLease       AbsenceCause = iota // the end of the leases of its former minion
+	AwaitsAnswer                          // an answer of the placement service
+	AwaitsPreemptible                     // room that work which may wait occupies or has reserved
+	AwaitsRoom                            // room that other lasting work occupies
+	AwaitsMinion                          // a minion that may run it: none is there
+	AwaitsAccount                         // the limit of its account
+	AwaitsStart                           // its next start, which is being written or sent
+	AwaitsOther                           // anything else, like the other members of its gang or a trial
+	absenceCauses                         // number of causes
 )
 
-var absenceCauseTexts = [absenceCauses]string{"lease", "answer", "lesser", "room", "minion", "account", "start", "other"}
+var absenceCauseTexts = [absenceCauses]string{"lease", "answer", "preemptible", "room", "minion", "account", "start", "other"}
 
 // String returns the label of the cause.
 func (c AbsenceCause) String() string { return absenceCauseTexts[c] }
@@ -96,17 +96,17 @@
 	}
 }
 
-// savedAway is the absence of the task to persist, nil if there is none.
-func (t *task) savedAway() *savedAway {
+// savedAbsence is the absence of the task to persist, nil if there is none.
+func (t *task) savedAbsence() *savedAbsence {
 	if t.absence == nil || t.absence.stored == 0 {
 		return nil
 	}
-	return &savedAway{t.absence.stored, t.absence.start, t.absence.attempt}
+	return &savedAbsence{t.absence.stored, t.absence.start, t.absence.attempt}
 }
 
 // inheritAbsence takes over an absence that a former owner has recorded. What the
 // task has waited for until now is not known.
-func (s *State) inheritAbsence(p *step, t *task, in *savedAway) {
+func (s *State) inheritAbsence(p *step, t *task, in *savedAbsence) {
 	since, ok := s.StoreClock.Reached(in.Since)
 	if !ok {
 		return
@@ -245,7 +245,7 @@
 			ready += n
 		}
 		free += n
-		freed += p.places(m, m.roomWithoutLesser())
+		freed += p.places(m, m.roomWithoutPreemptible())
 	}
 	switch {
 	case ready >= need:
@@ -253,7 +253,7 @@
 	case free >= need:
 		return AwaitsAnswer
 	case freed >= need:
-		return AwaitsLesser
+		return AwaitsPreemptible
 	case p.advice.inFlight > 0 || s.hasUnqueried(now, p):
 		return AwaitsAnswer
 	case allowed > 0:
@@ -284,8 +284,8 @@
 	return m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom)
 }
 
-// roomWithoutLesser is the room that the lasting runs of a minion leave.
-func (m *minion) roomWithoutLesser() work.Size {
+// roomWithoutPreemptible is the room that the lasting runs of a minion leave.
+func (m *minion) roomWithoutPreemptible() work.Size {
 	room := m.Capacity
 	for _, r := range m.runs {
 		if r.step == nil || r.step.mustRun() {
--- a/internal/shard/leaving.go
+++ b/internal/shard/leaving.go
@@ -13,11 +13,10 @@
 
 // Times of a move.
 const (
-	lostReserveLead = 1500 * time.Millisecond          // before the end of the leases of a lost minion, from which on places are reserved
-	slowStop        = 900 * time.Millisecond           // that a stop may take
-	lastStop        = slowStop + 2*evacuationMargin    // before a draining minion leaves, for its lasting runs to be stopped and reported
-	drainEvictLead  = lastStop + 1200*time.Millisecond // before a draining minion leaves, from which on other work makes room for its lasting runs
-	aheadInterval   = 30 * time.Millisecond            // between two looks for the places of a step
+	slowStop       = 900 * time.Millisecond           // that a stop may take
+	lastStop       = slowStop + 2*evacuationMargin    // before a draining minion leaves, for its lasting runs to be stopped and reported
+	drainEvictLead = lastStop + 1200*time.Millisecond // before a draining minion leaves, from which on other work makes room for its lasting runs
+	aheadInterval  = 30 * time.Millisecond            // between two looks for the places of a step
 )
 
 // leavingStep is a step with lasting runs on minions that drain, or whose leases end
@@ -43,7 +42,7 @@
 	}
 	s.leaving = s.leaving[:0]
 	for _, m := range s.minionsByID() {
-		lost := m.closed && s.givenUpAt(m).Sub(now) < lostReserveLead
+		lost := m.closed && s.givenUpAt(m).Sub(now) < lostLead
 		if len(m.runs) > 0 && (lost || m.Draining && !m.closed) {
 			s.addLeaving(m)
 		}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -23,19 +23,19 @@
 
 // savedTask is the encoding of a task in a progress row.
 type savedTask struct {
-	Phase        Phase        `json:"p,omitempty"`
-	Attempt      int          `json:"a,omitempty"`
-	Failures     int          `json:"f,omitempty"`
-	Minion       string       `json:"m,omitempty"`
-	Born         int64        `json:"b,omitempty"`
-	Saved        string       `json:"c,omitempty"`
-	OpenAttempts []int        `json:"o,omitempty"`
-	Crash        *crashRecord `json:"x,omitempty"`
-	Away         *savedAway   `json:"w,omitempty"`
+	Phase        Phase         `json:"p,omitempty"`
+	Attempt      int           `json:"a,omitempty"`
+	Failures     int           `json:"f,omitempty"`
+	Minion       string        `json:"m,omitempty"`
+	Born         int64         `json:"b,omitempty"`
+	Saved        string        `json:"c,omitempty"`
+	OpenAttempts []int         `json:"o,omitempty"`
+	Crash        *crashRecord  `json:"x,omitempty"`
+	Absence      *savedAbsence `json:"w,omitempty"`
 }
 
-// savedAway is the encoding of an absence.
-type savedAway struct {
+// savedAbsence is the encoding of an absence.
+type savedAbsence struct {
 	Since   int64        `json:"s"` // on the store's clock in ms
 	Start   AbsenceStart `json:"h"`
 	Attempt int          `json:"a"` // of the run that is gone
@@ -79,7 +79,7 @@
 		var ts []savedTask
 		if p.unfinished > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash(), t.savedAway()})
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash(), t.savedAbsence()})
 			}
 		}
 		out.Steps = append(out.Steps, ts)
@@ -209,8 +209,8 @@
 	if in.Crash != nil {
 		t.crash = *in.Crash
 	}
-	if in.Away != nil && in.Phase != Finished {
-		s.inheritAbsence(p, t, in.Away)
+	if in.Absence != nil && in.Phase != Finished {
+		s.inheritAbsence(p, t, in.Absence)
 	}
 	switch in.Phase {
 	case Finished:
--- a/internal/shard/queryahead.go
+++ b/internal/shard/queryahead.go
@@ -55,7 +55,7 @@
 
 // Times before the end of the leases of a silent minion.
 const (
-	lostQueryLead   = 1500 * time.Millisecond // from which on queries are issued for the work there
+	lostLead        = 1500 * time.Millisecond // from which on its work asks for tickets, and lasting tasks reserve places
 	lostTicketSpare = 300 * time.Millisecond  // which a ticket has to outlast
 )
 
@@ -82,7 +82,7 @@
 		if v.s.queryCapacity.Total == 0 {
 			return
 		}
-		if l.first.Sub(v.now) < lostQueryLead {
+		if l.first.Sub(v.now) < lostLead {
 			v.queryForLostStep(l)
 		}
 	}
