--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -30,7 +30,9 @@
 	term        int64
 	ctx         context.Context
 	cancel      context.CancelFunc
-	posted      chan func(now time.Time)
+	posted      chan posted
+	lag         lagMeter
+	activity    ownerActivity
 	state       *shard.State
 	handlers    map[work.Incarnation]*minionHandler
 	minionCount atomic.Int64 // number of handlers
@@ -54,6 +56,7 @@
 
 	mu             sync.RWMutex
 	jobs           map[string]shard.JobStatus
+	activitySample activitySample
 	runTimeErrors  shard.RunTimeErrors
 	accountUses    []shard.AccountUse // as of the last look of balanceGrants
 	pendingByQueue map[string]int     // number of jobs that have not started, by queue
@@ -61,7 +64,7 @@
 
 func newOwner(ctx context.Context, s *Server, service string, row OwnerRow, seq seqRow) *owner {
 	o := &owner{
-		s: s, service: service, term: row.Term, posted: make(chan func(time.Time), 4096), ownerVersion: row.version, seq: seq,
+		s: s, service: service, term: row.Term, posted: make(chan posted, 4096), ownerVersion: row.version, seq: seq,
 		handlers: map[work.Incarnation]*minionHandler{}, advice: adviceRequests{inFlight: map[string]bool{}}, done: make(chan struct{}),
 		jobs: map[string]shard.JobStatus{}, pendingByQueue: map[string]int{},
 	}
@@ -84,10 +87,22 @@
 
 func (o *owner) lastWrite() time.Time { return time.Unix(0, o.lastWriteNanos.Load()) }
 
+// posted is a function for the control goroutine.
+type posted struct {
+	at time.Time // when it was posted
+	f  func(now time.Time)
+}
+
+// execute executes the function.
+func (o *owner) execute(now time.Time, p posted) {
+	o.lag.observe(now, now.Sub(p.at))
+	p.f(now)
+}
+
 // post queues f for execution by the control goroutine.
 func (o *owner) post(f func(now time.Time)) {
 	select {
-	case o.posted <- f:
+	case o.posted <- posted{monotonicNow(), f}:
 	case <-o.ctx.Done():
 	}
 }
@@ -120,8 +135,8 @@
 		select {
 		case <-o.ctx.Done():
 			return
-		case f := <-o.posted:
-			f(monotonicNow())
+		case p := <-o.posted:
+			o.execute(monotonicNow(), p)
 		case <-t.C:
 		}
 		o.runPosted()
@@ -135,8 +150,8 @@
 	now := monotonicNow()
 	for {
 		select {
-		case f := <-o.posted:
-			f(now)
+		case p := <-o.posted:
+			o.execute(now, p)
 		default:
 			return
 		}
@@ -151,7 +166,9 @@
 	if !o.handingOver {
 		o.state.PlacementPaused = o.writing && now.Sub(o.writingSince) > slowWriteTimeout
 		o.state.Decide(now, time.Now(), o.adviceCapacity(now))
+		o.activity.observeDecision(monotonicNow().Sub(now))
 	}
+	o.reportActivity(now)
 	orders := o.state.TakeActions()
 	o.updateJobs(orders.Statuses)
 	for _, stop := range orders.Stops {
--- a/internal/server/samples.go
+++ b/internal/server/samples.go
@@ -18,6 +18,7 @@
 			metric.Sample{Name: "step_owner", Label: "service", LabelValue: o.service, Value: 1},
 			metric.Sample{Name: "step_epoch", Label: "service", LabelValue: o.service, Value: float64(o.term)})
 		o.mu.RLock()
+		out = append(out, o.activitySample.samples(o.service)...)
 		for q, n := range o.pendingByQueue {
 			out = append(out, metric.Sample{Name: "step_queue", Label: "queue", LabelValue: q, Value: float64(n)})
 		}
--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -7,6 +7,12 @@
 // first run that succeeds counts. A run of any other task has to end, or its
 // lease to expire, before the task starts again.
 
+// copyCounts counts the copies of a term.
+type copyCounts struct {
+	started  int
+	needless int // of these, those whose originals ended by themselves
+}
+
 // startCopies requeues tasks for a copy whose runs are on minions that do not
 // answer.
 func (s *State) startCopies(now time.Time) {
@@ -33,7 +39,8 @@
 		return
 	}
 	s.note(Note{What: CopyQueued, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Minion: m.ID, Why: why})
-	r.step.job.hasCopies = true
+	r.step.job.hasCopies, r.copied = true, true
+	s.copies.started++
 	t.openAttempts = append(t.openAttempts, t.attempt)
 	s.requeue(r.step, t)
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -149,6 +149,10 @@
 func (s *State) handleEnd(now time.Time, m *minion, e work.End) {
 	r := m.runs[runKey{e.Task, e.Attempt}]
 	if r != nil {
+		if r.copied && (e.How == work.Done || e.How == work.Failed) {
+			s.copies.needless++
+			r.copied = false
+		}
 		s.remove(m, r)
 	}
 	p := s.stepOf(e.Task)
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -47,6 +47,7 @@
 	unreached   bool        // its start certainly did not reach the minion
 	survived    bool        // a lasting run that has lasted for lastingProof
 	onTrial     bool        // it has to survive before its task is no suspect any more
+	copied      bool        // it was left running for a copy, and has not ended by itself
 	fateOpen    bool        // it was fresh when its minion fell silent or was doubted
 	carried     *accusation // holds if the next incarnation of its minion does not list it
 	speed       int         // percentage at which it works, if speedKnown
