A zone is unreachable only if none of it has answered for 150 ms

Callers saw short jobs take 2.5 to 3.3 s in a burst on the large site, and a backlog that outlived it. Two slow minions made a zone of 132 unreachable until the next answer of any of them, so in each decision that fell between some zone had all its runs copied, and got nothing new. With 9 mute minions in a zone there are always two slow ones. Now the zone itself has to be silent for as long as one call may take. Class of fault: a threshold in absolute numbers that does not grow with the fleet.

TestZoneWithTwoSlowMinionsIsUnreachable fails before.

--- a/internal/shard/copy.go
+++ b/internal/shard/copy.go
@@ -20,7 +20,7 @@
 		return
 	}
 	for _, m := range s.minionsByID() {
-		if m.silentSince.IsZero() && !m.zone.unreachable() {
+		if m.silentSince.IsZero() && !m.zone.unreachable(now) {
 			continue
 		}
 		for _, r := range m.runs {
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -97,7 +97,21 @@
 	o.commit(true)
 	w.deliver(len(w.inFlight))
 	w.cycle()
-	assert.Assert(t, !o.st.zones[home].unreachable(), "a reply makes the zone reachable again")
+	assert.Assert(t, !o.st.zones[home].unreachable(w.now), "a reply makes the zone reachable again")
+}
+
+// In a large zone some minions are always slow to answer.
+func TestZoneWithTwoSlowMinionsIsUnreachable(t *testing.T) {
+	w, o := newOwnedCluster(t, 6)
+	z := o.st.minions[w.minions[0].ID].zone
+	for _, b := range w.minions[:unreachableMinions] {
+		o.st.HandleSlowReply(w.now, b.Incarnation)
+	}
+	assert.Assert(t, !z.unreachable(w.now), "the others have just answered")
+	w.pass(unreachableSilence)
+	assert.Assert(t, z.unreachable(w.now))
+	o.renew(w.minions[5])
+	assert.Assert(t, !z.unreachable(w.now))
 }
 
 // Urgent tasks run on the fastest minions, and other work does not take that
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -55,7 +55,7 @@
 		return isSilent
 	case now.Before(m.pausedUntil) || m.pausedForFailures(now):
 		return isPaused
-	case m.zone.unreachable():
+	case m.zone.unreachable(now):
 		return zoneSilent
 	}
 	return noObstacle
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -141,6 +141,8 @@
 	onTick          func()               // called at the end of each tick, if set
 	onQuery         func(AdviceQuery)    // called for each query, if set
 	stopped         int
+	startDelay      func() time.Duration // until a start is answered, if set; answerTime otherwise
+	firstStarts     int                  // starts of a task that had not started before
 }
 
 func (p *replay) schedule(d time.Duration, f func()) {
@@ -227,6 +229,21 @@
 	p.schedule(writeTime, func() { p.st.Submit(p.now, j) })
 }
 
+// send sends a start, and tells the owner if it is answered late.
+func (p *replay) send(o StartOrder) {
+	d := answerTime
+	if p.startDelay != nil {
+		d = p.startDelay()
+	}
+	if o.Start.Attempt == 1 {
+		p.firstStarts++
+	}
+	if d > slowAfter {
+		p.schedule(slowAfter, func() { p.st.HandleSlowReply(p.now, o.Minion.Incarnation) })
+	}
+	p.schedule(d, func() { p.start(o) })
+}
+
 // start begins a run on a minion.
 func (p *replay) start(o StartOrder) {
 	m := p.minions[o.Minion.ID]
@@ -381,7 +398,7 @@
 		p.st.HandleWritten(p.now, began)
 		for _, x := range b.Starts {
 			if p.st.PrepareStart(p.now, &x) {
-				p.schedule(answerTime, func() { p.start(x) })
+				p.send(x)
 			}
 		}
 		for l, n := range b.AckedEnds {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -25,7 +25,7 @@
 		return
 	}
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
-	m.zone.answered()
+	m.zone.answered(now)
 	if !m.silentSince.IsZero() {
 		m.silentSince = time.Time{}
 		m.token++ // orders sent before the silence must not be executed any more
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -137,7 +137,7 @@
 	}
 	r.renewalMark, r.token = s.renewalSeq, o.Start.Token
 	if err == nil {
-		m.zone.answered()
+		m.zone.answered(now)
 	}
 	switch {
 	case err != nil:
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -16,21 +16,28 @@
 type zone struct {
 	name        string
 	slowMinions map[string]bool // minions with a slow call since any minion of the zone last answered
+	answeredAt  time.Time       // when any minion of the zone last answered
 	size        int             // minions in the zone
 }
 
-// unreachableMinions is how many minions have to be slow to answer before the
-// zone counts as unreachable.
-const unreachableMinions = 2
+// When a zone counts as unreachable.
+const (
+	unreachableMinions = 2                      // that have to be slow to answer
+	unreachableSilence = 150 * time.Millisecond // without an answer from any minion, since in a large zone some are always slow
+)
 
 // unreachable reports whether calls to the zone get no replies.
-func (z *zone) unreachable() bool {
-	return z != nil && len(z.slowMinions) > 0 && len(z.slowMinions) >= min(unreachableMinions, z.size)
+func (z *zone) unreachable(now time.Time) bool {
+	return z != nil && len(z.slowMinions) > 0 && len(z.slowMinions) >= min(unreachableMinions, z.size) && now.Sub(z.answeredAt) >= unreachableSilence
 }
 
 // answered records that a minion of the zone has answered.
-func (z *zone) answered() {
-	if z != nil && len(z.slowMinions) > 0 {
+func (z *zone) answered(now time.Time) {
+	if z == nil {
+		return
+	}
+	z.answeredAt = now
+	if len(z.slowMinions) > 0 {
 		clear(z.slowMinions)
 	}
 }
@@ -47,9 +54,9 @@
 	if z.slowMinions[l.ID] {
 		return
 	}
-	was := z.unreachable()
+	was := z.unreachable(now)
 	z.slowMinions[l.ID] = true
-	if !was && z.unreachable() {
+	if !was && z.unreachable(now) {
 		s.checkedAt = time.Time{}
 		s.note(Note{What: ZoneUnreachable, Minion: l.ID, Why: "no answers from " + z.name})
 	}
