Copies are a share of first starts, and wait for as long as silences last

Nothing bounded copies, and each task of a job with copies that ended had all runs of the fleet looked at for some to stop, so copies cost the owner most when it had least time. Class of fault: retries without a budget that feed the delay that causes them.

Now a first start allows for 0.05 copies, only copies that were needed give back what they take, and they start once a silence outlasts nine in ten of those that ended by themselves. A job knows its copied runs.

--- a/internal/server/activity.go
+++ b/internal/server/activity.go
@@ -49,7 +49,7 @@
 	cpu, s := processTime(), o.state.Activity()
 	sample := activitySample{(cpu - l.cpuSince).Seconds() / took.Seconds(), l.lag.Seconds(), l.deciding.Seconds() / took.Seconds(), s}
 	o.s.Log.Info("owner activity", "service", o.service, "term", o.term, "cores", sample.cores, "lag", ms(l.lag), "decisions", l.decisions, "deciding", ms(l.deciding),
-		"longest", ms(l.longest), "waiting", s.Waiting, "runs", s.Runs, "copies", s.Copies, "needless", s.NeedlessCopies)
+		"longest", ms(l.longest), "waiting", s.Waiting, "runs", s.Runs, "copies", s.Copies, "needless", s.NeedlessCopies, "delay", ms(s.CopyDelay))
 	o.mu.Lock()
 	o.activitySample = sample
 	o.mu.Unlock()
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -40,7 +40,7 @@
 	{"shard claim lost", "service term why", "another entry claimed the shard first", "nothing, unless owners change every few seconds: then the store"},
 	{"shard loaded", "service term jobs minions", "an owner has read its shard and makes decisions", ""},
 	{"owner deposed", "service term why", "this entry no longer owns the shard; its later writes have no effect", "whether it was frozen, cut off or slow"},
-	{"owner activity", "service term cores lag decisions deciding longest waiting runs copies needless", "what an owner has done in the last 2 s: cores of its process, the longest that something waited for it, decisions, the time spent on them and the longest, in ms; tasks that wait and runs now; copies and needless ones in this term", "cores near the setting `cores`, or a lag above 100: the owner is short of processor time"},
+	{"owner activity", "service term cores lag decisions deciding longest waiting runs copies needless delay", "what an owner has done in the last 2 s: cores of its process, the longest that something waited for it, decisions, the time spent on them and the longest, in ms; tasks that wait and runs now; copies and needless ones in this term, and the silence in ms from which on copies start", "cores near the setting `cores`, or a lag above 100: the owner is short of processor time"},
 	{"shard handed over", "service term next", "a shard was released for another entry to claim", ""},
 	{"shard handover failed", "service why", "a shard could not be released; other entries have to detect that it has no owner", "the store"},
 	{"shard write failed", "service term why", "an owner's write failed and is retried; logged once a write", "the store"},
--- a/internal/shard/copy_test.go
+++ b/internal/shard/copy_test.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -116,3 +118,48 @@
 	assert.Equal(t, w.state("a"), Active)
 	assert.Equal(t, w.running(), 1)
 }
+
+// Minions that fall silent for a moment, again and again, had all their runs copied each
+// time, although these ended well.
+func TestNeedlessCopiesHaveNoBound(t *testing.T) {
+	const minions = 40
+	w, o := newOwnedCluster(t, minions)
+	for i := range minions {
+		w.submit(newJob(fmt.Sprint("j", i), speculativeTasks(3, 1000)))
+	}
+	w.cycle()
+	starts := w.running()
+	for range 20 {
+		for _, b := range w.minions {
+			o.st.HandleNoReply(w.now, b.Incarnation)
+		}
+		w.pass(checkInterval)
+		o.step()
+		w.pass(300 * time.Millisecond)
+		for _, b := range w.minions {
+			o.renew(b)
+		}
+		w.finishAll()
+		w.cycle()
+	}
+	most := max(minCopyBurst, copyBurstShare*minions) + copiesPerStart*float64(starts)
+	assert.Check(t, float64(o.st.Activity().Copies) <= most, "%d copies", o.st.Activity().Copies)
+	assert.Check(t, o.st.Activity().CopyDelay > 0)
+}
+
+// Copies that are needed give back what they take of the budget.
+func TestNeededCopiesAreNotUsedUp(t *testing.T) {
+	var b copyBudget
+	for range 10 * minCopyBurst {
+		assert.Assert(t, b.take(1))
+		b.needed()
+	}
+	for range minCopyBurst {
+		assert.Assert(t, b.take(1))
+	}
+	assert.Assert(t, !b.take(1), "none of them was needed")
+	for range int(1/copiesPerStart) + 1 {
+		b.allow()
+	}
+	assert.Assert(t, b.take(1), "first starts allow for more")
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -108,7 +108,7 @@
 	arrivedAt       time.Time     // on the owner's clock
 	cachedObjective time.Duration // objective: from submission, or the due time, to the end
 	bundle          *bundle       // bundle with the newest progress; nil if that is in a row of its own
-	hasCopies       bool          // its tasks may have more than one run
+	copied          []copiedRun   // runs left running for copies; some may have ended
 
 	account *clientAccount // nil if it belongs to none
 	excess  bool           // it arrived beyond the rate of its account
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -86,6 +86,9 @@
 	}
 	delete(m.runs, r.key)
 	r.closeFate()
+	if r.copied {
+		s.copyBudget.needed()
+	}
 	m.used = m.used.Minus(r.size)
 	m.countRun(r, -1)
 	s.wakeSteps(m)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -25,8 +25,9 @@
 		return
 	}
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
-	m.zone.answered(now)
+	s.zoneAnswered(now, m)
 	if !m.silentSince.IsZero() {
+		s.copyBudget.observeSilence(now.Sub(m.silentSince))
 		m.silentSince = time.Time{}
 		m.token++ // orders sent before the silence must not be executed any more
 		s.note(Note{What: MinionAnswers, Minion: m.ID})
@@ -150,7 +151,7 @@
 	r := m.runs[runKey{e.Task, e.Attempt}]
 	if r != nil {
 		if r.copied && (e.How == work.Done || e.How == work.Failed) {
-			s.copies.needless++
+			s.copyBudget.needless++
 			r.copied = false
 		}
 		s.remove(m, r)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -67,6 +67,9 @@
 		j.state = Active
 	}
 	s.note(Note{What: TaskPlaced, Job: t.id.Job, Task: t.id.String(), Attempt: attempt, Minion: m.ID})
+	if attempt == 1 {
+		s.copyBudget.allow()
+	}
 	if t.needsTrial() {
 		s.beginTrial(v.now, m, r)
 	}
@@ -137,7 +140,7 @@
 	}
 	r.renewalMark, r.token = s.renewalSeq, o.Start.Token
 	if err == nil {
-		m.zone.answered(now)
+		s.zoneAnswered(now, m)
 	}
 	switch {
 	case err != nil:
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -72,7 +72,7 @@
 	minions          map[string]*minion
 	zones            map[string]*zone
 	trials           []*minion // minions with a trial
-	copies           copyCounts
+	copyBudget       copyBudget
 	sortedMinions    []*minion // by ID; nil when minions has changed
 	termStart        time.Time // when the term began
 	renewalSeq       int64     // sequence number of the last renewal
--- a/internal/shard/zone.go
+++ b/internal/shard/zone.go
@@ -31,15 +31,27 @@
 	return z != nil && len(z.slowMinions) > 0 && len(z.slowMinions) >= min(unreachableMinions, z.size) && now.Sub(z.answeredAt) >= unreachableSilence
 }
 
-// answered records that a minion of the zone has answered.
-func (z *zone) answered(now time.Time) {
+// answered records that a minion of the zone has answered, and returns for how long
+// the zone had been unreachable.
+func (z *zone) answered(now time.Time) (silence time.Duration) {
 	if z == nil {
-		return
+		return 0
+	}
+	if z.unreachable(now) {
+		silence = now.Sub(z.answeredAt)
 	}
 	z.answeredAt = now
 	if len(z.slowMinions) > 0 {
 		clear(z.slowMinions)
 	}
+	return silence
+}
+
+// zoneAnswered records that a minion has answered.
+func (s *State) zoneAnswered(now time.Time, m *minion) {
+	if d := m.zone.answered(now); d > 0 {
+		s.copyBudget.observeSilence(d)
+	}
 }
 
 // HandleSlowReply records that a call to a minion has had no reply for longer
