What an owner is late itself does not count against minions

An owner that is short of processor time finds replies late that arrived in time: its timers fire first, minions are paused for 300 ms, zones count as unreachable, renewals as unanswered, and all that follows takes more of its time. Class of fault: a failure detector that takes its own delay for that of what it watches.

How long leases last does not depend on it.

--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -112,7 +112,7 @@
 func (c *Carrier) runCall(s *session, x *Call, sent time.Time) {
 	r := Result{N: x.N}
 	if age := c.now().Sub(sent); age > maxCallDelay {
-		r.Error = "the call was held up for " + age.String()
+		r.Error, r.NotMade = "the call was held up for "+age.String(), true
 	} else if err := s.call(x, &r); err != nil {
 		r.Error, r.Gone = err.Error(), errors.Is(err, work.ErrWrongMinion)
 	}
--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -35,6 +35,9 @@
 // the call is unknown.
 var ErrCarrierLost = errors.New("carrier lost; outcome of the call unknown")
 
+// ErrNotMade means that a carrier has not made a call, because it came too late.
+var ErrNotMade = errors.New("the call was held up and not made")
+
 // callKind is the operation that a Call performs.
 type callKind int8
 
@@ -70,6 +73,7 @@
 	Fenced  bool
 	Error   string // empty if the minion answered
 	Gone    bool   // another minion has the address
+	NotMade bool   // the call was held up
 }
 
 // err restores the error that the minion client returned to the carrier.
@@ -79,6 +83,8 @@
 		return nil
 	case r.Gone:
 		return errors.Mark(errors.New(r.Error), work.ErrWrongMinion)
+	case r.NotMade:
+		return errors.Mark(errors.New(r.Error), ErrNotMade)
 	}
 	return errors.New(r.Error)
 }
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -334,6 +334,7 @@
 	a := c.FetchResults("s")
 	assert.Equal(t, len(a.Results), 1)
 	assert.Assert(t, a.Results[0].Error != "")
+	assert.Assert(t, errors.Is(a.Results[0].err(), ErrNotMade))
 	c.RunBatch(batch(3))
 	assert.Equal(t, c.FetchResults("s").Results[0].Error, "")
 	started, _, _ := m.counts()
--- a/internal/server/lag.go
+++ b/internal/server/lag.go
@@ -1,12 +1,21 @@
 package server
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// lagWindow is the time over which the greatest lag is kept, and as long after it.
-const lagWindow = 250 * time.Millisecond
+// An owner that is short of processor time learns late of replies that arrived in
+// time. What it is late itself must not count against minions: otherwise it would
+// take them for silent, and what follows from that would take yet more of its time.
+
+// Limits on lag.
+const (
+	lagWindow    = 250 * time.Millisecond // over which the greatest lag is kept, and as long after it
+	tolerableLag = 25 * time.Millisecond  // that says nothing: an owner waits some time between decisions
+	maxExcuses   = 3                      // of one call, or of renewals of one minion in a row
+)
 
 // lagMeter measures how late the control goroutine executes what is posted to it.
 // Only that goroutine may call observe.
@@ -32,3 +41,51 @@
 
 // recent returns the greatest lag of late.
 func (l *lagMeter) recent() time.Duration { return time.Duration(l.published.Load()) }
+
+// lateWatch reports a call that takes long, unless this process is late itself: then
+// the reply may be here, and it waits for as long again.
+type lateWatch struct {
+	o      *owner
+	report func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	due     time.Time
+	excuses int
+	ended   bool
+}
+
+// watchCall calls report unless the returned watch is stopped within limit.
+func (o *owner) watchCall(limit time.Duration, report func()) *lateWatch {
+	w := &lateWatch{o: o, report: report, due: monotonicNow().Add(limit)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(limit, w.fire)
+	return w
+}
+
+func (w *lateWatch) fire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	now := monotonicNow()
+	lag := max(now.Sub(w.due), w.o.lag.recent())
+	if lag > tolerableLag && w.excuses < maxExcuses {
+		w.excuses++
+		w.due = now.Add(lag)
+		w.timer.Reset(lag)
+		return
+	}
+	w.ended = true
+	w.report()
+}
+
+// stop ends the watch.
+func (w *lateWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+}
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/carry"
 	"jasminestep/internal/shard"
 	"jasminestep/internal/work"
 )
@@ -28,6 +29,7 @@
 	incarnation work.Incarnation
 	acked       atomic.Int64 // ends up to this one may be acknowledged
 	acksChanged chan struct{}
+	excuses     int // renewals in a row that failed because this process was late
 }
 
 // startHandlers starts a handler for each new incarnation of a minion.
@@ -87,12 +89,15 @@
 		wait = renewWait
 	}
 	ctx, cancel := context.WithTimeout(h.o.ctx, wait+renewTimeout)
-	ended := h.reportIfLate(wait)
+	watch := h.reportIfLate(wait)
 	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, h.acked.Load(), wait)
-	ended()
+	watch.stop()
 	cancel()
 	if err != nil {
 		h.o.s.Log.Debug("renewal failed", "minion", h.incarnation.ID, "fenced", fenced, "why", err.Error())
+		if h.excused(err) {
+			return
+		}
 		h.o.post(func(now time.Time) {
 			if errors.Is(err, work.ErrWrongMinion) {
 				h.o.state.HandleReplaced(now, h.incarnation)
@@ -103,12 +108,24 @@
 		sleep(h.o.ctx, silentRetryDelay)
 		return
 	}
+	h.excuses = 0
 	h.o.post(func(now time.Time) { h.o.state.HandleReport(now, n, rep) })
 	if len(rep.Ended) > 0 {
 		h.awaitAck(rep.Ended[len(rep.Ended)-1].N)
 	}
 }
 
+// excused reports whether a renewal without a reply is made again at once: it was not
+// made, or this process is so late that the reply may have been here in time.
+func (h *minionHandler) excused(err error) bool {
+	late := errors.Is(err, carry.ErrNotMade) || errors.Is(err, context.DeadlineExceeded) && h.o.lag.recent() >= lateCallDelay
+	if !late || h.excuses >= maxExcuses {
+		return false
+	}
+	h.excuses++
+	return true
+}
+
 // awaitAck waits until ends up to last are durable, but at most maxAckWait
 // because leases have to be renewed in time.
 func (h *minionHandler) awaitAck(last int64) {
@@ -138,20 +155,19 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
 		defer cancel()
-		defer h.reportIfLate(0)()
+		defer h.reportIfLate(0).stop()
 		why, err := h.o.minionCalls.Start(ctx, &order.Minion, order.Start)
 		h.o.post(func(now time.Time) { h.o.state.HandleStartReply(now, order, why, err) })
 	}()
 }
 
 // reportIfLate reports to the shard if a call takes longer than lateCallDelay
-// beyond its long-poll wait. The returned function must be called when the call
-// has ended.
-func (h *minionHandler) reportIfLate(wait time.Duration) (ended func()) {
-	t := time.AfterFunc(wait+lateCallDelay, func() {
+// beyond its long-poll wait. The returned watch must be stopped when the call has
+// ended.
+func (h *minionHandler) reportIfLate(wait time.Duration) *lateWatch {
+	return h.o.watchCall(wait+lateCallDelay, func() {
 		h.o.post(func(now time.Time) { h.o.state.HandleSlowReply(now, h.incarnation) })
 	})
-	return func() { t.Stop() }
 }
 
 // sendStop sends a stop; its effect shows in later reports.
