Messages to carriers and peers do not grow with the number of entries

An owner of 792 minions with 147 entries spent most of its time on messages: two carriers in each of six zones got a batch for nearly every call (2,340 for 1,960 calls a second in BenchmarkCallsToFleet), and each open connection was pinged each second, three to a peer for calls that one could carry. An idle owner used 0.08 cores, a calm one 0.25.

Calls are collected for longer the more carriers there are, 2 ms for each, a zone has one carrier at a time and another in reserve, calls share the connection with the fewest in progress, and a connection is pinged only when nothing was received for a second.

TestBatchesGrowWithTheNumberOfCarriers and TestConnectionsInUseArePinged fail before.

--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -13,11 +13,11 @@
 
 // Timing of a carrier.
 const (
-	resultBatchDelay = 4 * time.Millisecond   // time to collect further results for the same reply
-	maxFetchWait     = 100 * time.Millisecond // how long a fetch waits for the first result
-	sessionTimeout   = time.Second            // a session is closed when its owner has not fetched results for this long
-	maxCallDelay     = 300 * time.Millisecond // calls delayed for longer in transit or in this process are not made
-	offsetWindow     = 5 * time.Second        // the clock offset is estimated over two such windows
+	minResultDelay = 4 * time.Millisecond   // time to collect further results for the same reply
+	maxFetchWait   = 100 * time.Millisecond // how long a fetch waits for the first result
+	sessionTimeout = time.Second            // a session is closed when its owner has not fetched results for this long
+	maxCallDelay   = 300 * time.Millisecond // calls delayed for longer in transit or in this process are not made
+	offsetWindow   = 5 * time.Second        // the clock offset is estimated over two such windows
 )
 
 // Carrier makes calls to minions on behalf of owners. Use NewCarrier.
@@ -51,6 +51,7 @@
 	cancel    context.CancelFunc
 	lastFetch time.Time // when the owner last fetched results
 	delays    delayEstimator
+	delay     time.Duration // time to collect results for the same reply
 	results   []Result
 	ready     chan struct{} // holds a value whenever results may be non-empty
 }
@@ -101,6 +102,7 @@
 	c.mu.Lock()
 	s := c.lookupSession(b.Session, now)
 	delay := s.delays.excessDelay(now, b.Sent)
+	s.delay = min(max(b.Delay, minResultDelay), maxBatchDelay)
 	c.mu.Unlock()
 	for i := range b.Calls {
 		go c.runCall(s, &b.Calls[i], now.Add(-delay))
@@ -151,12 +153,13 @@
 	c.mu.Lock()
 	s := c.lookupSession(name, now)
 	s.lastFetch = now
+	delay := s.delay
 	c.mu.Unlock()
 	t := time.NewTimer(maxFetchWait)
 	defer t.Stop()
 	select {
 	case <-s.ready:
-		time.Sleep(resultBatchDelay)
+		time.Sleep(delay)
 	case <-t.C:
 	}
 	c.mu.Lock()
--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -92,7 +92,8 @@
 // Batch is a group of calls sent to a carrier in one request.
 type Batch struct {
 	Session string
-	Sent    int64 // nanoseconds on the owner's clock
+	Sent    int64         // nanoseconds on the owner's clock
+	Delay   time.Duration // time to collect results for the same reply, if above minResultDelay
 	Calls   []Call
 }
 
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -188,6 +188,33 @@
 
 // A renewal must succeed without its carrier, so that the minion is not
 // considered silent while the carrier does not respond.
+// With a carrier or two in each zone, each of them got a batch of its own for nearly every
+// call.
+func TestBatchesGrowWithTheNumberOfCarriers(t *testing.T) {
+	const carriers, calls = 10, 400
+	var addrs []string
+	for i := range carriers {
+		addrs = append(addrs, fmt.Sprint("c", i))
+	}
+	s := newTestSetup(t, addrs...)
+	s.dispatcher.Carriers = func(zone string) []string { return []string{zone} }
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range calls {
+		m := &work.Minion{Incarnation: work.Incarnation{ID: "m", Born: 7}, Address: "x", Zone: addrs[i%carriers]}
+		wg.Go(func() {
+			_, err := s.dispatcher.Start(contextWithTimeout(t, 2*time.Second), m, work.Start{Task: work.TaskID{Job: fmt.Sprint(i)}})
+			assert.Check(t, err)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	wg.Wait()
+	most := int(time.Since(began)/batchInterval) + carriers
+	s.transport.mu.Lock()
+	defer s.transport.mu.Unlock()
+	assert.Check(t, s.transport.batches <= most, "%d batches of %d calls, at most %d are due", s.transport.batches, calls, most)
+}
+
 func TestRenewalsGoOnWithoutTheCarrier(t *testing.T) {
 	s := newTestSetup(t, "a")
 	_, _, err := s.dispatcher.Renew(contextWithTimeout(t, time.Second), testMinion, 1, 2, 0, 0)
--- a/internal/carry/dispatcher.go
+++ b/internal/carry/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -14,7 +13,9 @@
 
 // Timing on the owner's side.
 const (
-	batchDelay     = 3 * time.Millisecond   // time to collect further calls for the same batch
+	minBatchDelay  = 3 * time.Millisecond   // time to collect further calls for the same batch
+	maxBatchDelay  = 25 * time.Millisecond  // the same with many carriers
+	batchInterval  = 2 * time.Millisecond   // between two batches over all carriers: a batch costs as much as several calls
 	rpcTimeout     = 450 * time.Millisecond // for requests to a carrier, even if it has no results, before it is abandoned
 	avoidDuration  = 3 * time.Second        // how long an abandoned or draining carrier is not used
 	replyMargin    = 40 * time.Millisecond  // part of a call's time reserved for returning the result
@@ -33,7 +34,7 @@
 	Direct        *DirectCaller // calls from this process
 	Transport     Transport
 	SessionPrefix string                     // identifies the owner and its term
-	Carriers      func(zone string) []string // addresses of the carriers for an availability zone; if empty, minions are called directly
+	Carriers      func(zone string) []string // addresses of the carriers for an availability zone, the one to use first; if empty, minions are called directly
 	OnCarrierLost func(addr, why string)     // called when a carrier is abandoned
 	Now           func() time.Time
 
@@ -135,9 +136,7 @@
 	if p.closed {
 		return nil
 	}
-	first := int(hashID(to.ID) % uint32(len(addrs)))
-	for i := range addrs {
-		a := addrs[(first+i)%len(addrs)]
+	for _, a := range addrs {
 		if now.Before(p.avoidUntil[a]) {
 			continue
 		}
@@ -149,12 +148,6 @@
 	return nil
 }
 
-func hashID(id string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // never returns an error
-	return h.Sum32()
-}
-
 // openLink opens a link to a carrier. The link lives until the carrier is
 // abandoned or has drained, or until Close.
 func (p *Dispatcher) openLink(ctx context.Context, addr string) {
@@ -212,6 +205,14 @@
 	}
 }
 
+// batchDelay is how long calls to a carrier are collected: the more carriers there are,
+// the longer, so that the number of batches does not grow with the fleet.
+func (p *Dispatcher) batchDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(time.Duration(len(p.links))*batchInterval, minBatchDelay), maxBatchDelay)
+}
+
 // sendLoop sends queued calls in batches.
 func (w *link) sendLoop() {
 	for {
@@ -220,9 +221,10 @@
 		case <-w.ctx.Done():
 			return
 		}
-		time.Sleep(batchDelay)
+		delay := w.dispatcher.batchDelay()
+		time.Sleep(delay)
 		w.mu.Lock()
-		b := Batch{Session: w.session, Sent: w.dispatcher.Now().UnixNano(), Calls: w.queue}
+		b := Batch{Session: w.session, Sent: w.dispatcher.Now().UnixNano(), Delay: delay, Calls: w.queue}
 		w.queue = nil
 		w.mu.Unlock()
 		go func() {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,7 +30,7 @@
 	pingTimeout  = 1500 * time.Millisecond
 	idleTimeout  = 15 * time.Second
 	writeTimeout = 5 * time.Second
-	trafficConns = 3 // in addition to the one control connection
+	trafficConns = 3 // at most, in addition to the one control connection
 )
 
 // ConnClass selects the connection of a call. Control calls have one of their own
@@ -48,9 +48,8 @@
 	dial         transport.Dial
 	controlBytes *transport.ByteCounter // bytes on control connections
 
-	mu          sync.Mutex
-	conns       map[string][]*conn // by address; index 0 is the control connection
-	nextTraffic int
+	mu    sync.Mutex
+	conns map[string][]*conn // by address; index 0 is the control connection
 }
 
 // New returns a client that connects with dial and adds the bytes on control
@@ -65,6 +64,7 @@
 	rpc   *rpc.Client
 	err   error
 	dead  atomic.Bool
+	heard atomic.Bool // something has been received since it was last set to false
 
 	mu       sync.Mutex
 	calls    int       // in progress
@@ -99,17 +99,21 @@
 	return k.retired
 }
 
-// monitoredConn sets a deadline for every write and records read errors.
+// monitoredConn sets a deadline for every write and records what is received and read
+// errors.
 type monitoredConn struct {
 	net.Conn
-	dead *atomic.Bool // set on a read error, so that no further call uses the connection
+	dead  *atomic.Bool // set on a read error, so that no further call uses the connection
+	heard *atomic.Bool // set when something is received
 }
 
-// Read sets dead on an error, including io.EOF.
+// Read sets dead on an error, including io.EOF, and heard otherwise.
 func (c monitoredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err != nil {
 		c.dead.Store(true)
+	} else {
+		c.heard.Store(true)
 	}
 	return n, err
 }
@@ -120,6 +124,29 @@
 	return c.Conn.Write(b)
 }
 
+// leastBusy returns the index of the traffic connection with the fewest calls in
+// progress, the first of them, so that the others become idle and close.
+func leastBusy(ks []*conn) int {
+	best, fewest := 1, ks[1].load()
+	for i := 2; i < len(ks) && fewest > 0; i++ {
+		if n := ks[i].load(); n < fewest {
+			best, fewest = i, n
+		}
+	}
+	return best
+}
+
+// load returns the number of calls in progress. A connection that is not open has
+// none.
+func (k *conn) load() int {
+	if k == nil {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls
+}
+
 // getConn returns an open connection to addr, dialling if necessary. The caller
 // calls end after use.
 func (c *Client) getConn(ctx context.Context, addr string, class ConnClass) (*conn, error) {
@@ -129,8 +156,7 @@
 	}
 	i := 0
 	if class == Traffic {
-		c.nextTraffic++
-		i = 1 + c.nextTraffic%trafficConns
+		i = leastBusy(c.conns[addr])
 	}
 	k := c.conns[addr][i]
 	if k == nil || !k.begin() {
@@ -165,7 +191,7 @@
 	if class == Control {
 		nc = c.controlBytes.Conn(nc)
 	}
-	k.rpc = rpc.NewClientWithCodec(newClientCodec(monitoredConn{nc, &k.dead}))
+	k.rpc = rpc.NewClientWithCodec(newClientCodec(monitoredConn{nc, &k.dead, &k.heard}))
 	if k.dead.Load() {
 		k.close()
 		return
@@ -173,8 +199,9 @@
 	go k.keepAlive()
 }
 
-// keepAlive pings the peer and closes the connection when it fails, stops
-// responding or has been idle for idleTimeout.
+// keepAlive pings the peer whenever nothing has been received for pingInterval, and
+// closes the connection when that fails, the peer stops responding or the connection
+// has been idle for idleTimeout.
 func (k *conn) keepAlive() {
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
@@ -183,12 +210,16 @@
 		if k.retire(time.Now()) {
 			return
 		}
+		if k.heard.Swap(false) {
+			continue
+		}
 		call := k.rpc.Go("Peer.Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
 		select {
 		case <-call.Done:
 			if call.Error != nil {
 				return
 			}
+			k.heard.Store(false)
 		case <-time.After(pingTimeout):
 			return
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,10 +15,13 @@
 )
 
 // Echo is the service of these tests.
-type Echo struct{ n atomic.Int64 }
+type Echo struct{ n, pings atomic.Int64 }
 
 // Ping returns immediately.
-func (*Echo) Ping(struct{}, *struct{}) error { return nil }
+func (e *Echo) Ping(struct{}, *struct{}) error {
+	e.pings.Add(1)
+	return nil
+}
 
 // Say returns its argument.
 func (e *Echo) Say(s string, r *string) error {
@@ -214,3 +217,25 @@
 	assert.Equal(t, e.n.Load(), int64(1))
 	assert.NilError(t, c.Call(context.Background(), addr, Control, "Say", "y", new(string)))
 }
+
+// Connections that are in use were pinged each second, and calls that could share one
+// kept all of them open: an owner spent more on pings than on its work, with 147 peers.
+func TestConnectionsInUseArePinged(t *testing.T) {
+	addr, e := serve(t)
+	c := New(transport.DialFrom(""), &transport.ByteCounter{})
+	defer c.Close()
+	for end := time.Now().Add(2 * pingInterval); time.Now().Before(end); time.Sleep(pingInterval / 10) {
+		var got string
+		assert.NilError(t, c.Call(context.Background(), addr, Traffic, "Say", "x", &got))
+	}
+	assert.Equal(t, e.pings.Load(), int64(0))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := 0
+	for _, k := range c.conns[addr] {
+		if k != nil {
+			open++
+		}
+	}
+	assert.Equal(t, open, 1)
+}
--- a/internal/server/carry.go
+++ b/internal/server/carry.go
@@ -12,8 +12,9 @@
 	"jasminestep/internal/peer"
 )
 
-// carriersPerZone is how many entries of an availability zone make calls to its
-// minions for one owner. More carriers would make for smaller batches.
+// carriersPerZone is how many entries of an availability zone may make calls to its
+// minions for one owner. The first does, the others replace it when it is lost: more
+// carriers at a time would make for smaller batches.
 const carriersPerZone = 2
 
 // carrierListTTL is how long a list of carriers is used before it is computed
@@ -81,7 +82,6 @@
 		for _, e := range es[:min(len(es), carriersPerZone)] {
 			out[z] = append(out[z], e.Addr)
 		}
-		slices.Sort(out[z])
 	}
 	return out
 }
