A question names 30 minions at least, as many as objectives allow for

Short jobs asked 2 to 4 times each, and 7.7 times in trouble, about 16 minions, of which many were full by the answer; an objective has time for 30 a step.

--- a/internal/shard/query.go
+++ b/internal/shard/query.go
@@ -137,7 +137,7 @@
 
 // Limits on placement queries.
 const (
-	minQueryMinions     = 16
+	minQueryMinions     = minionsInObjective
 	maxQueryMinions     = 60
 	queryMinionsPerTask = 4 // minions named per task needed, because many are not eligible
 	spareTicketMinions  = 2 // minions named beyond those of a gang whose tickets are renewed
