--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -186,8 +186,6 @@
 	assert.Assert(t, s.transport.batches < n/10, "%d batches sent", s.transport.batches)
 }
 
-// A renewal must succeed without its carrier, so that the minion is not
-// considered silent while the carrier does not respond.
 // With a carrier or two in each zone, each of them got a batch of its own for nearly every
 // call.
 func TestBatchesGrowWithTheNumberOfCarriers(t *testing.T) {
@@ -215,6 +213,8 @@
 	assert.Check(t, s.transport.batches <= most, "%d batches of %d calls, at most %d are due", s.transport.batches, calls, most)
 }
 
+// A renewal must succeed without its carrier, so that the minion is not
+// considered silent while the carrier does not respond.
 func TestRenewalsGoOnWithoutTheCarrier(t *testing.T) {
 	s := newTestSetup(t, "a")
 	_, _, err := s.dispatcher.Renew(contextWithTimeout(t, time.Second), testMinion, 1, 2, 0, 0)
--- a/internal/server/activity.go
+++ b/internal/server/activity.go
@@ -29,41 +29,41 @@
 }
 
 // observeDecision records a decision.
-func (l *ownerActivity) observeDecision(d time.Duration) {
-	l.decisions++
-	l.deciding += d
-	l.longest = max(l.longest, d)
+func (a *ownerActivity) observeDecision(d time.Duration) {
+	a.decisions++
+	a.deciding += d
+	a.longest = max(a.longest, d)
 }
 
 // reportActivity logs and publishes what the owner has done, every activityInterval.
 func (o *owner) reportActivity(now time.Time) {
-	l := &o.activity
-	l.lag = max(l.lag, o.lag.recent())
-	if l.since.IsZero() {
-		l.since, l.cpuSince = now, processTime()
+	a := &o.activity
+	a.lag = max(a.lag, o.lag.recent())
+	if a.since.IsZero() {
+		a.since, a.cpuSince = now, processTime()
 	}
-	took := now.Sub(l.since)
+	took := now.Sub(a.since)
 	if took < activityInterval {
 		return
 	}
 	cpu, s := processTime(), o.state.Activity()
-	sample := activitySample{(cpu - l.cpuSince).Seconds() / took.Seconds(), l.lag.Seconds(), l.deciding.Seconds() / took.Seconds(), s}
-	o.s.Log.Info("owner activity", "service", o.service, "term", o.term, "cores", sample.cores, "lag", ms(l.lag), "decisions", l.decisions, "deciding", ms(l.deciding),
-		"longest", ms(l.longest), "waiting", s.Waiting, "runs", s.Runs, "copies", s.Copies, "needless", s.NeedlessCopies, "delay", ms(s.CopyDelay))
+	sample := activitySample{(cpu - a.cpuSince).Seconds() / took.Seconds(), a.lag.Seconds(), a.deciding.Seconds() / took.Seconds(), s}
+	o.s.Log.Info("owner activity", "service", o.service, "term", o.term, "cores", sample.cores, "lag", ms(a.lag), "decisions", a.decisions, "deciding", ms(a.deciding),
+		"longest", ms(a.longest), "waiting", s.Waiting, "runs", s.Runs, "copies", s.Copies, "needless", s.NeedlessCopies, "delay", ms(s.CopyDelay))
 	o.mu.Lock()
 	o.activitySample = sample
 	o.mu.Unlock()
-	*l = ownerActivity{since: now, cpuSince: cpu}
+	*a = ownerActivity{since: now, cpuSince: cpu}
 }
 
 // samples returns the readings of the owner's activity. The owner's mutex is held.
-func (l *activitySample) samples(service string) []metric.Sample {
+func (s *activitySample) samples(service string) []metric.Sample {
 	out := []metric.Sample{
-		{Name: "step_owner_cores", Value: l.cores},
-		{Name: "step_owner_lag_seconds", Value: l.lag},
-		{Name: "step_owner_deciding", Value: l.deciding},
-		{Name: "step_copies", Value: float64(l.shard.Copies)},
-		{Name: "step_needless_copies", Value: float64(l.shard.NeedlessCopies)},
+		{Name: "step_owner_cores", Value: s.cores},
+		{Name: "step_owner_lag_seconds", Value: s.lag},
+		{Name: "step_owner_deciding", Value: s.deciding},
+		{Name: "step_copies", Value: float64(s.shard.Copies)},
+		{Name: "step_needless_copies", Value: float64(s.shard.NeedlessCopies)},
 	}
 	for i := range out {
 		out[i].Label, out[i].LabelValue = "service", service
--- a/internal/server/lag.go
+++ b/internal/server/lag.go
@@ -14,16 +14,20 @@
 const (
 	lagWindow    = 250 * time.Millisecond // over which the greatest lag is kept, and as long after it
 	tolerableLag = 25 * time.Millisecond  // that says nothing: an owner waits some time between decisions
-	maxExcuses   = 3                      // of one call, or of renewals of one minion in a row
+	maxExcuses   = 3                      // of one call
 )
 
+// maxRenewalExcuses is how many renewals of a minion in a row may fail without counting
+// as silence: each of them takes over a second.
+const maxRenewalExcuses = 1
+
 // lagMeter measures how late the control goroutine executes what is posted to it.
 // Only that goroutine may call observe.
 type lagMeter struct {
 	windowEnd time.Time
 	current   time.Duration // greatest of this window
-	published atomic.Int64  // greatest of this window and the last, in nanoseconds
-	previous  time.Duration
+	previous  time.Duration // greatest of the last window
+	published atomic.Int64  // greater of both, in nanoseconds
 }
 
 // observe records a lag.
@@ -65,10 +69,17 @@
 }
 
 func (w *lateWatch) fire() {
+	if w.isLate() {
+		w.report()
+	}
+}
+
+// isLate reports whether the call is late, and waits for longer if this process is.
+func (w *lateWatch) isLate() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended {
-		return
+		return false
 	}
 	now := monotonicNow()
 	lag := max(now.Sub(w.due), w.o.lag.recent())
@@ -76,10 +87,10 @@
 		w.excuses++
 		w.due = now.Add(lag)
 		w.timer.Reset(lag)
-		return
+		return false
 	}
 	w.ended = true
-	w.report()
+	return true
 }
 
 // stop ends the watch.
--- a/internal/server/lag_test.go
+++ b/internal/server/lag_test.go
@@ -43,7 +43,7 @@
 	timeout := errors.Wrap(context.DeadlineExceeded, "call")
 	assert.Assert(t, !h.excused(timeout), "the owner is not late")
 	o.lag.observe(monotonicNow(), lateCallDelay)
-	for range maxExcuses {
+	for range maxRenewalExcuses {
 		assert.Assert(t, h.excused(timeout))
 	}
 	assert.Assert(t, !h.excused(timeout))
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -119,7 +119,7 @@
 // made, or this process is so late that the reply may have been here in time.
 func (h *minionHandler) excused(err error) bool {
 	late := errors.Is(err, carry.ErrNotMade) || errors.Is(err, context.DeadlineExceeded) && h.o.lag.recent() >= lateCallDelay
-	if !late || h.excuses >= maxExcuses {
+	if !late || h.excuses >= maxRenewalExcuses {
 		return false
 	}
 	h.excuses++
