A carrier that works is kept

With one carrier a zone at a time, calls of the whole zone went back to a carrier that was cut off every 3 s, and were lost for 450 ms each time; with two, those of half of it had. Now a zone changes its carrier only when that is lost. TestCallsReturnToACarrierThatIsStillLost fails before.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,6 +260,23 @@
 	assert.Equal(t, before, after)
 }
 
+// While the first carrier of a zone was cut off, its calls went back to it every
+// avoidDuration, and were lost each time.
+func TestCallsReturnToACarrierThatIsStillLost(t *testing.T) {
+	s := newTestSetup(t, "a", "b")
+	var later atomic.Int64
+	s.dispatcher.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
+	start := func() error {
+		_, err := s.dispatcher.Start(contextWithTimeout(t, time.Second), testMinion, work.Start{})
+		return err
+	}
+	s.transport.setDown("a", true)
+	assert.Assert(t, errors.Is(start(), ErrCarrierLost))
+	assert.NilError(t, start())
+	later.Store(int64(2 * avoidDuration))
+	assert.NilError(t, start(), "the other carrier works")
+}
+
 // While calls of a lost carrier had failed and the carrier was not avoided yet,
 // the next call was routed through its closed link: a renewal was made directly
 // beside a working carrier, and a start failed without having been sent.
--- a/internal/carry/dispatcher.go
+++ b/internal/carry/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,16 +137,17 @@
 	if p.closed {
 		return nil
 	}
-	for _, a := range addrs {
-		if now.Before(p.avoidUntil[a]) {
-			continue
+	usable := slices.DeleteFunc(slices.Clone(addrs), func(a string) bool { return now.Before(p.avoidUntil[a]) })
+	for _, a := range usable {
+		if w := p.links[a]; w != nil {
+			return w // one that works is kept, although a better one may be back
 		}
-		if p.links[a] == nil {
-			p.openLink(ctx, a)
-		}
-		return p.links[a]
 	}
-	return nil
+	if len(usable) == 0 {
+		return nil
+	}
+	p.openLink(ctx, usable[0])
+	return p.links[usable[0]]
 }
 
 // openLink opens a link to a carrier. The link lives until the carrier is
