--- a/internal/shard/large_bench_test.go
+++ b/internal/shard/large_bench_test.go
@@ -38,9 +38,20 @@
 	}
 	began := time.Now()
 	p.run()
-	b.ReportMetric(float64(time.Since(began).Microseconds())/float64(p.firstStarts), "µs/task")
+	b.ReportMetric(float64(time.Since(began).Microseconds())/float64(p.tasks()), "µs/task")
 	b.ReportMetric(float64(deciding.Microseconds())/float64(decisions), "µs/decision")
 	for _, k := range p.results() {
 		b.ReportMetric(k.share(), k.name)
 	}
 }
+
+// tasks is the number of tasks that have arrived.
+func (p *replay) tasks() int {
+	n := 0
+	for _, a := range p.arrivals {
+		for _, s := range a.job.Steps {
+			n += s.Tasks
+		}
+	}
+	return n
+}
--- a/internal/shard/recovery_test.go
+++ b/internal/shard/recovery_test.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,38 +65,39 @@
 // of a fault earn what they earn without it. The fault is set up by with.
 func recovers(t *testing.T, load workload, kind string, with func(*replay)) (faulty []*replay) {
 	t.Helper()
-	calm, after := 0.0, 0.0
-	for seed := range uint64(recoverySeeds) {
-		for _, f := range []func(*replay){func(*replay) {}, with} {
-			p := newReplay(load, seed+1)
-			f(p)
-			p.run()
-			if p.startDelay == nil {
-				calm += p.earned(kind, faultAt+faultFor+recoverWithin, replayFor) / recoverySeeds
-				continue
-			}
-			after += p.earned(kind, faultAt+faultFor+recoverWithin, replayFor) / recoverySeeds
-			faulty = append(faulty, p)
-		}
+	var wg sync.WaitGroup
+	calm := make([]*replay, recoverySeeds)
+	faulty = make([]*replay, recoverySeeds)
+	for i := range recoverySeeds {
+		calm[i], faulty[i] = newReplay(load, uint64(i+1)), newReplay(load, uint64(i+1))
+		with(faulty[i])
+		wg.Go(calm[i].run)
+		wg.Go(faulty[i].run)
+	}
+	wg.Wait()
+	without, after := 0.0, 0.0
+	for i := range recoverySeeds {
+		without += calm[i].earned(kind, faultAt+faultFor+recoverWithin, replayFor) / recoverySeeds
+		after += faulty[i].earned(kind, faultAt+faultFor+recoverWithin, replayFor) / recoverySeeds
 	}
-	t.Logf("%.3f without the fault, %.3f after it", calm, after)
-	assert.Check(t, after >= calm-recoveryNoise, "%.3f without the fault, %.3f after it", calm, after)
+	t.Logf("%.3f without the fault, %.3f after it", without, after)
+	assert.Check(t, after >= without-recoveryNoise, "%.3f without the fault, %.3f after it", without, after)
 	return faulty
 }
 
 // recoverySeeds is how many seeds a replay here has.
-const recoverySeeds = 3
+const recoverySeeds = 4
 
 // mostCopies is the greatest number of copies for each first start: a few in a hundred.
-const mostCopies = 0.1
+const mostCopies = 0.05
 
-// While minions answered starts late, their zones counted as unreachable and all runs
-// there were copied. The copies took the room of first starts, and the backlog outlived
-// its cause.
-func TestCopiesOutliveTheirCause(t *testing.T) {
+// While minions answered some starts late, their zones counted as unreachable and all
+// runs there were copied. Nothing is lost here, so each copy is needless.
+func TestRunsAreCopiedWhileNothingIsLost(t *testing.T) {
 	late := func(p *replay) {
+		rng := rand.New(rand.NewPCG(1, 2)) // its own, so that the same jobs arrive as without the fault
 		p.startDelay = func() time.Duration {
-			if p.fault() && p.rng.Float64() < 0.3 {
+			if p.fault() && rng.Float64() < 0.3 {
 				return 600 * time.Millisecond
 			}
 			return answerTime
@@ -102,7 +105,7 @@
 	}
 	for _, p := range recovers(t, routes(198), "route", late) {
 		a := p.st.Activity()
-		t.Logf("%d copies, %d of them needless, of %d starts", a.Copies, a.NeedlessCopies, p.firstStarts)
-		assert.Check(t, float64(a.Copies) <= mostCopies*float64(p.firstStarts), "%d copies of %d starts", a.Copies, p.firstStarts)
+		t.Logf("%d copies, %d of them needless, beside %d first starts in the fault", a.Copies, a.NeedlessCopies, p.firstStarts)
+		assert.Check(t, float64(a.Copies) <= mostCopies*float64(p.firstStarts), "%d copies beside %d first starts", a.Copies, p.firstStarts)
 	}
 }
--- a/internal/shard/replay_test.go
+++ b/internal/shard/replay_test.go
@@ -142,7 +142,7 @@
 	onQuery         func(AdviceQuery)    // called for each query, if set
 	stopped         int
 	startDelay      func() time.Duration // until a start is answered, if set; answerTime otherwise
-	firstStarts     int                  // starts of a task that had not started before
+	firstStarts     int                  // starts of a task that had not started before, during the fault
 }
 
 func (p *replay) schedule(d time.Duration, f func()) {
@@ -235,7 +235,7 @@
 	if p.startDelay != nil {
 		d = p.startDelay()
 	}
-	if o.Start.Attempt == 1 {
+	if o.Start.Attempt == 1 && p.fault() {
 		p.firstStarts++
 	}
 	if d > slowAfter {
