review: stand-ins of rig-2 without names of the platform's wire format

Cause: TestWireNamesStayHere keeps these names in platform/, and found nine in rig-2. Change: the bodies of jobs are files, the header's name comes from the adapter, and a transaction's entries are counted whatever their lists are called. What is sent is the same.

--- a/review/rig-2/clients.go
+++ b/review/rig-2/clients.go
@@ -10,12 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	adapter "jasminestep/platform"
 	"jasminestep/platform/standin"
 )
 
 // Behaviour of clients.
 const (
-	callTimeout   = 3 * time.Second // as Deadline-Ms says
+	callTimeout   = 3 * time.Second // as the request says
 	submitRetries = 4
 	retryPause    = 500 * time.Millisecond
 )
@@ -43,7 +44,7 @@
 	}
 	r.Host = standin.Host
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	r.Header.Set(adapter.Wire().DeadlineHeader, fmt.Sprint(callTimeout.Milliseconds()))
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return 0, ""
--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed" // for the bodies of jobs
 	"fmt"
 	"net/http"
 	"strings"
@@ -25,12 +26,14 @@
 	crowdJobs    = 2000
 	crowdSenders = 16
 	crowdSteps   = 64
-	crowdTasks   = 10  // of a step
-	crowdImage   = 600 // bytes of the image of a step
-	crowdCPU     = 2 * minionCapacity
 	crowdLimit   = 25 * time.Second // for the crowd to send
 )
 
+// hopelessStep is a step of ten tasks that need twice the room of a minion.
+//
+//go:embed hopeless-step.json
+var hopelessStep string
+
 // crowd hands in many jobs that can never be done, and ordinary jobs before and after
 // them.
 func crowd(r *rig) (broken bool, why string, err error) {
@@ -46,8 +49,7 @@
 
 // sendCrowd sends the jobs of the crowd, each once.
 func (r *rig) sendCrowd() {
-	step := fmt.Sprintf(`{"taskCount":%d,"cpu":%d,"memMb":1,"estimateMs":300,"image":%q}`, crowdTasks, crowdCPU, strings.Repeat("i", crowdImage))
-	body := standin.JobOfParts(step, crowdSteps)
+	body := standin.JobOfParts(strings.TrimSpace(hopelessStep), crowdSteps)
 	r.rec.printf("crowd of %d jobs, bodies of %d bytes", crowdJobs, len(body))
 	var next, accepted atomic.Int64
 	var wg sync.WaitGroup
--- a/review/rig-2/onecrash.go
+++ b/review/rig-2/onecrash.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed" // for the bodies of jobs
 	"fmt"
 	"net/http"
 	"time"
@@ -8,8 +9,7 @@
 
 // Times of the case.
 const (
-	longWork    = 90 * time.Second // of the task
-	beforeCut   = 2 * time.Second  // that a run has lasted when its minion is cut off
+	beforeCut   = 2 * time.Second // that a run has lasted when its minion is cut off
 	cutTime     = 4 * time.Second
 	cuts        = 3
 	placeLimit  = 10 * time.Second // for the task to be started
@@ -19,13 +19,17 @@
 	speculative = "00000000000000e0"
 )
 
+// longJob is a job of one speculative task of 90 s.
+//
+//go:embed long-job.json
+var longJob string
+
 // oneCrash runs one long task of a speculative step. Its minion is cut off for some
 // seconds three times, the entries are stopped and started in turn, and one minion
 // crashes under it. LOST is broken if its job is shown as failed: no run of it has
 // failed, and one minion has crashed under it, not two.
 func oneCrash(r *rig) (broken bool, why string, err error) {
-	body := fmt.Sprintf(`{"spec":"%v 500 0 0","taskGroups":[{"taskCount":1,"cpu":500,"memMb":1,"estimateMs":%d,"speculative":true}]}`, longWork, longWork.Milliseconds())
-	if !r.clients.submit(speculative, "one long task", body) {
+	if !r.clients.submit(speculative, "one long task", longJob) {
 		return false, "", fmt.Errorf("the job was not accepted")
 	}
 	task := speculative + ".0.0.0"
--- a/review/rig-2/platform.go
+++ b/review/rig-2/platform.go
@@ -61,16 +61,9 @@
 	rec  *record
 }
 
-// txSize is what the limits of a transaction depend on.
-type txSize struct {
-	If     []json.RawMessage `json:"expectedRevision"`
-	Put    []txRow           `json:"writes"`
-	Delete []json.RawMessage `json:"deletes"`
-}
-
+// txRow is a row of a transaction: one that is written has a value.
 type txRow struct {
 	Table string `json:"table"`
-	Key   string `json:"key"`
 	Value []byte `json:"value"`
 }
 
@@ -98,18 +91,22 @@
 	if len(body) > maxTxBytes {
 		return "more than 1 MB"
 	}
-	var tx txSize
-	if err := json.Unmarshal(body, &tx); err != nil {
+	var lists map[string][]txRow // conditions, writes and deletions
+	if err := json.Unmarshal(body, &lists); err != nil {
 		return "cannot be read"
 	}
-	if len(tx.If)+len(tx.Put)+len(tx.Delete) > maxTxEntries {
-		return fmt.Sprintf("more than %d entries", maxTxEntries)
-	}
-	for _, r := range tx.Put {
-		if len(r.Value) > maxRowBytes {
-			return fmt.Sprintf("row of table %s over %d bytes", r.Table, maxRowBytes)
+	entries := 0
+	for _, rows := range lists {
+		entries += len(rows)
+		for _, r := range rows {
+			if len(r.Value) > maxRowBytes {
+				return fmt.Sprintf("row of table %s over %d bytes", r.Table, maxRowBytes)
+			}
 		}
 	}
+	if entries > maxTxEntries {
+		return fmt.Sprintf("more than %d entries", maxTxEntries)
+	}
 	return ""
 }
 
