--- a/review/rig-2/onecrash.go
+++ b/review/rig-2/onecrash.go
@@ -3,7 +3,6 @@
 import (
 	_ "embed" // for the bodies of jobs
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -57,7 +56,7 @@
 		r.rec.printf("%s crashes and is back at once", at.worker.id)
 		at.worker.minion.Crash()
 	}
-	return r.judgeFailed(speculative)
+	return r.judgeFailed(speculative, task)
 }
 
 // awaitStart waits until a task has been started with a later attempt.
@@ -70,8 +69,16 @@
 	return placement{}, fmt.Errorf("task %s has not started again after attempt %d", task, attempt)
 }
 
-// judgeFailed watches the state of a job that nobody has cancelled.
-func (r *rig) judgeFailed(id string) (broken bool, why string, err error) {
+// What is cause enough to show a job as failed.
+const (
+	maxAttempts    = 3 // of the queue, see standin.Config: so many runs of a task that have failed
+	crashesAllowed = 2 // minions that have crashed under one task
+)
+
+// judgeFailed watches the state of a job that nobody has cancelled, whose only task is
+// given. Its state failed has a cause if enough runs have ended so, or enough minions
+// have crashed; the state canceled has none.
+func (r *rig) judgeFailed(id, task string) (broken bool, why string, err error) {
 	last := ""
 	for end := time.Now().Add(failLimit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		code, state := r.clients.state(id)
@@ -79,8 +86,10 @@
 			r.rec.printf("GET %s: %s", id, now)
 			last = now
 		}
-		if code == http.StatusGone || state == "failed" || state == "canceled" {
-			return true, fmt.Sprintf("job %s is shown as %d %s; no run of it has failed and %d minions have crashed under it", id, code, state, r.platform.ledger.Crashes()[id]), nil
+		failures, crashes := r.platform.failuresOf(task), r.platform.ledger.Crashes()[id]
+		caused := state == "failed" && (failures >= maxAttempts || crashes >= crashesAllowed)
+		if state == "canceled" || state == "failed" && !caused {
+			return true, fmt.Sprintf("job %s is shown as %s; %d of its runs have ended failed, of %d allowed, and %d minions have crashed under it", id, state, failures, maxAttempts, crashes), nil
 		}
 	}
 	return false, "the job is shown as " + last, nil
--- a/review/rig-2/platform.go
+++ b/review/rig-2/platform.go
@@ -14,6 +14,7 @@
 
 	"jasminestep/internal/table"
 	"jasminestep/internal/table/tabletest"
+	"jasminestep/internal/work"
 	"jasminestep/platform/standin"
 )
 
@@ -47,6 +48,9 @@
 	latest map[string]placement // newest accepted start, by task
 	done   map[string]bool      // tasks that a minion has listed as done
 	ends   map[string]int       // number of these, by job
+
+	failed   map[string]bool // runs that a minion has listed as failed
+	failures map[string]int  // number of these, by task
 }
 
 // placement is where a task was started.
@@ -112,7 +116,7 @@
 
 // startPlatform starts the store and the minions.
 func startPlatform(ctx context.Context, rec *record) (*platform, error) {
-	p := &platform{rows: &tabletest.Store{}, ledger: standin.NewLedger(1), rec: rec, latest: map[string]placement{}, done: map[string]bool{}, ends: map[string]int{}}
+	p := &platform{rows: &tabletest.Store{}, ledger: standin.NewLedger(1), rec: rec, latest: map[string]placement{}, done: map[string]bool{}, ends: map[string]int{}, failed: map[string]bool{}, failures: map[string]int{}}
 	var err error
 	if p.address, err = serveOn(limitedStore{standin.Store{Rows: p.rows}, rec}); err != nil {
 		return nil, err
@@ -156,17 +160,30 @@
 	p.rec.printf("%s starts %s, attempt %d", w.id, task, attempt)
 }
 
-// end notes that a minion has listed a task as done.
-func (p *platform) end(task string) {
+// end notes an end that a minion has listed, of a run named by task and attempt.
+func (p *platform) end(run, how string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.done[task] {
+	task, _, _ := strings.Cut(run, "/")
+	job, _, _ := strings.Cut(task, ".")
+	switch {
+	case how == string(work.Done) && !p.done[task]:
+		p.done[task] = true
+		p.ends[job]++
+	case how == string(work.Failed) && !p.failed[run]:
+		p.failed[run] = true
+		p.failures[task]++
+	default:
 		return
 	}
-	p.done[task] = true
-	job, _, _ := strings.Cut(task, ".")
-	p.ends[job]++
-	p.rec.printf("%s is listed as done", task)
+	p.rec.printf("%s is listed as %s", run, how)
+}
+
+// failuresOf is how many runs of a task minions have listed as failed.
+func (p *platform) failuresOf(task string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures[task]
 }
 
 // endsOf is how many tasks of a job minions have listed as done.
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -17,7 +18,7 @@
 	minion *standin.Minion
 	rec    *record
 	placed func(task string, attempt int, w *worker) // called for each start that is accepted
-	ended  func(task string)                         // called for each end as done that is listed
+	ended  func(run, how string)                     // called for each end that is listed
 
 	mu  sync.Mutex
 	end chan struct{} // closed at the end of the cut; nil if there is none
@@ -108,7 +109,7 @@
 	}
 }
 
-// noteEnds notes the tasks that a report lists as done.
+// noteEnds notes the ends that a report lists.
 func (w *worker) noteEnds(report []byte) {
 	var o struct {
 		Ended [][]any `json:"finished"` // [number, task, attempt, outcome, checkpoint]
@@ -117,9 +118,10 @@
 		return
 	}
 	for _, e := range o.Ended {
-		task, ok := e[1].(string)
-		if ok && e[3] == "done" {
-			w.ended(task)
+		task, named := e[1].(string)
+		how, said := e[3].(string)
+		if named && said {
+			w.ended(fmt.Sprintf("%s/%v", task, e[2]), how)
 		}
 	}
 }
