shard: say in the log which incarnation answers first, and what its former one was told

Change: 'minion restarted' names the former incarnation's birth, clock, longest lease, last end and token; 'minion answers' names those of the next at its first reply to an owner.

Measured: the tests of internal/shard pass; no decision changes.

--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
 	"jasminestep/internal/work"
@@ -11,7 +12,7 @@
 // incarnation, which has the same ID and has seen no token; the first report of
 // the new incarnation settles that.
 func (s *State) replaceIncarnation(now time.Time, m *minion, w work.Minion) {
-	s.note(Note{What: MinionRestarted, Minion: m.ID})
+	s.note(Note{What: MinionRestarted, Minion: m.ID, Why: m.describe()})
 	accused := s.accuseRuns(now, m)
 	s.settle(now, m, true)
 	var carriedOver []*run
@@ -39,6 +40,14 @@
 	s.accuse(now, s.postponeCarried(accused))
 }
 
+// describe tells for the log what an incarnation was told, and what it said last.
+func (m *minion) describe() string {
+	if !m.answered() {
+		return fmt.Sprintf("born %d, which never answered", m.Born)
+	}
+	return fmt.Sprintf("born %d, clock %d ms, leases sent to %d ms, ends read to %d, token %d", m.Born, m.clock, m.leaseUntil, m.lastEnd, m.token)
+}
+
 // carryOver adds a run that the minion's new incarnation may have, with a start
 // that was sent until sent; its next report settles it.
 func (s *State) carryOver(sent time.Time, m *minion, r *run) {
--- a/internal/shard/note.go
+++ b/internal/shard/note.go
@@ -45,6 +45,7 @@
 	MinionUnlisted     Event = "minion row deleted"         // the minion's row is gone; the minion may still run and answer
 	MinionDraining     Event = "minion draining"            // the minion's row says that it drains
 	MinionRestarted    Event = "minion restarted"           // a new incarnation has the same ID
+	MinionFirstAnswer  Event = "minion answers"             // the first reply of an incarnation to this owner
 	RestartUnconfirmed Event = "minion restart unconfirmed" // a row has a later incarnation, which has not answered yet
 	MinionReplaced     Event = "minion replaced"            // another minion has its address, so that none of its runs are left
 	MinionForgotten    Event = "minion forgotten"           // it has no row, does not answer, and its leases have ended
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -24,7 +24,11 @@
 	case rep.Born != 0 && rep.Born < m.Born:
 		return
 	}
+	first := !m.answered()
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
+	if first {
+		s.note(Note{What: MinionFirstAnswer, Minion: m.ID, Why: m.describe()})
+	}
 	s.zoneAnswered(now, m)
 	if !m.silentSince.IsZero() {
 		s.copyBudget.observeSilence(now.Sub(m.silentSince))
