shard: send no lease after the promise has ended

Cause: a former owner that was frozen went on, when it woke, to send leases that end with its promise: a time in the past for the minion that it knows, but perhaps far ahead on the clock of that minion's next incarnation, which has the same ID and takes such a call until it has seen a higher token.

Change: extendLease returns 0 after the promise, which asks for no lease. The poll stays long, except where the lease may be extended soon.

Measured: TestNoLeaseIsSentAfterThePromise failed before (Until 5499, 30 s after the last write), and passes; the tests of internal/shard pass.

--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -83,7 +83,7 @@
 func (h *minionHandler) renew(n shard.Renewal) {
 	wait := time.Duration(0)
 	switch {
-	case n.Wait && n.Until == 0:
+	case n.Wait && n.Closed:
 		wait = unextendedWait
 	case n.Wait:
 		wait = renewWait
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -15,6 +15,7 @@
 	Minion work.Minion
 	Token  int64
 	Until  int64 // 0: does not extend the lease
+	Closed bool  // the lease may not be extended at present
 	Seq    int64
 	Wait   bool // the minion answers when a run ends instead of at once
 }
@@ -39,7 +40,8 @@
 		return n, true
 	}
 	n.Wait = true
-	if s.mayExtend(m) {
+	n.Closed = !s.mayExtend(m)
+	if !n.Closed {
 		n.Until = s.extendLease(now, m)
 	}
 	return n, true
@@ -53,8 +55,12 @@
 
 // extendLease returns the end of a lease granted now, on the minion's clock. It
 // ends within the time that the last durable write promises, even if that clock
-// is slow.
+// is slow. It is 0, which extends nothing, after that time: a time in the past may be
+// far ahead on the clock of the next incarnation.
 func (s *State) extendLease(now time.Time, m *minion) int64 {
+	if !now.Before(s.promised) {
+		return 0
+	}
 	d := now.Sub(m.clockAt) + s.leaseFor(now, m)
 	promised := float64(s.promised.Sub(m.clockAt)-leaseMargin) * (1 - s.Limits.MaxClockDrift)
 	until := m.clock + min(d, time.Duration(promised)).Milliseconds()
