shard: count the leases that calls for a minion's former life gave its next one

Cause: a call without a reply may be carried out by the next incarnation of its minion, until that has seen a higher token. Its deadline is a time on the former clock; where the next clock is behind, it is a lease of the greatest length, which no owner counted: the runs were given up 5.8 s after the cut and started elsewhere while they went on.

Change: from the first answer of an incarnation to a higher token on, its leases count as held for the greatest length, or until the latest lease sent to former incarnations if that comes sooner on its clock. Owners record which incarnations they call before they extend a lease, so the next one knows whether an ID was called before. A minion that was forgotten gets a higher token when it is back.

Why it works: a higher token that was answered shuts out all older calls, so nothing asks for a lease after that but what its owner counts.

--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -57,7 +57,7 @@
 	attempts := map[int64]time.Time{} // when those with a promise began, first
 	for logged := false; ; {
 		startTime := monotonicNow()
-		seq := seqRow{Write: writeID, Promise: o.promise(startTime)}
+		seq := seqRow{Write: writeID, Promise: o.promise(startTime), Called: o.state.RecordComplete()}
 		if _, ok := attempts[seq.Promise]; !ok {
 			attempts[seq.Promise] = startTime
 		}
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -52,6 +52,7 @@
 	{"outcomes not deleted", "part why", "outcomes past their retention time could not be deleted; it is retried", "the store"},
 	{"clients sent away", "connections bytes full held fields stalled", "clients took too much in the last 5 s: connections refused because there are too many, requests because too much is held or they have too many header fields, connections closed because they stalled", "the addresses that connect; `step_clients_sent_away` of other entries"},
 	{"learned run times invalid", "service why", "some of what a former owner has learned of run times cannot be used; it is learned anew", "who wrote the row"},
+	{"record of called minions invalid", "service why", "which incarnations former owners called cannot be read; leases of minions that restart count as long", "who wrote the rows"},
 	{"lease row invalid", "service why", "what a former owner knew of silent minions cannot be used; their runs wait longer", "who wrote the row"},
 	{"account limited", "service account used allowed steps tasks", "an account could start more in this shard but for its limit", "the limit in the configuration; the same line of the other services' owners"},
 	{"grants cannot be written", "service accounts bytes why", "the row with what a shard may use of the limits of accounts is too large; its grants stay", "the number of accounts"},
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	own := map[string]table.Range{}
-	for _, name := range []string{shard.ProgressTable, shard.LearnedTable, shard.LeaseTable} {
+	for _, name := range []string{shard.ProgressTable, shard.LearnedTable, shard.LeaseTable, shard.CalledTable} {
 		own[name], err = loadRows(ctx, name, func() (table.Range, error) { return o.s.relayStore.Read(ctx, name, o.service, "", "") })
 		if err != nil {
 			return err
@@ -52,6 +52,9 @@
 	o.state.AdoptBundles(saved)
 	o.state.DropOrphans(saved, rowNames(jobs.Rows))
 	o.applyLeases(own[shard.LeaseTable].Rows)
+	if err := o.state.LoadCalled(own[shard.CalledTable].Rows, o.seq.Called); err != nil {
+		o.s.Log.Error("record of called minions invalid", "service", o.service, "why", err.Error())
+	}
 	o.s.Log.Info("shard loaded", "service", o.service, "term", o.term, "jobs", len(jobs.Rows), "minions", len(minions.Rows))
 	return nil
 }
--- a/internal/server/ownerrow.go
+++ b/internal/server/ownerrow.go
@@ -113,14 +113,14 @@
 	s.ownerRows[service] = row
 }
 
-// replaceOwnerRow replaces the owner row unless it or the seq row has changed. The
-// promise of the last write stays.
+// replaceOwnerRow replaces the owner row unless it or the seq row has changed. What
+// the last write promises stays.
 func (s *Server) replaceOwnerRow(ctx context.Context, service string, ownerVersion int64, last seqRow, next OwnerRow) (table.Result, error) {
 	b, err := json.Marshal(next)
 	if err != nil {
 		return table.Result{}, fmt.Errorf("encode owner row: %w", err)
 	}
-	seq, err := seqRow{Write: fmt.Sprintf("%s.%d.0", next.Life, next.Term), Promise: last.Promise}.row(service)
+	seq, err := seqRow{Write: fmt.Sprintf("%s.%d.0", next.Life, next.Term), Promise: last.Promise, Called: last.Called}.row(service)
 	if err != nil {
 		return table.Result{}, err
 	}
--- a/internal/server/rows.go
+++ b/internal/server/rows.go
@@ -46,8 +46,9 @@
 
 // seqRow is the stored row of the last write of a shard's owner.
 type seqRow struct {
-	Write   string `json:"w"` // names the write
-	Promise int64  `json:"p"` // by when all leases have ended that owners send until the next write, on the store's clock in ms; 0: unknown
+	Write   string `json:"w"`           // names the write
+	Promise int64  `json:"p"`           // by when all leases have ended that owners send until the next write, on the store's clock in ms; 0: unknown
+	Called  bool   `json:"c,omitempty"` // the record of called incarnations is complete
 
 	version int64 // of the row in the store; 0 if there is none
 }
--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -38,8 +38,10 @@
 
 	repliesLost bool // a minion that crashes under a start does not reply to it
 
-	promise  int64  // of the last write of an owner
-	leaseRow []byte // nil if there is none
+	promise  int64                // of the last write of an owner
+	leaseRow []byte               // nil if there is none
+	called   map[string]table.Row // record of called incarnations, by name
+	recorded bool                 // the last write of an owner says that the record is complete
 
 	minionRows map[string]minionRow // by minion
 	storeDown  bool                 // no row is written
@@ -407,7 +409,7 @@
 	w := &simCluster{
 		t: t, now: epoch, limits: DefaultLimits, rows: map[string]table.Row{}, cancelled: map[string]bool{}, archived: map[string]bool{},
 		done: map[work.TaskID]bool{}, everDone: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
-		deadly: map[work.TaskID]bool{}, crashes: map[work.TaskID]int{}, lateStarts: map[work.TaskID]int{}, begunAt: map[runKey]time.Time{}, minionRows: map[string]minionRow{},
+		called: map[string]table.Row{}, deadly: map[work.TaskID]bool{}, crashes: map[work.TaskID]int{}, lateStarts: map[work.TaskID]int{}, begunAt: map[runKey]time.Time{}, minionRows: map[string]minionRow{},
 	}
 	for i := range n {
 		b := &simMinion{cluster: w, Minion: work.Minion{
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -24,6 +24,7 @@
 		}
 		carriedOver = append(carriedOver, r)
 	}
+	s.recordSent(m)
 	m.Minion = w
 	s.announce(m)
 	s.zoneOf(m)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -50,7 +50,7 @@
 // mayExtend reports whether a lease of the minion may be extended: a former or
 // next owner does not take it for ended sooner.
 func (s *State) mayExtend(m *minion) bool {
-	return !m.closed && !s.leaseRow.lists(m.Incarnation) && !s.promised.IsZero()
+	return !m.closed && !s.leaseRow.lists(m.Incarnation) && !s.promised.IsZero() && s.record.has(m.Incarnation)
 }
 
 // extendLease returns the end of a lease granted now, on the minion's clock. It
@@ -95,11 +95,12 @@
 // leaseExpiry is the time at which all leases ever sent to the minion have
 // certainly ended.
 func (s *State) leaseExpiry(m *minion) time.Time {
+	former := maxTime(m.formerEnd, s.record.strayEnd(m.Incarnation))
 	if !m.answered() {
-		return maxTime(m.formerEnd, m.lateEnd)
+		return maxTime(former, m.lateEnd)
 	}
 	own := m.clockAt.Add(s.slowClock(time.Duration(m.leaseUntil-m.clock)*time.Millisecond) + leaseMargin)
-	return maxTime(own, m.formerEnd)
+	return maxTime(own, former)
 }
 
 // answerGrace is how long a new owner waits for the first answer of a minion whose
@@ -156,11 +157,15 @@
 			lasting++
 		}
 	}
+	expiry := s.leaseExpiry(m)
 	source := "sent by this owner"
-	if !m.answered() {
+	switch {
+	case expiry.Equal(s.record.strayEnd(m.Incarnation)):
+		source = "sent to its former incarnation"
+	case !m.answered() || expiry.Equal(m.formerEnd):
 		source = "sent by former owners"
 	}
-	left := max(s.leaseExpiry(m).Sub(now), 0).Round(time.Millisecond)
+	left := max(expiry.Sub(now), 0).Round(time.Millisecond)
 	return fmt.Sprintf("%d runs, %d of them lasting, wait %v for the end of its leases, %s", len(m.runs), lasting, left, source)
 }
 
@@ -168,6 +173,7 @@
 // minions that are gone.
 func (s *State) expire(now time.Time) {
 	s.expireLeftovers(now)
+	s.expireRecord(now)
 	for id, m := range s.minions {
 		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.givenUpAt(m)) {
 			continue
@@ -192,6 +198,7 @@
 			continue
 		}
 		if !m.listed && len(m.unsettled) == 0 {
+			s.recordGone(now, m)
 			delete(s.minions, id)
 			m.leaveZone()
 			s.cancelReservations(m)
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -115,7 +115,7 @@
 	w.submit(newJob("a", tasks(1, 1000)))
 	w.cycle()
 	w.busiest().crash()
-	w.promise, w.leaseRow = 0, nil // as former versions leave it
+	w.promise, w.leaseRow, w.recorded = 0, nil, false // as former versions leave it
 	crashed := w.now
 	w.takeOver()
 	took := w.restartTime(crashed, 1)
--- a/internal/shard/leaserow.go
+++ b/internal/shard/leaserow.go
@@ -120,6 +120,7 @@
 func (s *State) HandleWritten(now, began time.Time) {
 	s.writeTime += time.Duration(writeWeight * float64(now.Sub(began)-s.writeTime))
 	s.promised = maxTime(s.promised, s.PromisedEnd(began))
+	s.record.handleWritten()
 	if s.leaseRow.writing != nil {
 		s.leaseRow.stored, s.leaseRow.writing = s.leaseRow.writing, nil
 	}
--- a/internal/shard/leaserow_test.go
+++ b/internal/shard/leaserow_test.go
@@ -27,7 +27,7 @@
 	for range 200 {
 		w.pass(simTick)
 		w.cycle()
-		w.leaseRow, w.promise = row, 0 // it writes no promise and no such row
+		w.leaseRow, w.promise, w.recorded = row, 0, false // it writes no promise and no such row
 	}
 	assert.Equal(t, w.running(), 1)
 	assert.Assert(t, !o.deposed)
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -46,7 +46,7 @@
 }
 
 func (s *State) newMinion(w work.Minion) *minion {
-	m := &minion{Minion: w, token: s.Term * tokensPerTerm, runs: map[runKey]*run{}, formerEnd: s.formerEnd}
+	m := &minion{Minion: w, token: s.firstToken(w.ID), runs: map[runKey]*run{}, formerEnd: s.formerEnd}
 	s.minions[w.ID] = m
 	s.sortedMinions = nil
 	s.epoch++
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -56,6 +56,9 @@
 	if err := o.st.LoadLeases(w.leaseRow); err != nil {
 		w.fail("load leases: %v", err)
 	}
+	if err := o.st.LoadCalled(slices.Collect(maps.Values(w.called)), w.recorded); err != nil {
+		w.fail("load record of called incarnations: %v", err)
+	}
 	w.owners = append(w.owners, o)
 	return o
 }
@@ -177,6 +180,7 @@
 func (o *simOwner) written() {
 	w := o.cluster
 	w.promise, _ = o.st.StoreClock.Latest(o.st.PromisedEnd(w.now))
+	w.recorded = o.st.RecordComplete()
 	o.st.HandleWritten(w.now, w.now)
 }
 
@@ -197,6 +201,10 @@
 		w.leaseRow = r.Value
 		return
 	}
+	if r.Table == CalledTable {
+		w.called[r.Name] = r
+		return
+	}
 	w.version++
 	r.Version = w.version
 	w.rows[r.Name] = r
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -247,6 +247,9 @@
 	if err := s.saveLeases(); err != nil {
 		return Batch{}, err
 	}
+	if err := s.saveCalled(); err != nil {
+		return Batch{}, err
+	}
 	s.deleteStaleRows()
 	s.promiseLease = s.lease()
 	b := s.batch
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -27,6 +27,7 @@
 	first := !m.answered()
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
 	if first {
+		s.recordAnswer(now, m)
 		s.note(Note{What: MinionFirstAnswer, Minion: m.ID, Why: m.describe()})
 	}
 	s.zoneAnswered(now, m)
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -94,6 +94,7 @@
 	lastingJobs      map[string]*job           // those of jobs with steps that must run
 	promiseKnown     bool                      // formerEnd is what the last owner promised
 	leaseRow         leaseRow
+	record           callRecord
 	leaving          []*leavingStep
 	absences         []*absence // of lasting tasks, at present
 	batch            Batch
@@ -111,6 +112,7 @@
 		lastingJobs: map[string]*job{}, baseline: map[string]float64{}, runTimes: map[runTimeKey]*runTimes{}, eligibleShares: map[string]*eligibleShare{},
 		batch: Batch{AckedEnds: map[work.Incarnation]int64{}},
 	}
+	s.record.complete = term <= 1
 	if term > 1 {
 		s.formerEnd = now.Add(unrecordedWindow + s.slowClock(l.MaxLease) + leaseMargin)
 	}
