shard: lasting tasks avoid minions that may hold leases of a former life

Cause: work lost on a minion within 10 s of its restart under its id waits for up to 10.4 s, lasting tasks too, which have to be back within 7 s. Change: they go elsewhere if there is room. Measured: TestLastingTaskAvoidsLeasesOfAFormerLife failed before, and passes.

--- a/internal/shard/called_test.go
+++ b/internal/shard/called_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Lasting work goes where it would start again soonest.
+func TestLastingTaskAvoidsLeasesOfAFormerLife(t *testing.T) {
+	w, _ := newOwnedCluster(t, 2)
+	w.pass(10 * time.Second)
+	w.cycle()
+	b := w.minions[0]
+	w.restartBehind(b)
+	w.writeRow(b)
+	w.cycle()
+	w.submit(newJob("a", lastingTasks(1)))
+	w.cycle()
+	assert.Equal(t, w.running(), 1)
+	assert.Equal(t, len(b.runs), 0)
+}
+
 // The longer wait is only for minions whose former life was called.
 func TestNewMinionHasNoLeasesOfAFormerLife(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
--- a/internal/shard/score.go
+++ b/internal/shard/score.go
@@ -21,6 +21,7 @@
 	taskCount    int       // tasks of the step on the minion
 	planned      int       // of these, those of this decision
 	usesReserved bool      // uses room that other steps have reserved
+	strayLeases  bool      // may hold leases that calls for former incarnations gave it, so that lost runs would wait longer
 	score        [5]float64
 }
 
@@ -72,6 +73,7 @@
 			continue
 		}
 		sm := scoredMinion{minion: m, eligibility: elig, ticket: t, roomLeft: m.free().Minus(m.reservedByOthers(p)).Minus(m.heldRoom), taskCount: p.runsOn(m)}
+		sm.strayLeases = v.now.Before(v.s.record.strayEnd(m.Incarnation))
 		if !sm.roomLeft.CanFit(need) && p.urgent {
 			sm.roomLeft = m.free().Minus(m.reservedByLasting(p))
 			if !p.mustRun() {
@@ -99,7 +101,8 @@
 // stay apart, then the rack of the data, then the zone of the step's other
 // tasks, then the fullest minion, so that large tasks find room. Fill tasks go
 // where most room is left, urgent tasks to the fastest minions. Lasting tasks,
-// which have no zone, go where they need not wait for a ticket.
+// which have no zone, go where they need not wait for a ticket, and would not wait
+// long for the end of leases.
 func (sm *scoredMinion) setScore(p *step) {
 	if p.shares(sm.minion) {
 		sm.score[0] = sharingPenalty
@@ -115,7 +118,7 @@
 		sm.score[1] += sm.speedRank()
 	}
 	switch {
-	case p.Lasting && sm.eligibility != eligible:
+	case p.Lasting && (sm.eligibility != eligible || sm.strayLeases):
 		sm.score[2] = 1
 	case p.preferredZone != "" && sm.Zone != p.preferredZone:
 		sm.score[2] = 1
