--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -454,3 +454,25 @@
 	s.dispatcher.Close()
 	assert.Assert(t, s.dispatcher.linkTo(context.Background(), testMinion) == nil)
 }
+
+// A renewal that the next incarnation carries out late must not make it forget its
+// ends, so a number is sent once for each list of ends, answered or not.
+func TestAcknowledgementsAreNotRepeated(t *testing.T) {
+	k := &fakeClock{now: time.Unix(1000, 0)}
+	m := &fakeMinions{}
+	h := &DirectCaller{MinionClient: m, Now: k.Now}
+	ask := func(listed []work.End, err error) int64 {
+		m.report, m.err = work.Report{Ended: listed}, err
+		_, _, got := h.Renew(context.Background(), testMinion, 1, 1, 5, 0)
+		assert.Assert(t, errors.Is(got, err))
+		return m.acks[len(m.acks)-1]
+	}
+	ends, lost := []work.End{{N: 4}, {N: 5}}, errors.New("no reply")
+	assert.Equal(t, ask(ends, nil), int64(0))
+	assert.Equal(t, ask(nil, nil), int64(5))
+	assert.Equal(t, ask(nil, nil), int64(0), "answered")
+	assert.Equal(t, ask(ends, nil), int64(0))
+	assert.Equal(t, ask(nil, lost), int64(5))
+	assert.Equal(t, ask(ends, nil), int64(0), "without an answer it is sent only once they are listed again")
+	assert.Equal(t, ask(nil, nil), int64(5))
+}
