carry: make no call long after it was decided

A process that was frozen made calls to minions, and handed them to its carriers as new, as long after their decision as it had stood still: the timer of a context need not have run when the call is made. A call made late enough reaches the next life of a minion whose id nobody remembers calling. Now each call carries the time by which it is made, on the clock that counts time suspended: 500 ms after its decision. Later it fails with ErrNotMade, which is known to have had no effect. Carriers use the same check, right before the call.

--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -105,18 +105,16 @@
 	s.delay = min(max(b.Delay, minResultDelay), maxBatchDelay)
 	c.mu.Unlock()
 	for i := range b.Calls {
-		go c.runCall(s, &b.Calls[i], now.Add(-delay))
+		go c.runCall(s, &b.Calls[i], now.Add(maxCallDelay-delay))
 	}
 }
 
-// runCall makes one call and queues its result. sent is on this process's
-// clock.
-func (c *Carrier) runCall(s *session, x *Call, sent time.Time) {
+// runCall makes one call, not later than at by, and queues its result. by is on
+// this process's clock.
+func (c *Carrier) runCall(s *session, x *Call, by time.Time) {
 	r := Result{N: x.N}
-	if age := c.now().Sub(sent); age > maxCallDelay {
-		r.Error, r.NotMade = "the call was held up for "+age.String(), true
-	} else if err := s.call(x, &r); err != nil {
-		r.Error, r.Gone = err.Error(), errors.Is(err, work.ErrWrongMinion)
+	if err := s.call(x, &r, by); err != nil {
+		r.Error, r.Gone, r.NotMade = err.Error(), errors.Is(err, work.ErrWrongMinion), errors.Is(err, ErrNotMade)
 	}
 	c.mu.Lock()
 	s.results = append(s.results, r)
@@ -127,8 +125,8 @@
 	}
 }
 
-func (s *session) call(x *Call, r *Result) (err error) {
-	ctx, cancel := context.WithTimeout(s.ctx, x.Limit)
+func (s *session) call(x *Call, r *Result, by time.Time) (err error) {
+	ctx, cancel := context.WithTimeout(MakeBy(s.ctx, by), x.Limit)
 	defer cancel()
 	to := &work.Minion{Incarnation: x.To, Address: x.Address}
 	switch x.Kind {
--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -35,7 +35,7 @@
 // the call is unknown.
 var ErrCarrierLost = errors.New("carrier lost; outcome of the call unknown")
 
-// ErrNotMade means that a carrier has not made a call, because it came too late.
+// ErrNotMade means that a call has not been made, because it would have come too late.
 var ErrNotMade = errors.New("the call was held up and not made")
 
 // callKind is the operation that a Call performs.
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -476,3 +476,41 @@
 	assert.Equal(t, ask(ends, nil), int64(0), "without an answer it is sent only once they are listed again")
 	assert.Equal(t, ask(nil, nil), int64(5))
 }
+
+// A process that was frozen made calls long after they had been decided.
+func TestDirectCallsAreNotMadeLate(t *testing.T) {
+	k := &fakeClock{now: time.Unix(1000, 0)}
+	m := &fakeMinions{}
+	h := &DirectCaller{MinionClient: m, Now: k.Now}
+	ctx := MakeBy(context.Background(), k.Now().Add(time.Second))
+	calls := map[string]func() error{
+		"start":    func() error { _, err := h.Start(ctx, testMinion, work.Start{}); return err },
+		"stop":     func() error { return h.Stop(ctx, testMinion, work.TaskID{}, 1, 1) },
+		"throttle": func() error { return h.Throttle(ctx, testMinion, work.TaskID{}, 1, 50, 1) },
+		"renew":    func() error { _, _, err := h.Renew(ctx, testMinion, 1, 2, 0, 0); return err },
+	}
+	k.advance(time.Second)
+	for name, call := range calls {
+		assert.NilError(t, call(), name)
+	}
+	k.advance(1)
+	for name, call := range calls {
+		assert.Assert(t, errors.Is(call(), ErrNotMade), name)
+	}
+	started, stopped, renewed := m.counts()
+	assert.DeepEqual(t, []int{started, stopped, renewed, len(m.speeds)}, []int{1, 1, 1, 1})
+}
+
+// An owner that was frozen sent calls to its carriers as if they were new.
+func TestQueuedCallsAreNotSentLate(t *testing.T) {
+	s := newTestSetup(t, "a")
+	k := &fakeClock{now: time.Unix(1000, 0)}
+	s.dispatcher.Now = k.Now
+	ctx := contextWithTimeout(t, 2*time.Second)
+	_, err := s.dispatcher.Start(MakeBy(ctx, k.Now()), testMinion, work.Start{})
+	assert.NilError(t, err)
+	_, err = s.dispatcher.Start(MakeBy(ctx, k.Now().Add(-1)), testMinion, work.Start{})
+	assert.Assert(t, errors.Is(err, ErrNotMade), "%v", err)
+	started, _, _ := s.viaCarrier.counts()
+	assert.Equal(t, started, 1)
+}
--- a/internal/carry/direct.go
+++ b/internal/carry/direct.go
@@ -2,12 +2,34 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"jasminestep/internal/work"
 )
 
+// makeByKey is the key of the value that MakeBy adds to a context.
+type makeByKey struct{}
+
+// MakeBy returns a context for a call that may not be made later than at t, on the
+// clock of the caller. A deadline does not ensure that: after the process was
+// frozen, a call may be made before the timer of its context has run.
+func MakeBy(ctx context.Context, t time.Time) context.Context {
+	return context.WithValue(ctx, makeByKey{}, t)
+}
+
+// errHeldUp returns an error if a call with ctx may not be made any more.
+func errHeldUp(ctx context.Context, now time.Time) error {
+	t, ok := ctx.Value(makeByKey{}).(time.Time)
+	if !ok || !now.After(t) {
+		return nil
+	}
+	return errors.Mark(fmt.Errorf("the call was held up until %v after its time", now.Sub(t)), ErrNotMade)
+}
+
 // maxReportAge is the maximum age of a report whose ends may be acknowledged.
 // After a restart a minion numbers its ends from the beginning, so an
 // acknowledgement meant for the previous incarnation would make it discard ends
@@ -15,8 +37,9 @@
 const maxReportAge = 150 * time.Millisecond
 
 // DirectCaller calls minions from this process. It acknowledges only ends that
-// were listed in the last report received here, within maxReportAge. The zero
-// value with MinionClient and Now set is ready to use.
+// were listed in the last report received here, within maxReportAge, and makes no
+// call later than MakeBy permits. The zero value with MinionClient and Now set is
+// ready to use.
 type DirectCaller struct {
 	MinionClient
 	Now func() time.Time
@@ -58,10 +81,38 @@
 	h.lastReports[l] = lastReport{ends[len(ends)-1].N, now}
 }
 
+// Start starts a task.
+func (h *DirectCaller) Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error) {
+	if err := errHeldUp(ctx, h.Now()); err != nil {
+		return work.Other, err
+	}
+	return h.MinionClient.Start(ctx, to, s)
+}
+
+// Stop stops a run.
+func (h *DirectCaller) Stop(ctx context.Context, to *work.Minion, t work.TaskID, attempt int, token int64) error {
+	if err := errHeldUp(ctx, h.Now()); err != nil {
+		return err
+	}
+	return h.MinionClient.Stop(ctx, to, t, attempt, token)
+}
+
+// Throttle lets a run work at a percentage of its speed.
+func (h *DirectCaller) Throttle(ctx context.Context, to *work.Minion, t work.TaskID, attempt, percent int, token int64) error {
+	if err := errHeldUp(ctx, h.Now()); err != nil {
+		return err
+	}
+	return h.MinionClient.Throttle(ctx, to, t, attempt, percent, token)
+}
+
 // Renew renews the leases of a minion and acknowledges those of its ends up to
 // durable that its last report listed.
 func (h *DirectCaller) Renew(ctx context.Context, to *work.Minion, token, until, durable int64, wait time.Duration) (work.Report, bool, error) {
-	rep, fenced, err := h.MinionClient.Renew(ctx, to, token, until, h.ackUpTo(h.Now(), to.Incarnation, durable), wait)
+	now := h.Now()
+	if err := errHeldUp(ctx, now); err != nil {
+		return work.Report{}, false, err
+	}
+	rep, fenced, err := h.MinionClient.Renew(ctx, to, token, until, h.ackUpTo(now, to.Incarnation, durable), wait)
 	h.recordReport(h.Now(), to.Incarnation, rep.Ended)
 	return rep, fenced, err
 }
--- a/internal/carry/dispatcher.go
+++ b/internal/carry/dispatcher.go
@@ -57,12 +57,18 @@
 
 	mu              sync.Mutex
 	lastCall        int64
-	queue           []Call
+	queue           []queuedCall
 	pending         map[int64]chan Result // by call number; closed when the carrier is lost
 	carrierInstance string
 	lost            bool
 }
 
+// queuedCall is a call to be sent with the next batch.
+type queuedCall struct {
+	Call
+	ctx context.Context // of the call, for MakeBy
+}
+
 // Start starts a task.
 func (p *Dispatcher) Start(ctx context.Context, to *work.Minion, s work.Start) (work.Refusal, error) {
 	w := p.linkTo(ctx, to)
@@ -187,7 +193,7 @@
 	w.lastCall++
 	c.N = w.lastCall
 	w.pending[c.N] = ch
-	w.queue = append(w.queue, c)
+	w.queue = append(w.queue, queuedCall{c, ctx})
 	w.mu.Unlock()
 	select {
 	case w.ready <- struct{}{}:
@@ -225,10 +231,8 @@
 		}
 		delay := w.dispatcher.batchDelay()
 		time.Sleep(delay)
-		w.mu.Lock()
-		b := Batch{Session: w.session, Sent: w.dispatcher.Now().UnixNano(), Delay: delay, Calls: w.queue}
-		w.queue = nil
-		w.mu.Unlock()
+		now := w.dispatcher.Now()
+		b := Batch{Session: w.session, Sent: now.UnixNano(), Delay: delay, Calls: w.takeQueue(now)}
 		go func() {
 			ctx, cancel := context.WithTimeout(w.ctx, rpcTimeout)
 			defer cancel()
@@ -239,6 +243,25 @@
 	}
 }
 
+// takeQueue returns the queued calls that may still be made, and fails the others.
+func (w *link) takeQueue(now time.Time) (calls []Call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.queue {
+		err := errHeldUp(c.ctx, now)
+		if err == nil {
+			calls = append(calls, c.Call)
+			continue
+		}
+		if ch := w.pending[c.N]; ch != nil {
+			delete(w.pending, c.N)
+			ch <- Result{N: c.N, Error: err.Error(), NotMade: true}
+		}
+	}
+	w.queue = nil
+	return calls
+}
+
 // fetchLoop delivers results until the carrier is lost or has drained.
 func (w *link) fetchLoop() {
 	defer w.close()
--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -123,7 +123,7 @@
 		if o.handingOver || !o.state.PrepareStart(now, &start) || h == nil {
 			continue
 		}
-		h.sendStart(start)
+		h.sendStart(now, start)
 	}
 	for inc, end := range b.AckedEnds {
 		if h := o.handlers[inc]; h != nil {
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -21,6 +21,7 @@
 	lateCallDelay    = 150 * time.Millisecond  // without a response, before a call counts as late
 	silentRetryDelay = 200 * time.Millisecond  // between renewals without a response
 	maxAckWait       = 400 * time.Millisecond  // for ends to become durable before the next renewal
+	maxCallAge       = 500 * time.Millisecond  // since its decision, at which a call is not made any more
 )
 
 // minionHandler makes the calls to one incarnation of a minion.
@@ -49,20 +50,21 @@
 // ended.
 func (h *minionHandler) run() {
 	for h.o.ctx.Err() == nil {
-		n, ok := h.nextRenewal()
+		n, decided, ok := h.nextRenewal()
 		if !ok {
 			return
 		}
-		h.renew(n)
+		h.renew(n, decided)
 	}
 }
 
 // nextRenewal asks the control goroutine for the next renewal. ok is false once
 // the handler is to stop.
-func (h *minionHandler) nextRenewal() (shard.Renewal, bool) {
+func (h *minionHandler) nextRenewal() (n shard.Renewal, decided time.Time, ok bool) {
 	type answer struct {
-		n  shard.Renewal
-		ok bool
+		n   shard.Renewal
+		now time.Time
+		ok  bool
 	}
 	ch := make(chan answer, 1)
 	h.o.post(func(now time.Time) {
@@ -70,17 +72,22 @@
 		if !ok {
 			delete(h.o.handlers, h.incarnation)
 		}
-		ch <- answer{n, ok}
+		ch <- answer{n, now, ok}
 	})
 	select {
 	case a := <-ch:
-		return a.n, a.ok
+		return a.n, a.now, a.ok
 	case <-h.o.ctx.Done():
-		return shard.Renewal{}, false
+		return shard.Renewal{}, time.Time{}, false
 	}
 }
 
-func (h *minionHandler) renew(n shard.Renewal) {
+// callContext returns the context of a call that was decided at decided.
+func (h *minionHandler) callContext(decided time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(carry.MakeBy(h.o.ctx, decided.Add(maxCallAge)), timeout)
+}
+
+func (h *minionHandler) renew(n shard.Renewal, decided time.Time) {
 	wait := time.Duration(0)
 	switch {
 	case n.Wait && n.Closed:
@@ -88,7 +95,7 @@
 	case n.Wait:
 		wait = renewWait
 	}
-	ctx, cancel := context.WithTimeout(h.o.ctx, wait+renewTimeout)
+	ctx, cancel := h.callContext(decided, wait+renewTimeout)
 	watch := h.reportIfLate(wait)
 	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, h.acked.Load(), wait)
 	watch.stop()
@@ -151,9 +158,9 @@
 }
 
 // sendStart sends a start and reports the outcome to the control goroutine.
-func (h *minionHandler) sendStart(order shard.StartOrder) {
+func (h *minionHandler) sendStart(now time.Time, order shard.StartOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
+		ctx, cancel := h.callContext(now, orderTimeout)
 		defer cancel()
 		defer h.reportIfLate(0).stop()
 		why, err := h.o.minionCalls.Start(ctx, &order.Minion, order.Start)
@@ -171,9 +178,9 @@
 }
 
 // sendStop sends a stop; its effect shows in later reports.
-func (h *minionHandler) sendStop(order shard.StopOrder) {
+func (h *minionHandler) sendStop(now time.Time, order shard.StopOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
+		ctx, cancel := h.callContext(now, orderTimeout)
 		defer cancel()
 		if err := h.o.minionCalls.Stop(ctx, &order.Minion, order.Task, order.Attempt, order.Token); err != nil {
 			h.o.s.Log.Debug("stop not delivered", "task", order.Task.String(), "minion", h.incarnation.ID, "why", err.Error())
@@ -183,9 +190,9 @@
 
 // sendThrottle sends an order about a run's speed and reports the outcome to the
 // control goroutine.
-func (h *minionHandler) sendThrottle(order shard.ThrottleOrder) {
+func (h *minionHandler) sendThrottle(now time.Time, order shard.ThrottleOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(h.o.ctx, orderTimeout)
+		ctx, cancel := h.callContext(now, orderTimeout)
 		defer cancel()
 		err := h.o.minionCalls.Throttle(ctx, &order.Minion, order.Task, order.Attempt, order.Speed, order.Token)
 		if err != nil {
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -173,12 +173,12 @@
 	o.updateJobs(orders.Statuses)
 	for _, stop := range orders.Stops {
 		if h := o.handlers[stop.Minion.Incarnation]; h != nil {
-			h.sendStop(stop)
+			h.sendStop(now, stop)
 		}
 	}
 	for _, order := range orders.Throttles {
 		if h := o.handlers[order.Minion.Incarnation]; h != nil {
-			h.sendThrottle(order)
+			h.sendThrottle(now, order)
 		}
 	}
 	for _, query := range orders.Queries {
