server: tell apart what two lives of an entry write, and two owners of a process

An owner that was deposed while its row still stood was followed by one with the same term: the same first tokens, names of writes and sessions with carriers, so that a write of the former could be taken for one of the next, and a result too. Now it claims the next term.

The row of an entry was written without a condition: the row leaving=true of a former life that takes effect late, or is written by a process that was frozen, stood for the whole next life, which then got no work. Now each write depends on the version read, and a process that stops replaces no row but its own.

--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -18,26 +18,41 @@
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
+	Life string `json:"life,omitempty"` // instance ID of the entry's process
 
 	Strength float64 `json:"strength"`          // suitability as an owner, see Settings.Strength
 	Leaving  bool    `json:"leaving,omitempty"` // a planned stop has begun; the entry takes on no new work
 }
 
 // writeEntryRow writes this entry's row, at its start and at a planned stop. It
-// retries until it succeeds or ctx ends.
+// retries until it succeeds, another row of the entry has to be written, or ctx
+// ends.
 func (s *Server) writeEntryRow(ctx context.Context, leaving bool) {
-	b, err := json.Marshal(Entry{s.Settings.ID, s.Settings.PeerAddr, s.Settings.Zone, s.Settings.Strength(), leaving})
+	b, err := json.Marshal(Entry{s.Settings.ID, s.Settings.PeerAddr, s.Settings.Zone, s.instanceID, s.Settings.Strength(), leaving})
 	if err != nil {
 		s.Log.Error("entry row not written", "why", err.Error())
 		return
 	}
-	tx := table.Tx{Put: []table.Row{{Key: table.Key{Table: entryTable, Name: s.Settings.ID}, Value: b}}}
-	for ctx.Err() == nil {
-		if _, err = s.relayStore.Do(ctx, tx); err == nil {
+	known := table.Row{Key: table.Key{Table: entryTable, Name: s.Settings.ID}}
+	for ctx.Err() == nil && s.stopping.Load() == leaving {
+		put := table.Row{Key: known.Key, Value: b}
+		res, err := s.relayStore.Do(ctx, table.Tx{If: []table.Row{known}, Put: []table.Row{put}})
+		switch {
+		case err != nil:
+			s.Log.Warn("entry row not written", "why", err.Error())
+			sleep(ctx, retryDelay)
+			continue
+		case res.Done:
 			return
 		}
-		s.Log.Warn("entry row not written", "why", err.Error())
-		sleep(ctx, retryDelay)
+		known.Version = 0
+		for _, r := range res.Rows {
+			var e Entry
+			if leaving && json.Unmarshal(r.Value, &e) == nil && e.Life != s.instanceID {
+				return // of the next process, or this one never had a row
+			}
+			known.Version = r.Version
+		}
 	}
 }
 
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -269,7 +269,7 @@
 		s.Log.Warn("shard claim failed", "service", service, "why", err.Error())
 		return
 	}
-	if current.Life == s.instanceID && current.Name == s.Settings.ID {
+	if current.Life == s.instanceID && current.Name == s.Settings.ID && current.Term > s.lastTerm(service) {
 		s.setOwnerRow(service, current)
 		s.startOwner(ctx, service, current, seq) // an earlier claim succeeded but got no response
 		return
@@ -286,11 +286,20 @@
 	s.startOwner(ctx, service, next, seq)
 }
 
+// lastTerm returns the term of the last owner that this process had of a shard, 0 if
+// there was none. What an owner has sent is told apart by its term, so that none
+// has the term of another.
+func (s *Server) lastTerm(service string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastTerms[service]
+}
+
 // startOwner starts making decisions for a shard.
 func (s *Server) startOwner(ctx context.Context, service string, row OwnerRow, seq seqRow) {
 	o := newOwner(ctx, s, service, row, seq)
 	s.mu.Lock()
-	s.localOwners[service] = o
+	s.localOwners[service], s.lastTerms[service] = o, row.Term
 	s.Settings.tuneGC(len(s.localOwners))
 	s.mu.Unlock()
 	s.spawn(func() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -90,6 +90,7 @@
 	failures        map[string]callFailures // entries that did not respond, by address
 	ownerRows       map[string]OwnerRow     // by service
 	localOwners     map[string]*owner       // shards owned by this entry, by service
+	lastTerms       map[string]int64        // of the last owner that this process had, by service
 	ownerRowsLoaded bool                    // ownerRows is complete
 
 	entriesReadAt time.Time     // when the rows of entries were first read
@@ -101,7 +102,7 @@
 	s := &Server{
 		Settings: set, Dependencies: deps, instanceID: uuid.NewString()[:8],
 		entries: map[string]Entry{}, failures: map[string]callFailures{},
-		ownerRows: map[string]OwnerRow{}, localOwners: map[string]*owner{},
+		ownerRows: map[string]OwnerRow{}, localOwners: map[string]*owner{}, lastTerms: map[string]int64{},
 	}
 	s.relayStore = &relay.Store{Direct: deps.Store, Peers: storeRelays{s}, Now: monotonicNow, OnUnreachable: s.reportStoreLoss}
 	s.carrier = carry.NewCarrier(deps.Minions, s.instanceID, monotonicNow)
