slots: what a minion's process has said counts for that process only

A minion of a request pool that had left, and then started again under its name and address before the VM list showed either, got no request any more from an entry that had heard it leave: nothing ever reset that. Leaving minions are now asked for their status like those in doubt. Answers of a minion count only for the address that was asked, so that an idle process doesn't end the quarantine of the one that has its name now.

TestMinionsThatStartAgainAreUsed failed before (no answer in 40 s).

--- a/internal/entry/grants.go
+++ b/internal/entry/grants.go
@@ -175,10 +175,12 @@
 }
 
 // probeLoop asks minions that may still run requests abandoned by this entry or
-// sent by a previous holder whether they are idle. A minion must be seen idle
-// twice in a row, so that a request still in transit is not missed.
+// sent by a previous holder whether they are idle, and leaving ones whether they
+// have started again. A minion must be seen idle twice in a row, so that a request
+// still in transit is not missed.
 func (e *Entry) probeLoop(ctx context.Context) {
-	idleOnce := map[string]bool{}
+	type process struct{ name, addr string }
+	idleOnce := map[process]bool{}
 	for ctx.Err() == nil {
 		sleep(ctx, probeInterval)
 		doubts := e.slots.IdleChecks(time.Now())
@@ -192,12 +194,13 @@
 			}()
 		}
 		wg.Wait()
-		again := map[string]bool{}
+		again := map[process]bool{}
 		for i, d := range doubts {
-			if idle[i] && idleOnce[d.Name] {
-				e.slots.ConfirmIdle(d.Name, time.Now())
+			p := process{d.Name, d.Addr}
+			if idle[i] && idleOnce[p] {
+				e.slots.ConfirmIdle(d.Name, d.Addr, time.Now())
 			}
-			again[d.Name] = idle[i] && !idleOnce[d.Name]
+			again[p] = idle[i] && !idleOnce[p]
 		}
 		idleOnce = again
 	}
@@ -207,8 +210,8 @@
 // knows to be active.
 func (e *Entry) probe(ctx context.Context, d slots.IdleCheck) bool {
 	s, err := e.minions.Status(ctx, d.Addr)
-	if err == nil && s.Leaving {
-		e.slots.MarkLeaving(d.Name)
+	if err == nil && s.Leaving != d.Leaving {
+		e.slots.SetLeaving(d.Name, d.Addr, s.Leaving, time.Now())
 	}
 	return err == nil && s.Busy <= d.Active
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -237,7 +237,7 @@
 		e.log.Debug("request sent but no complete answer received", "request", r.ID, "minion", s.Name, "error", err)
 	}
 	if got != nil && got.Leaving {
-		e.slots.MarkLeaving(s.Name)
+		e.slots.SetLeaving(s.Name, s.Addr, true, time.Now())
 	}
 	if ejected, _ := e.slots.Release(s, result, time.Now()); ejected {
 		e.recordEvent("eject", s.Name, "fails")
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -252,43 +252,55 @@
 	return ejected, m.Draining && m.Busy == 0
 }
 
-// MarkLeaving records that a minion accepts no new requests.
-func (t *Table) MarkLeaving(name string) {
+// SetLeaving records whether the minion that has a name and an address accepts no
+// new requests.
+func (t *Table) SetLeaving(name, addr string, leaving bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.byName[name]; m != nil {
-		m.Leaving = true
-		t.pools[m.Pool].dispatch(time.Now())
+	if m := t.find(name, addr); m != nil {
+		m.Leaving = leaving
+		t.pools[m.Pool].dispatch(now)
 	}
 }
 
-// IdleCheck is a minion that needs to be asked whether it is idle.
+// find returns the minion with a name and an address; another may have the name by
+// now.
+func (t *Table) find(name, addr string) *Minion {
+	if m := t.byName[name]; m != nil && m.Addr == addr {
+		return m
+	}
+	return nil
+}
+
+// IdleCheck is a minion that needs to be asked for its status.
 type IdleCheck struct {
-	Name   string
-	Addr   string
-	Active int // requests of this entry that run there, not counting abandoned ones
+	Name    string
+	Addr    string
+	Active  int  // requests of this entry that run there, not counting abandoned ones
+	Leaving bool // it accepted no new requests; the next process there may
 }
 
-// IdleChecks returns the minions that have abandoned requests or are
-// quarantined.
+// IdleChecks returns the minions that have abandoned requests, are quarantined or
+// are leaving.
 func (t *Table) IdleChecks(now time.Time) []IdleCheck {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []IdleCheck
 	for _, m := range t.byName {
-		if m.Abandoned > 0 || m.Quarantined && now.Before(m.UnusableUntil) {
-			out = append(out, IdleCheck{m.Name, m.Addr, m.Busy - m.Abandoned})
+		if m.Abandoned > 0 || m.Quarantined && now.Before(m.UnusableUntil) || m.Leaving {
+			out = append(out, IdleCheck{m.Name, m.Addr, m.Busy - m.Abandoned, m.Leaving})
 		}
 	}
 	return out
 }
 
-// ConfirmIdle records that a minion runs no requests other than those known to
-// this entry. It frees the slots of abandoned requests and ends a quarantine.
-func (t *Table) ConfirmIdle(name string, now time.Time) {
+// ConfirmIdle records that the minion that has a name and an address runs no
+// requests other than those known to this entry. It frees the slots of abandoned
+// requests and ends a quarantine.
+func (t *Table) ConfirmIdle(name, addr string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := t.byName[name]
+	m := t.find(name, addr)
 	if m == nil {
 		return
 	}
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -89,7 +89,7 @@
 	_, err = acquire(tab, 10)
 	assert.ErrorIs(t, err, ErrDeadline)
 	assert.Equal(t, len(tab.IdleChecks(time.Now())), 1)
-	tab.ConfirmIdle("a", time.Now())
+	tab.ConfirmIdle("a", "a", time.Now())
 	_, err = acquire(tab, 10)
 	assert.NilError(t, err)
 }
@@ -123,7 +123,7 @@
 	tab.SetAssignments(h, 9, time.Now())
 	_, err := acquire(tab, 5)
 	assert.ErrorIs(t, err, ErrDeadline)
-	tab.ConfirmIdle("a", time.Now())
+	tab.ConfirmIdle("a", "a", time.Now())
 	_, err = acquire(tab, 5)
 	assert.NilError(t, err)
 }
@@ -205,7 +205,7 @@
 				if m := tab.byName[n]; m != nil {
 					abandoned[m] = 0
 				}
-				tab.ConfirmIdle(n, now)
+				tab.ConfirmIdle(n, n, now)
 			},
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
@@ -220,3 +220,23 @@
 		})
 	})
 }
+
+// What a process has said says nothing of the one that has its name now: requests
+// of the former owner may run there, and it takes requests.
+func TestStatusIsOfOneAddress(t *testing.T) {
+	tab := &Table{}
+	h := assignments("a")
+	tab.SetAssignments(h, 9, time.Now())
+	h[0].Addr, h[0].QuarantineUntil = "b", time.Now().Add(time.Minute)
+	tab.SetAssignments(h, 9, time.Now())
+	tab.ConfirmIdle("a", "a", time.Now())
+	_, err := acquire(tab, 5)
+	assert.ErrorIs(t, err, ErrDeadline)
+	tab.ConfirmIdle("a", "b", time.Now())
+	tab.SetLeaving("a", "a", true, time.Now())
+	_, err = acquire(tab, 5)
+	assert.NilError(t, err)
+	tab.SetLeaving("a", "b", true, time.Now())
+	_, err = acquire(tab, 5)
+	assert.ErrorIs(t, err, ErrNoMinion)
+}
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -467,3 +467,31 @@
 	assert.NilError(t, err)
 	assert.Assert(t, s.Violations() == 0 && s.Tasks > 0 && s.Answered > 0, "%+v", s)
 }
+
+// Minions that had left got no requests any more when they had started again under
+// their names and addresses.
+func TestMinionsThatStartAgainAreUsed(t *testing.T) {
+	x := startSite(t, smallSite(47))
+	var tot RequestStats
+	for _, m := range x.Minions {
+		m.Leave()
+	}
+	x.waitFor("no minion takes requests", func() bool {
+		tot = RequestStats{}
+		for range 20 {
+			x.balancer.Request(x.Ledger, &tot, "p", "m", true, 1, 10)
+		}
+		return tot.Answered == 0
+	})
+	for id, old := range x.Minions {
+		old.Close()
+		next := &Minion{Name: old.Name, Slots: old.Slots, MaxConns: old.MaxConns, Ledger: old.Ledger}
+		x.waitFor("the minion starts again", func() bool { _, err := next.Serve(old.Addr); return err == nil })
+		x.Minions[id] = next
+	}
+	x.waitFor("requests are answered", func() bool {
+		tot = RequestStats{}
+		x.balancer.Request(x.Ledger, &tot, "p", "m", true, 1, 10)
+		return tot.Answered == 1
+	})
+}
