control: grants follow their minion's address; a repeated release takes no later grant

The grant of a minion that started again at another address within the lag of the VM list kept the former address. A release counts now only while the grant is being drained.

Both tests failed before. A copy that is older than a whole second drain would still count.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -420,3 +420,42 @@
 	r.step(2)
 	assert.Equal(t, r.c.State.Grants["m1"].Entry, "e1")
 }
+
+// A release that was sent twice took a grant that its holder had got again.
+func TestRepeatedReleaseIsIgnored(t *testing.T) {
+	r := newHarness(t)
+	e1, e2 := Entry{ID: "e1", Boot: 1, Alive: true}, Entry{ID: "e2", Boot: 1, Alive: true}
+	r.listMinions(0, []string{"e1", "e2"}, "m1")
+	leaving := e1
+	leaving.Leaving = true
+	release := GrantReleased{Minion: "m1", Entry: "e1", Boot: 1}
+	for i, entries := range [][]Entry{{e1}, {leaving, e2}} {
+		r.c.Handle(EntryList{Entries: entries}, sec(float64(i)))
+		r.step(float64(i + 1))
+	}
+	assert.Assert(t, r.c.State.Grants["m1"].Drain)
+	r.c.Handle(EntryList{Entries: []Entry{e1}}, sec(3))
+	r.c.Handle(release, sec(3))
+	r.step(3)
+	assert.Assert(t, !r.c.State.Grants["m1"].Drain)
+	r.c.Handle(EntryList{Entries: []Entry{e1, e2}}, sec(4))
+	r.c.Handle(release, sec(4))
+	r.step(4)
+	assert.Equal(t, r.c.State.Grants["m1"].Entry, "e1")
+}
+
+// A minion that had started again at another address got no requests: its grant kept
+// the former one.
+func TestGrantFollowsTheAddressOfItsMinion(t *testing.T) {
+	r := newHarness(t)
+	vms := []platform.VM{{ID: "e1", Zone: "z", Role: "entry"}, {ID: "m1", Zone: "z", Role: "minion", Pool: "p", Addr: "a", Slots: 8}}
+	r.c.Handle(VMList{VMs: vms}, t0)
+	r.c.Handle(EntryList{Entries: []Entry{{ID: "e1", Boot: 1, Alive: true}}}, t0)
+	r.step(1)
+	assert.Equal(t, r.c.State.Grants["m1"].Addr, "a")
+	vms[1].Addr = "b"
+	r.c.Handle(VMList{VMs: vms}, sec(2))
+	r.step(2)
+	g := r.c.State.Grants["m1"]
+	assert.Assert(t, g.Addr == "b" && g.Entry == "e1" && g.Boot == 1)
+}
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -34,18 +34,17 @@
 		if exists {
 			gone, clean := c.holderGone(name, g, now)
 			if !gone {
+				if u, ok := upstreams[name]; ok && u.Addr != g.Addr {
+					c.give(now, name, Entry{ID: g.Entry, Boot: g.Boot}, u, true) // no request has been sent there
+					continue
+				}
 				c.drainIfNeeded(now, name, g, load)
 				continue
 			}
 			g.Clean = clean
 		}
 		to := leastLoaded(live, load)
-		upstream := upstreams[name]
-		c.emit(now, book.Event{Give: &book.GrantAssignment{
-			Minion: name, Entry: to.ID, Boot: to.Boot, Clean: !exists || g.Clean,
-			Pool: upstream.Pool, Addr: upstream.Addr, Slots: upstream.Slots,
-		}})
-		c.addToTimeline(now, "give", name, to.ID)
+		c.give(now, name, to, upstreams[name], !exists || g.Clean)
 		load[to.ID]++
 	}
 	for _, name := range sortedKeys(c.State.Grants) {
@@ -58,6 +57,15 @@
 	clear(c.releases)
 }
 
+// give grants a minion, at the address of upstream, or a key share to an entry.
+func (c *Controller) give(now time.Time, name string, to Entry, upstream platform.VM, clean bool) {
+	c.emit(now, book.Event{Give: &book.GrantAssignment{
+		Minion: name, Entry: to.ID, Boot: to.Boot, Clean: clean,
+		Pool: upstream.Pool, Addr: upstream.Addr, Slots: upstream.Slots,
+	}})
+	c.addToTimeline(now, "give", name, to.ID)
+}
+
 // eligibleEntries returns the entries that may receive grants.
 func (c *Controller) eligibleEntries() []Entry {
 	return slices.DeleteFunc(slices.Clone(c.Entries), func(e Entry) bool { return e.Leaving || !e.Alive })
@@ -119,9 +127,10 @@
 }
 
 // holderGone reports whether the holder of g certainly does not use it any more,
-// and whether the holder released it itself.
+// and whether the holder released it itself. It does that only when asked to: any
+// other release is of a grant that it had before.
 func (c *Controller) holderGone(name string, g book.Grant, now time.Time) (gone, clean bool) {
-	if r, ok := c.releases[name]; ok && r.Entry == g.Entry && r.Boot == g.Boot {
+	if r, ok := c.releases[name]; ok && g.Drain && r.Entry == g.Entry && r.Boot == g.Boot {
 		return true, true
 	}
 	for _, e := range c.Entries {
