shard: the first answer is to a token above all calls for the former life

The poll of an unconfirmed restart has the token that the former life may get as well, once a start there has had no reply. Its answer, if it came after the restart was confirmed otherwise, counted as the first one of the new life: a renewal with the same token could still be carried out there, and the bound for leases that nobody sent was counted from too early a moment.

The test failed before.

--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -23,6 +23,8 @@
 		return
 	case rep.Born != 0 && rep.Born < m.Born:
 		return
+	case !m.answered() && n.Token < m.token:
+		return // sent while the restart was unconfirmed: calls for the former incarnation may have the same token
 	}
 	first := !m.answered()
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
