control: test that leases of workers count over their lives

Cause: a renewal for a worker's former life might have extended what the next one holds uncounted. Change: TestLeaseSentToAFormerLifeCountsForTheNext, which refutes it: leases of workers are absolute times, counted by worker over its lives.

Measured: internal/control passes, also with the race detector.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -459,3 +459,26 @@
 	g := r.c.State.Grants["m1"]
 	assert.Assert(t, g.Addr == "b" && g.Entry == "e1" && g.Boot == 1)
 }
+
+// A renewal that the next life of a worker carries out gives it a lease that counts:
+// leases are counted by worker, over its lives, and end at an absolute time.
+func TestLeaseSentToAFormerLifeCountsForTheNext(t *testing.T) {
+	r := newHarness(t, "w1")
+	reply := make(chan worker.SyncRequest, 1)
+	r.c.Handle(LeaseRenewal{Worker: "w1", Until: sec(20), Reply: reply}, sec(5))
+	<-reply
+	r.c.Handle(WorkerReported{Worker: "w1", Report: &worker.Report{Boot: 8, Gen: 1, Full: true}}, sec(6))
+	id := r.submit(6, operator.Job{})
+	for _, e := range r.step(6) {
+		if e.Starts != nil {
+			assert.Equal(t, e.Starts.Boot, int64(8))
+		}
+	}
+	r.report(6.5, "w1", false, worker.AttemptStatus{Task: r.task(id, 0).ID, Attempt: 1, State: "running"})
+	r.step(6.5)
+	r.c.Handle(WorkerUnreachable{Worker: "w1"}, sec(7))
+	r.step(19.9)
+	assert.Assert(t, r.task(id, 0).Live())
+	r.step(20 + r.c.Timing.ClockSkew.Seconds() + 0.1)
+	assert.Assert(t, r.task(id, 0).Attempt == 1 && r.task(id, 0).Cause == book.Lost)
+}
