--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -83,6 +83,10 @@
 			delete(s.entries, r.Name)
 			continue
 		}
+		if old, ok := s.entries[r.Name]; ok && old.Life != e.Life {
+			delete(s.failures, e.Addr) // they are of the former process, as are connections
+			s.peers.Forget(e.Addr)
+		}
 		s.entries[r.Name] = e
 	}
 }
--- a/internal/server/life_test.go
+++ b/internal/server/life_test.go
@@ -71,3 +71,25 @@
 	next.applyEntryRows(got.Rows)
 	assert.Assert(t, !next.entries["e0"].Leaving)
 }
+
+// An entry that had started again was avoided for what its former process had not
+// answered.
+func TestEntryThatStartedAgainIsNotAvoided(t *testing.T) {
+	s := newCluster(t, 1, 1)
+	e := s.entries[0]
+	row := func(life string) table.Row {
+		return table.Row{Key: table.Key{Table: entryTable, Name: "x"}, Value: []byte(`{"name":"x","addr":"127.0.0.1:1","life":"` + life + `"}`)}
+	}
+	avoided := func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.avoided(monotonicNow(), "127.0.0.1:1")
+	}
+	e.applyEntryRows([]table.Row{row("a")})
+	assert.Assert(t, e.callEntry(context.Background(), "127.0.0.1:1", "Ping", struct{}{}, &struct{}{}) != nil)
+	assert.Assert(t, avoided())
+	e.applyEntryRows([]table.Row{row("a")})
+	assert.Assert(t, avoided())
+	e.applyEntryRows([]table.Row{row("b")})
+	assert.Assert(t, !avoided())
+}
