--- a/internal/shard/life_test.go
+++ b/internal/shard/life_test.go
@@ -51,3 +51,41 @@
 	o.st.HandleReport(w.now, next, work.Report{Born: b.Born, Clock: b.clock()})
 	assert.Assert(t, o.st.minions[b.ID].answered())
 }
+
+// What is heard of calls for a former life says nothing of the next one.
+func TestRepliesForAFormerLifeChangeNothing(t *testing.T) {
+	w, o, former, _, renewal := restartedBehind(t)
+	b := w.minions[0]
+	m := o.st.minions[b.ID]
+	var k runKey
+	for k = range m.runs {
+		break
+	}
+	o.st.HandleReport(w.now, renewal, work.Report{Born: b.Born, Clock: b.clock()})
+	for range 3 {
+		w.cycle()
+	}
+	assert.Assert(t, m.answered() && m.Born == b.Born && len(m.runs) == 1)
+	m.failed, m.slowness = nil, 0
+	before, slow, runs := *m, len(m.zone.slowMinions), len(m.runs)
+	start := StartOrder{Minion: former, Start: work.Start{Task: k.task, Attempt: k.attempt, Token: m.token + 9}}
+	w.now = w.now.Add(time.Second)
+	for _, err := range []error{nil, errors.New("no reply")} {
+		o.st.HandleStartReply(w.now, start, work.Accepted, err)
+		o.st.HandleStartReply(w.now, start, work.Unhealthy, err)
+		o.st.HandleStartReply(w.now, start, work.BadTicket, err)
+		o.st.HandleThrottleReply(w.now, ThrottleOrder{Minion: former, Task: k.task, Attempt: k.attempt, Speed: 5, Token: m.token + 9}, err)
+	}
+	o.st.HandleSlowReply(w.now, former.Incarnation)
+	o.st.HandleNoReply(w.now, former.Incarnation)
+	o.st.HandleReplaced(w.now, former.Incarnation)
+	for _, born := range []int64{0, former.Born, b.Born} {
+		o.st.HandleReport(w.now, renewal, work.Report{Born: born, Clock: 1 << 40, Ended: []work.End{{N: 99, Task: k.task, Attempt: 9, How: work.Done}}})
+	}
+	_, ok := o.st.NextRenewal(w.now, former.Incarnation)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(m.runs), runs)
+	assert.Equal(t, len(m.zone.slowMinions), slow)
+	assert.Assert(t, m.token == before.token && m.clock == before.clock && m.lastEnd == before.lastEnd)
+	assert.Assert(t, m.pausedUntil.Equal(before.pausedUntil) && m.silentSince.IsZero() && m.synced && len(m.failed) == 0)
+}
