shard: tests that tickets and what was learned end with a minion's life

Cause: by reading alone it was not settled whether tickets, slowness and failures of a former life count in the next. Change: TestTicketForAFormerLifeIsAskedForAgain and TestNothingLearnedOfAFormerLifeCounts. They refute it; no code changes.

--- a/internal/shard/life_test.go
+++ b/internal/shard/life_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -89,3 +90,51 @@
 	assert.Assert(t, m.token == before.token && m.clock == before.clock && m.lastEnd == before.lastEnd)
 	assert.Assert(t, m.pausedUntil.Equal(before.pausedUntil) && m.silentSince.IsZero() && m.synced && len(m.failed) == 0)
 }
+
+// A ticket that was issued for a former life costs one refused start.
+func TestTicketForAFormerLifeIsAskedForAgain(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	b := w.minions[0]
+	w.cycle()
+	j := newJob("a", tasks(1, 1000))
+	j.Advice = &work.AdviceTiming{Decide: 100 * time.Millisecond, Valid: time.Minute}
+	w.submit(j)
+	o.st.Decide(w.now, w.now, QueryCapacity{Total: 4, Slow: 4, SlowFrom: time.Second})
+	queries := o.st.TakeActions().Queries
+	assert.Equal(t, len(queries), 1)
+	w.now = w.now.Add(time.Millisecond)
+	b.restart()
+	for range 3 {
+		o.renew(b)
+	}
+	m := o.st.minions[b.ID]
+	assert.Assert(t, m.answered() && m.Born == b.Born)
+	o.st.HandleAdvice(w.now, w.now, queries[0], map[string]string{b.ID: "former"}, time.Minute, nil)
+	p := o.st.jobs["a"].rounds[0].steps[0]
+	r := &run{key: runKey{p.tasks[0].id, 1}, step: p, state: sent}
+	m.add(r)
+	o.st.HandleStartReply(w.now, StartOrder{Minion: m.Minion, Start: work.Start{Task: r.key.task, Attempt: 1, Token: m.token}}, work.BadTicket, nil)
+	got, _ := p.eligibility(w.now, m)
+	assert.Equal(t, got, ticketExpired)
+	assert.Equal(t, len(m.runs), 0)
+	assert.Equal(t, len(m.failed), 0, "the minion is not at fault")
+}
+
+// How slow a minion was, and what failed there, says nothing of its next life.
+func TestNothingLearnedOfAFormerLifeCounts(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	w.cycle()
+	b := w.minions[0]
+	m := o.st.minions[b.ID]
+	m.slowness, m.failed = 3, []failure{{}, {}}
+	row, err := json.Marshal(o.st.encodeLearned())
+	assert.NilError(t, err)
+	w.now = w.now.Add(time.Millisecond)
+	b.restart()
+	for range 3 {
+		o.renew(b)
+	}
+	assert.Assert(t, m.Born == b.Born && m.slowness == 0 && !m.suspect())
+	assert.NilError(t, o.st.LoadLearned(row))
+	assert.Equal(t, m.slowness, 0.0)
+}
