shard, cluster of the tests: clocks of new incarnations, renewals in flight

The clocks of its minions began at 0 in each incarnation, and renewals were carried out at once, never by the next one. Change: a clock begins at a value by ID and number of the incarnation, ahead of or behind the former one's. A renewal can be in flight like an order, with its token, its deadline and the end that it acknowledges, and its answer, like the reply to a start or a throttle, can be lost before it is carried out. TestRunOnce has 'send renewal', 'lose reply' and 'restart and cut' besides its former actions. What is in flight for a former incarnation is dropped after Limits.MaxOrderDelay, which is what the product is told; without a restart it is delivered at any time, as before.

Two tests relied on clocks that begin at 0: one sets the clock of the new incarnation to 0, the other the deadline relative to the clock; what they assert is unchanged.

--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"sort"
 	"strings"
 	"testing"
@@ -58,11 +59,14 @@
 	Fatalf(format string, args ...any)
 }
 
-// pendingOrder is an order in flight.
+// pendingOrder is an order or a renewal in flight. Whatever the owner is told of it
+// meanwhile, it is carried out when it is delivered, by the incarnation that is there
+// then.
 type pendingOrder struct {
 	to      *simMinion
 	token   int64
 	deliver func()
+	lose    func() // tells the owner that there was no reply; nil if none is awaited
 }
 
 // simMinion is the actual state of a minion.
@@ -70,6 +74,8 @@
 	cluster *simCluster
 	work.Minion
 	startedAt  time.Time
+	lives      int   // number of its incarnations
+	clockStart int64 // what its clock showed when this one began
 	token      int64
 	leaseUntil int64 // lease, on its clock
 	lastEnd    int64
@@ -91,7 +97,18 @@
 }
 
 func (b *simMinion) clock() int64 {
-	return int64(float64(b.cluster.now.Sub(b.startedAt).Milliseconds()) * (1 - b.drift))
+	return b.clockStart + int64(float64(b.cluster.now.Sub(b.startedAt).Milliseconds())*(1-b.drift))
+}
+
+// clockSpread is the range in which the clocks of incarnations begin, in ms.
+const clockSpread = 120_000
+
+// firstClock is what the clock of an incarnation shows at its start: any value, ahead of
+// or behind that of the former one.
+func firstClock(id string, life int) int64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, life, id)
+	return int64(h.Sum64() % clockSpread)
 }
 
 // tick ends the runs when the lease has expired.
@@ -257,7 +274,7 @@
 	if b.stuck {
 		return 0
 	}
-	return int(b.clock()/100) % 100
+	return int((b.clock()-b.clockStart)/100) % 100
 }
 
 func (b *simMinion) stop(token int64, k runKey) {
@@ -343,7 +360,9 @@
 	b.speeds = map[runKey]int{}
 	b.token, b.leaseUntil, b.lastEnd, b.voidedEnds = 0, 0, 0, 0
 	b.startedAt = b.cluster.now
-	b.cluster.record("%s restarts", b.ID)
+	b.lives++
+	b.clockStart = firstClock(b.ID, b.lives)
+	b.cluster.record("%s restarts, its clock shows %d", b.ID, b.clockStart)
 	b.Born = b.cluster.now.UnixMilli()
 	b.up = true
 }
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -12,9 +12,10 @@
 
 // TestRunOnce checks the invariants of the cluster: no task runs twice at a time
 // or after it is done, no room is exceeded, and steps run in order. Owners
-// change, freeze and resume, minions are cut off, restart and come back, and
-// orders are late, lost or reordered. The store is down at times, and the rows of
-// minions, whose room shrinks and grows, are shown late.
+// change, freeze and resume, minions are cut off, restart and come back, also
+// within seconds, and orders and renewals are late, lost or reordered. The store is
+// down at times, and the rows of minions, whose room shrinks and grows, are shown
+// late.
 func TestRunOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newSimCluster(rt, 3)
@@ -79,6 +80,15 @@
 			},
 			"feed":  func(*rapid.T) { w.setFeed(!w.feedDown) },
 			"renew": func(*rapid.T) { anyOwner().renew(anyBox()) },
+			"send renewal": func(*rapid.T) { anyOwner().renewLate(anyBox()) },
+			"lose reply": func(*rapid.T) {
+				if len(w.inFlight) == 0 {
+					return
+				}
+				if f := w.inFlight[pick("order", len(w.inFlight))]; f.lose != nil {
+					f.lose() // it may still be carried out
+				}
+			},
 			"deliver": func(*rapid.T) {
 				if len(w.inFlight) == 0 {
 					return
@@ -130,6 +140,21 @@
 					w.resize(anyBox(), int64(1000*(1+pick("cpu", 6))))
 				}
 			},
+			"restart and cut": func(*rapid.T) {
+				b := anyBox()
+				if !b.up {
+					return
+				}
+				if pick("renewal", 2) == 0 {
+					w.owners[len(w.owners)-1].renewLate(b)
+				}
+				w.restart(b, pick("told", 2) == 0)
+				for range pick("turns", 5) {
+					w.pass(time.Duration(50*(1+pick("ms", 20))) * time.Millisecond)
+					w.cycle()
+				}
+				b.up = false
+			},
 			"reborn": func(*rapid.T) { w.restart(anyBox(), pick("told", 2) == 0) },
 			"take": func(*rapid.T) {
 				if !w.storeDown {
@@ -143,9 +168,11 @@
 }
 
 // restart restarts a minion and may notify the newest owner, as the minion's new
-// entry would. Orders with a token that the old incarnation has already
+// entry would. Orders and renewals with a token that the old incarnation has already
 // superseded are dropped: the protocol gives an owner no means to keep the next
-// incarnation from executing such an order seconds later.
+// incarnation from executing such an order seconds later. It may start a run that
+// the owner has given up, and forget ends that nobody has read; only the lease
+// that it gets is counted.
 func (w *simCluster) restart(b *simMinion, notifyOwner bool) {
 	if !b.up {
 		return
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,7 @@
 	cluster *simCluster
 	st      *State
 	acked   map[work.Incarnation]int64
+	awaited map[work.Incarnation]int64 // the renewal in flight whose answer it awaits
 	batch   *Batch
 	ended   []JobStatus // jobs to archive
 	deposed bool
@@ -28,7 +30,7 @@
 	for _, o := range w.owners {
 		o.deposed = true // its writes fail from now on; its messages still arrive
 	}
-	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}}
+	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}, awaited: map[work.Incarnation]int64{}}
 	o.readStoreClock()
 	o.st.Inherit(w.promise)
 	for _, b := range w.minions {
@@ -91,7 +93,7 @@
 	actions := o.st.TakeActions()
 	for _, x := range actions.Stops {
 		b := o.cluster.minion(x.Minion.ID)
-		o.cluster.inFlight = append(o.cluster.inFlight, pendingOrder{b, x.Token, func() { b.stop(x.Token, runKey{x.Task, x.Attempt}) }})
+		o.cluster.inFlight = append(o.cluster.inFlight, o.cluster.order(b, x.Token, func() { b.stop(x.Token, runKey{x.Task, x.Attempt}) }, nil))
 	}
 	for _, x := range actions.Throttles {
 		o.sendThrottle(x)
@@ -219,69 +221,139 @@
 	return nil
 }
 
+// order is an order to a minion that is in flight from now on. reply tells the owner
+// that there was no reply, if it awaits one.
+func (w *simCluster) order(b *simMinion, token int64, carryOut, reply func()) pendingOrder {
+	sent := w.now
+	deliver := func() {
+		if b.startedAt.After(sent) && w.now.Sub(sent) > w.limits.MaxOrderDelay {
+			w.record("%s never gets an order with token %d", b.ID, token)
+			if reply != nil {
+				reply()
+			}
+			return
+		}
+		carryOut()
+	}
+	return pendingOrder{b, token, deliver, reply}
+}
+
+// once returns a function that calls f at its first call only.
+func once(f func()) func() {
+	done := false
+	return func() {
+		if !done {
+			done = true
+			f()
+		}
+	}
+}
+
 // send puts a start order in flight.
 func (o *simOwner) send(x StartOrder) {
 	size := o.st.minions[x.Minion.ID].runs[runKey{x.Start.Task, x.Start.Attempt}].size
 	b, sent := o.cluster.minion(x.Minion.ID), o.cluster.now
-	o.cluster.inFlight = append(o.cluster.inFlight, pendingOrder{b, x.Start.Token, func() {
+	awaited := true
+	reply := func(why work.Refusal, err error) {
+		if awaited {
+			awaited = false
+			o.st.HandleStartReply(o.cluster.now, x, why, err)
+		}
+	}
+	lose := func() { reply(work.Other, errNoAnswer) }
+	o.cluster.inFlight = append(o.cluster.inFlight, o.cluster.order(b, x.Start.Token, func() {
 		if !b.crashedAt.IsZero() {
-			o.st.HandleStartReply(o.cluster.now, x, work.Other, table.ErrNotApplied)
+			reply(work.Other, table.ErrNotApplied)
 			return
 		}
 		why, ok := b.start(x.Minion.Incarnation, x.Start, size, sent)
-		if !b.crashedAt.IsZero() && o.cluster.repliesLost {
-			o.loseReply(x)
-			return
-		}
-		if ok && b.Born == x.Minion.Born {
-			o.st.HandleStartReply(o.cluster.now, x, why, nil)
+		if !b.crashedAt.IsZero() && o.cluster.repliesLost || !ok || b.Born != x.Minion.Born {
+			lose()
 			return
 		}
-		o.st.HandleStartReply(o.cluster.now, x, work.Other, fmt.Errorf("no answer"))
-	}})
+		reply(why, nil)
+	}, lose))
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// loseReply reports to the owner that a start got no reply.
+func (o *simOwner) loseReply(x StartOrder) {
+	o.st.HandleStartReply(o.cluster.now, x, work.Other, errNoAnswer)
 }
 
 // sendThrottle puts an order about the speed of a run in flight.
 func (o *simOwner) sendThrottle(x ThrottleOrder) {
 	b := o.cluster.minion(x.Minion.ID)
-	o.cluster.inFlight = append(o.cluster.inFlight, pendingOrder{b, x.Token, func() {
-		var err error
+	var err error
+	reply := once(func() { o.st.HandleThrottleReply(o.cluster.now, x, err) })
+	lose := func() {
+		err = errNoAnswer
+		reply()
+	}
+	o.cluster.inFlight = append(o.cluster.inFlight, o.cluster.order(b, x.Token, func() {
 		if !b.throttle(x) {
-			err = fmt.Errorf("no answer")
+			err = errNoAnswer
 		}
-		o.st.HandleThrottleReply(o.cluster.now, x, err)
-	}})
-}
-
-// loseReply reports to the owner that a start got no reply.
-func (o *simOwner) loseReply(x StartOrder) {
-	o.st.HandleStartReply(o.cluster.now, x, work.Other, fmt.Errorf("no answer"))
+		reply()
+	}, lose))
 }
 
 // renew requests a report from a minion, without delay.
 func (o *simOwner) renew(b *simMinion) {
-	if o.frozen {
-		return
+	if carryOut, _ := o.renewal(b); carryOut != nil {
+		carryOut()
 	}
-	m := o.st.minions[b.ID]
-	if m == nil {
-		return
-	}
-	n, ok := o.st.NextRenewal(o.cluster.now, m.Incarnation)
-	if !ok {
+}
+
+// renewLate puts a renewal in flight.
+func (o *simOwner) renewLate(b *simMinion) {
+	carryOut, lose := o.renewal(b)
+	if carryOut == nil {
 		return
 	}
-	if b.replaced {
-		o.st.HandleReplaced(o.cluster.now, m.Incarnation)
-		return
+	token := o.st.minions[b.ID].token
+	o.cluster.record("owner %d sends %s a renewal with token %d", o.st.Term, b.ID, token)
+	o.cluster.inFlight = append(o.cluster.inFlight, o.cluster.order(b, token, carryOut, lose))
+}
+
+// renewal returns what carries out the next renewal of a minion, and what tells the
+// owner that there was no answer. They are nil if there is none. The owner awaits no
+// answer to an earlier one of the incarnation from now on.
+func (o *simOwner) renewal(b *simMinion) (carryOut, lose func()) {
+	w, m := o.cluster, o.st.minions[b.ID]
+	if o.frozen || m == nil {
+		return nil, nil
 	}
-	rep, ok := b.handleRenewal(fmt.Sprint("owner ", o.st.Term), n, o.acked[m.Incarnation])
+	l := m.Incarnation
+	n, ok := o.st.NextRenewal(w.now, l)
 	if !ok {
-		o.st.HandleNoReply(o.cluster.now, m.Incarnation)
-		return
+		return nil, nil
 	}
-	if rep.Born != m.Born {
-		o.acked[work.Incarnation{ID: b.ID, Born: rep.Born}] = 0
+	seen := o.acked[l]
+	o.awaited[l] = n.Seq
+	answer := func(f func()) {
+		if o.awaited[l] == n.Seq {
+			delete(o.awaited, l)
+			f()
+		}
 	}
-	o.st.HandleReport(o.cluster.now, n, rep)
+	lose = func() { answer(func() { o.st.HandleNoReply(w.now, l) }) }
+	return func() {
+		if b.replaced {
+			answer(func() { o.st.HandleReplaced(w.now, l) })
+			return
+		}
+		rep, ok := b.handleRenewal(fmt.Sprint("owner ", o.st.Term), n, seen)
+		if !ok {
+			lose()
+			return
+		}
+		answer(func() {
+			if rep.Born != l.Born {
+				o.acked[work.Incarnation{ID: b.ID, Born: rep.Born}] = 0
+			}
+			o.st.HandleReport(w.now, n, rep)
+		})
+	}, lose
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -103,7 +103,7 @@
 			size := work.Size{CPU: 1000, Mem: 100}
 			x := b.Starts[0]
 			assert.Assert(t, o.st.minions[x.Minion.ID].runs[runKey{x.Start.Task, 1}] != nil)
-			x.Start.Token, x.Start.Until = o.st.minions[x.Minion.ID].token, 60_000
+			x.Start.Token, x.Start.Until = o.st.minions[x.Minion.ID].token, w.minion(x.Minion.ID).clock()+60_000
 			w.minion(x.Minion.ID).start(x.Minion.Incarnation, x.Start, size, w.now)
 		}
 		x := b.Starts[0]
@@ -329,7 +329,8 @@
 	f := w.inFlight[0]
 	w.pass(time.Second)
 	f.to.restart()
-	f.deliver() // before the owner knows of the new incarnation
+	f.to.clockStart = 0 // the deadline lies ahead
+	f.deliver()         // before the owner knows of the new incarnation
 	assert.Equal(t, w.running(), 1)
 	w.inFlight = nil
 	o.st.UpdateMinion(w.now, f.to.Minion, w.now)
