--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -78,8 +78,8 @@
 					o.renewRestart(odd.Incarnation, nil)
 				}
 			},
-			"feed":  func(*rapid.T) { w.setFeed(!w.feedDown) },
-			"renew": func(*rapid.T) { anyOwner().renew(anyBox()) },
+			"feed":         func(*rapid.T) { w.setFeed(!w.feedDown) },
+			"renew":        func(*rapid.T) { anyOwner().renew(anyBox()) },
 			"send renewal": func(*rapid.T) { anyOwner().renewLate(anyBox()) },
 			"lose reply": func(*rapid.T) {
 				if len(w.inFlight) == 0 {
