shard: tests of ends that the next incarnation of a minion forgets

Measured: TestNumberOfAFormerEndForgetsNoEnd passes, and fails where the number goes with each renewal ('b.0.0.0 starts although it is done').

--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -16,6 +16,7 @@
 	cluster *simCluster
 	st      *State
 	acked   map[work.Incarnation]int64
+	read    map[work.Incarnation]int64 // the number that it was told with a renewal that it has answered
 	awaited map[work.Incarnation]int64 // the renewal in flight whose answer it awaits
 	batch   *Batch
 	ended   []JobStatus // jobs to archive
@@ -30,7 +31,7 @@
 	for _, o := range w.owners {
 		o.deposed = true // its writes fail from now on; its messages still arrive
 	}
-	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}, awaited: map[work.Incarnation]int64{}}
+	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}, read: map[work.Incarnation]int64{}, awaited: map[work.Incarnation]int64{}}
 	o.readStoreClock()
 	o.st.Inherit(w.promise)
 	for _, b := range w.minions {
@@ -331,6 +332,9 @@
 		return nil, nil
 	}
 	seen := o.acked[l]
+	if seen == o.read[l] {
+		seen = 0 // sent once, since the next incarnation takes it for a number of its own
+	}
 	o.awaited[l] = n.Seq
 	answer := func(f func()) {
 		if o.awaited[l] == n.Seq {
@@ -353,6 +357,7 @@
 			if rep.Born != l.Born {
 				o.acked[work.Incarnation{ID: b.ID, Born: rep.Born}] = 0
 			}
+			o.read[l] = max(o.read[l], seen)
 			o.st.HandleReport(w.now, n, rep)
 		})
 	}, lose
--- a/internal/shard/reborn_test.go
+++ b/internal/shard/reborn_test.go
@@ -16,10 +16,10 @@
 	w.writeRow(b)
 }
 
-// newOldCluster is a cluster with an owner and two minions whose clocks began long ago.
-func newOldCluster(t *testing.T) (*simCluster, *simOwner) {
+// newOldCluster is a cluster with an owner and minions whose clocks began long ago.
+func newOldCluster(t *testing.T, n int) (*simCluster, *simOwner) {
 	t.Helper()
-	w := newSimCluster(t, 2)
+	w := newSimCluster(t, n)
 	for _, b := range w.minions {
 		b.clockStart += clockSpread
 	}
@@ -37,7 +37,7 @@
 // again. Its former incarnation was sent a renewal that is still in flight.
 func strayCluster(t *testing.T, clockAhead int64) (w *simCluster, b *simMinion) {
 	t.Helper()
-	w, o := newOldCluster(t)
+	w, o := newOldCluster(t, 2)
 	b = w.minions[0]
 	o.renewLate(b)
 	assert.Equal(t, len(w.inFlight), 1)
@@ -125,7 +125,7 @@
 // The record must not make work on minions wait whose ID nobody has called before.
 func TestLostWorkOnANewMinionStartsAgainInTime(t *testing.T) {
 	for _, owners := range []int{1, 2, 3} {
-		w, _ := newOldCluster(t)
+		w, _ := newOldCluster(t, 2)
 		for range owners - 1 {
 			w.takeOver()
 			w.work(time.Second)
@@ -171,7 +171,7 @@
 // and an owner has followed.
 func TestLeaseOfAnOwnerThatWakesIsNotCounted(t *testing.T) {
 	for _, recorded := range []bool{true, false} {
-		w, o := newOldCluster(t)
+		w, o := newOldCluster(t, 2)
 		o.frozen = true
 		b := w.minions[0]
 		clock := b.clock()
@@ -192,7 +192,7 @@
 // A minion that was forgotten and comes back under its ID got the first token of the
 // term again, which calls for its former incarnation carry.
 func TestForgottenMinionThatComesBackGetsAHigherToken(t *testing.T) {
-	w, o := newOldCluster(t)
+	w, o := newOldCluster(t, 2)
 	b := w.minions[0]
 	o.renewLate(b)
 	late := w.inFlight[0]
@@ -213,3 +213,55 @@
 	assert.Assert(t, b.token > late.token)
 	assert.Assert(t, b.leaseUntil-b.clock() <= w.limits.Lease.Milliseconds(), "it has a lease for %d ms", b.leaseUntil-b.clock())
 }
+
+// endInTheNextIncarnation has a run of job "b" started, late, in the next incarnation
+// of a minion whose owner has read an end of the former one, and ended there.
+func endInTheNextIncarnation(t *testing.T, whileInFlight func(o *simOwner, b *simMinion)) *simCluster {
+	t.Helper()
+	w, o := newOldCluster(t, 1)
+	w.submit(newJob("a", tasks(1, 1000)))
+	w.cycle()
+	b := w.minions[0]
+	w.finishAll()
+	o.renew(b)
+	o.step()
+	o.commit(true)
+	assert.Equal(t, o.acked[b.Incarnation], int64(1))
+	whileInFlight(o, b)
+	w.submit(newJob("b", tasks(1, 1000)))
+	o.step()
+	o.commit(true)
+	start := w.inFlight[len(w.inFlight)-1]
+	w.inFlight = w.inFlight[:len(w.inFlight)-1]
+	w.restartWith(b, b.clock()-60_000)
+	start.deliver()
+	assert.Equal(t, w.running(), 1)
+	w.finishAll()
+	return w
+}
+
+// completes lets the newest owner work until all jobs have completed. The cluster fails
+// if a task starts that has already succeeded.
+func (w *simCluster) completes(t *testing.T) {
+	t.Helper()
+	w.work(3 * time.Second)
+	for _, j := range w.jobs {
+		assert.Equal(t, w.state(j.ID), Completed)
+	}
+}
+
+// A renewal for the former incarnation named its last end that was read, and the next
+// one, which counts from 1 again, forgot an end that nobody had read: its task
+// started again.
+func TestNumberOfAFormerEndForgetsNoEnd(t *testing.T) {
+	w := endInTheNextIncarnation(t, func(o *simOwner, b *simMinion) { o.renew(b) })
+	w.completes(t)
+}
+
+// The same with a renewal that tells of a read end for the first time and is carried out
+// late, after a start and its end. Nothing prevents it yet.
+func TestLateNumberOfAFormerEndForgetsNoEnd(t *testing.T) {
+	w := endInTheNextIncarnation(t, func(o *simOwner, b *simMinion) { o.renewLate(b) })
+	w.deliver(1)
+	w.completes(t)
+}
