shard: do not give up a start without a reply while it may still be carried out

Cause: expire gave up runs whose start had no reply together with those that had begun, at the end of the leases of their minion. The start may be carried out later, by the next incarnation. Change: such runs of steps that are not lasting, sent by this owner, are kept until a start sent then can have no run any more (lateEnd), unless the minion answers or another has its address before; a start that certainly did not reach the minion is given up as before. A minion with such runs is not forgotten. Lasting work is as before: it has to be back within 7 s.

Not covered: starts that a former owner sent. The next owner cannot tell them from others and gives them up with the leases.

The price: a task whose start had no reply waits up to 25 s instead of 5.5 s, if its minion stays away without another in its place.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -158,13 +158,13 @@
 	})
 }
 
-// doubtRuns returns the accusations that follow when the lease of a silent
-// minion ends: its fresh runs are suspected, but nothing is proven.
-func (s *State) doubtRuns(now time.Time, m *minion) []accusation {
+// doubtRuns returns the accusations that follow when the lease of runs on a silent
+// minion ends: the fresh ones are suspected, but nothing is proven.
+func (s *State) doubtRuns(now time.Time, m *minion, ended []*run) []accusation {
 	as := s.accuseRuns(now, m)
 	as = slices.DeleteFunc(as, func(a accusation) bool {
 		unknown := m.clockAt.IsZero() && !a.begun && a.run.task.needsTrial()
-		return !a.run.fateOpen && !unknown
+		return !a.run.fateOpen && !unknown || !slices.Contains(ended, a.run)
 	})
 	for i := range as {
 		as[i].crashed = false
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"jasminestep/internal/work"
@@ -80,7 +82,7 @@
 		m.silentSince = now
 	}
 	accused := s.accuseRuns(now, m)
-	s.dropRuns(now, m, "another minion has its address")
+	s.dropRuns(now, m, slices.Collect(maps.Values(m.runs)), "another minion has its address")
 	s.settle(now, m, true)
 	s.accuse(now, accused)
 }
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -169,8 +169,8 @@
 	return fmt.Sprintf("%d runs, %d of them lasting, wait %v for the end of its leases, %s", len(m.runs), lasting, left, source)
 }
 
-// expire gives up the runs on minions whose leases have all ended, and removes
-// minions that are gone.
+// expire gives up the runs on minions whose leases have all ended, except those that
+// their next incarnations may still begin, and removes minions that are gone.
 func (s *State) expire(now time.Time) {
 	s.expireLeftovers(now)
 	s.expireRecord(now)
@@ -181,9 +181,9 @@
 		if m.clockAt.IsZero() && m.listed && len(m.runs) == 0 {
 			continue
 		}
-		if len(m.runs) > 0 {
-			doubted := s.doubtRuns(now, m)
-			s.dropRuns(now, m, "its lease ended while its minion did not answer")
+		if ended := s.runsWithoutLease(now, m); len(ended) > 0 {
+			doubted := s.doubtRuns(now, m, ended)
+			s.dropRuns(now, m, ended, "its lease ended while its minion did not answer")
 			s.leaseRow.changed = s.leaseRow.changed || s.leaseRow.lists(m.Incarnation)
 			s.accuse(now, doubted)
 			m.keepUnsettled(doubted)
@@ -197,7 +197,7 @@
 			s.adoptIncarnation(now, m, m.restart.Born)
 			continue
 		}
-		if !m.listed && len(m.unsettled) == 0 {
+		if !m.listed && len(m.unsettled) == 0 && len(m.runs) == 0 {
 			s.recordGone(now, m)
 			delete(s.minions, id)
 			m.leaveZone()
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -43,6 +43,7 @@
 	stopping    bool      // it is to end
 	stopSentAt  time.Time // when the last stop was sent
 	placedAt    time.Time
+	sentAt      time.Time   // when its start was sent, if by this owner
 	confirmedAt time.Time   // when a reply or a report first showed that it has begun
 	unreached   bool        // its start certainly did not reach the minion
 	survived    bool        // a lasting run that has lasted for lastingProof
@@ -76,9 +77,30 @@
 	return at.Sub(r.confirmedAt)
 }
 
-// dropRuns gives up all runs of a minion after they have certainly ended.
-func (s *State) dropRuns(now time.Time, m *minion, why string) {
+// mayBeginUntil is until when the start of the run may still be carried out, by the next
+// incarnation of its minion; zero if it cannot be, or if the run may not wait for that
+// long.
+func (s *State) mayBeginUntil(r *run) time.Time {
+	if r.state != sent && r.state != uncertain || r.unreached || r.sentAt.IsZero() || r.step == nil || r.step.Lasting {
+		return time.Time{}
+	}
+	return s.lateEnd(r.sentAt)
+}
+
+// runsWithoutLease returns the runs of a minion that have certainly ended once all its
+// leases have.
+func (s *State) runsWithoutLease(now time.Time, m *minion) (out []*run) {
 	for _, r := range m.runs {
+		if !now.Before(s.mayBeginUntil(r)) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// dropRuns gives up runs of a minion after they have certainly ended.
+func (s *State) dropRuns(now time.Time, m *minion, runs []*run, why string) {
+	for _, r := range runs {
 		s.remove(m, r)
 		s.requeueLost(now, r, why)
 	}
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -121,7 +121,7 @@
 		s.requeueLost(now, r, why)
 		return false
 	}
-	r.state = sent
+	r.state, r.sentAt = sent, now
 	if r.onTrial {
 		m.trialAt = now
 	}
