shard, TestRunOnce: a minion restarts, is cut off, and owners go on

Cause: 'restart and cut' left what follows to chance. Change: the owner may change after the cut, and turns of a second follow, as many as the leases last.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -149,11 +149,18 @@
 					w.owners[len(w.owners)-1].renewLate(b)
 				}
 				w.restart(b, pick("told", 2) == 0)
-				for range pick("turns", 5) {
+				for range pick("turns before", 5) {
 					w.pass(time.Duration(50*(1+pick("ms", 20))) * time.Millisecond)
 					w.cycle()
 				}
 				b.up = false
+				if pick("next owner", 3) == 0 && !w.storeDown {
+					w.takeOver()
+				}
+				for range pick("turns after", 10) {
+					w.pass(time.Second)
+					w.cycle()
+				}
 			},
 			"reborn": func(*rapid.T) { w.restart(anyBox(), pick("told", 2) == 0) },
 			"take": func(*rapid.T) {
