shard: keep called incarnations while former owners' calls to them may be in flight

Cause: an owner that takes over while a minion has no row dropped its entry of the record MaxOrderDelay after the start of its term. The former owner, which does not know that it has been replaced, may call the minion and extend its lease until its promise ends, so its last call is carried out later than that. The next incarnation then got a lease that nobody counted, and its runs ran twice. Change: an entry is kept MaxOrderDelay from the end of the former owners' leases, too.

--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -154,12 +154,13 @@
 	return token
 }
 
-// expireRecord drops entries of minions that are gone, and learns when no call of a
-// former owner that kept no record can be in flight any more. The rows are
-// written with the next change.
+// expireRecord drops entries of minions that are gone, which former owners may have
+// called until the end of their leases, and learns when no call of a former owner
+// that kept no record can be in flight any more. The rows are written with the next
+// change.
 func (s *State) expireRecord(now time.Time) {
 	for id, e := range s.record.entries {
-		if !e.goneAt.IsZero() && now.Sub(e.goneAt) > s.Limits.MaxOrderDelay {
+		if !e.goneAt.IsZero() && now.Sub(maxTime(e.goneAt, s.formerEnd)) > s.Limits.MaxOrderDelay {
 			delete(s.record.entries, id)
 		}
 	}
--- a/internal/shard/reborn_test.go
+++ b/internal/shard/reborn_test.go
@@ -265,3 +265,35 @@
 	w.deliver(1)
 	w.completes(t)
 }
+
+// A minion that had no row when an owner took over, and was still called by the former
+// one, was dropped from the record before the last of those calls had arrived.
+func TestLateCallOfAFormerOwnerToAMinionWithoutARowIsCounted(t *testing.T) {
+	w, former := newOldCluster(t, 2)
+	b := w.minions[0]
+	row := w.minionRows[b.ID]
+	delete(w.minionRows, b.ID)
+	b.crashedAt = w.now // it writes no rows
+	w.takeOver()
+	from := w.now
+	for w.now.Sub(from) < 4*time.Second {
+		w.pass(simTick)
+		w.cycle()
+		former.renew(b)
+	}
+	former.renewLate(b)
+	assert.Equal(t, len(w.inFlight), 1)
+	late := w.inFlight[0]
+	w.inFlight = nil
+	b.up = false
+	w.work(12 * time.Second)
+	w.minionRows[b.ID], b.up = row, true
+	w.restartWith(b, b.clock()-60_000)
+	late.deliver()
+	assert.Assert(t, b.leaseUntil > b.clock(), "it has got a lease")
+	w.work(500 * time.Millisecond)
+	w.submit(newJob("a", tasks(8, 1000)))
+	w.work(time.Second)
+	assert.Equal(t, len(b.runs), 4)
+	w.startsElsewhereInTime(t, b, w.strayLease())
+}
