soak: calls that cross a restart, and a cut soon after it

Proxies now hold requests and deliver them later; a minion that was restarted meanwhile is cut off for longer than the longest lease, 6 s here.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -31,6 +31,8 @@
 	entries       []*entry
 	version       int
 	writtenAt     map[int]time.Time // when configurations were written, by version; guarded by mu
+	restarted     map[int]bool      // minions that restartAndCut has not done with, by index; guarded by mu
+	dark          map[int]bool      // minions that do not reach the store, by index; guarded by mu
 
 	mu               sync.Mutex
 	fault            tabletest.Fault // of the store transactions that are affected
@@ -41,6 +43,8 @@
 const (
 	fullCapacity = 4000                    // of a minion, in thousandths of a core
 	rowExpiry    = 4500 * time.Millisecond // three heartbeats
+	lease        = 2 * time.Second         // that owners ask for
+	maxLease     = 6 * time.Second         // that minions grant
 )
 
 // entry is one entry process.
@@ -66,7 +70,8 @@
 }
 
 func newCluster(opt options, seed int64) (*cluster, error) {
-	s := &cluster{opt: opt, writtenAt: map[int]time.Time{}, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
+	s := &cluster{opt: opt, writtenAt: map[int]time.Time{}, restarted: map[int]bool{}, dark: map[int]bool{}, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
+	s.ledger.MaxLease = maxLease
 	s.store.InjectFaults(s.transactionFault)
 	store, err := serveOn(standin.Store{Rows: s.store})
 	if err != nil {
@@ -158,7 +163,7 @@
 	for n := 1; ctx.Err() == nil; n++ {
 		for i, m := range s.minions {
 			service := standin.Services[i%len(standin.Services)]
-			if id, value, up := m.Row(service, s.minionProxies[i].addr(), n); up {
+			if id, value, up := m.Row(service, s.minionProxies[i].addr(), n); up && !s.isDark(i) {
 				s.putRow(standin.MinionTable, id, value)
 				written[id] = time.Now()
 			}
@@ -195,8 +200,8 @@
 		addrs[i] = loopback.Addr()
 	}
 	e := &entry{name: name, callerAddr: addrs[0], configFile: filepath.Join(dir, name+".json"), storeProxy: p, dir: dir}
-	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": 2000, "direct": %d, "closed": true, "revoke": %d}`,
-		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), direct, revokeTime.Milliseconds())
+	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": %d, "most": %d, "direct": %d, "closed": true, "revoke": %d}`,
+		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), lease.Milliseconds(), maxLease.Milliseconds(), direct, revokeTime.Milliseconds())
 	return e, os.WriteFile(e.configFile, []byte(text), 0o644)
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,7 +7,10 @@
 // minions are delayed, reset, blackholed or blocked in one direction; the store
 // rejects transactions, loses responses, applies writes late and discards its
 // history; minions crash and their capacity shrinks and grows; another writer
-// leaves odd rows of minions; configurations change. Some faults come in series.
+// leaves odd rows of minions; configurations change. A minion starts again under
+// its ID, gets calls that were meant for its former life, is given new work and is
+// cut off; with --reborn, half of all faults are of this kind, and some tasks run
+// for seconds. Some faults come in series.
 // With --deadly, some jobs crash each minion that starts them. With --accounts,
 // clients have accounts: one submits more than its limit lets through, each new
 // configuration brings new keys and withdraws old ones, and now and then a client
@@ -30,6 +33,7 @@
 	Minions  int    `long:"minions" default:"8" description:"number of minions"`
 	Deadly   bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
 	Accounts bool   `long:"accounts" description:"clients have accounts with limits, and keys that come and go"`
+	Reborn   bool   `long:"reborn" description:"half of the faults are restarts of minions that get calls for their former life and are cut off soon after, and some tasks run for seconds"`
 	Dir      string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
 }
 
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -18,14 +18,18 @@
 	silent                // data is dropped in both directions while connections stay open
 	oneWay                // requests pass, responses are dropped
 	stalled               // established connections drop all data until they close, new ones work
+	holding               // requests are kept until release, responses pass
 	modeCount
 )
 
-var modeNames = [modeCount]string{"open", "slow", "refuse", "silent", "one way", "stalled"}
+var modeNames = [modeCount]string{"open", "slow", "refuse", "silent", "one way", "stalled", "held"}
 
 // slowDelay is added to each chunk that a slow proxy forwards.
 const slowDelay = 120 * time.Millisecond
 
+// deliverTimeout bounds the delivery of a request that was kept.
+const deliverTimeout = 3 * time.Second
+
 // proxy forwards TCP connections over loopback and injects faults into them.
 type proxy struct {
 	listener net.Listener
@@ -34,6 +38,7 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[net.Conn]net.Conn // client connection to target connection
+	held  map[net.Conn][]byte   // requests that are kept, by client connection
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -41,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: to, conns: map[net.Conn]net.Conn{}}
+	p := &proxy{listener: l, target: to, conns: map[net.Conn]net.Conn{}, held: map[net.Conn][]byte{}}
 	go p.serve()
 	return p, nil
 }
@@ -71,6 +76,58 @@
 	}
 }
 
+// hold keeps data of a client if the proxy holds requests, or has held one of this
+// connection that is not released.
+func (p *proxy) hold(c net.Conn, b []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.held[c]; !ok && p.mode != holding {
+		return false
+	}
+	p.held[c] = append(p.held[c], b...)
+	return true
+}
+
+// release ends the holding mode and delivers the requests that were kept, each on a
+// connection of its own after a delay. Their clients get no response.
+func (p *proxy) release(delay func() time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = passThrough
+	for c, b := range p.held {
+		reset(c)
+		if len(b) > 0 {
+			time.AfterFunc(delay(), func() { p.deliver(b) })
+		}
+	}
+	clear(p.held)
+}
+
+// deliver sends a request to the target and discards the response.
+func (p *proxy) deliver(b []byte) {
+	d, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = d.Close() }()
+	_ = d.SetDeadline(time.Now().Add(deliverTimeout)) // an error shows in what follows
+	if _, err = d.Write(b); err == nil {
+		_, _ = io.Copy(io.Discard, d) // ends with the deadline, as the connection stays open
+	}
+}
+
+// holdAll keeps what a client sends on a connection without a target.
+func (p *proxy) holdAll(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := c.Read(buf)
+		if n > 0 && !p.hold(c, buf[:n]) || err != nil {
+			return
+		}
+	}
+}
+
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,6 +152,10 @@
 			reset(c)
 			continue
 		}
+		if p.currentMode() == holding {
+			go p.holdAll(c)
+			continue
+		}
 		go p.relay(c, p.currentMode() == stalled)
 	}
 }
@@ -134,7 +195,7 @@
 		if m == slow {
 			time.Sleep(slowDelay)
 		}
-		if n > 0 && !blocked {
+		if n > 0 && !blocked && (isResponse || !p.hold(src, buf[:n])) {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
 			}
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -63,13 +63,15 @@
 const (
 	callTimeout    = 4 * time.Second
 	submitInterval = 60 * time.Millisecond
-	faultKinds     = 12
+	faultKinds     = 13
+	restartKind    = 12                     // the kind of restartAndCut
 	seriesInterval = 150 * time.Millisecond // between faults of the same kind
 	shrinkTime     = 6 * time.Second        // least time that capacity is gone; longer than it counts
 	deadlyInterval = 48                     // jobs from one that is deadly to the next
 	crashTime      = 200                    // ms that a deadly task runs at least, so that it crashes before it ends
 	lastingCPU     = 250                    // thousandths of a core of a task that lasts and isn't deadly
 	minCrashes     = 2                      // a task under which so many minions have crashed may be given up
+	longInterval   = 6                      // jobs from one with tasks of seconds to the next, with --reborn
 	settleTimeout  = 40 * time.Second       // for accepted jobs to complete after the load has ended
 )
 
@@ -190,6 +192,9 @@
 		if time.Now().After(next) {
 			if left == 0 {
 				kind, left = s.rng.Intn(faultKinds), 1
+				if s.opt.Reborn && s.rng.Intn(2) == 0 {
+					kind = restartKind
+				}
 				if s.rng.Intn(4) == 0 {
 					left += 1 + s.rng.Intn(3)
 				}
@@ -217,6 +222,9 @@
 	if s.opt.Accounts {
 		j.Account = accountNames[min(n%(len(accountNames)+1), len(accountNames)-1)]
 	}
+	if s.opt.Reborn && n%longInterval == 0 {
+		j.Gang, j.Steps, j.Millis, j.CPU = false, 1, 3000+s.rng.Intn(4000), lastingCPU
+	}
 	if !s.opt.Deadly {
 		return j
 	}
@@ -244,7 +252,7 @@
 	length := time.Duration(300+s.rng.Intn(2500)) * time.Millisecond
 	e := s.entries[s.rng.Intn(len(s.entries))]
 	i := s.rng.Intn(len(s.minions))
-	proxyFault := proxyMode(1 + s.rng.Intn(int(modeCount)-1))
+	proxyFault := proxyMode(1 + s.rng.Intn(int(holding)-1))
 	after := func(f func()) { time.AfterFunc(length, f) }
 	switch kind {
 	case 0:
@@ -266,8 +274,15 @@
 		after(func() { e.storeProxy.setMode(passThrough) })
 		return fmt.Sprintf("store %s for %s", modeNames[proxyFault], e.name), length
 	case 6:
+		if s.isRestarted(i) {
+			return fmt.Sprintf("minion %d restarts already", i), 0
+		}
 		s.minionProxies[i].setMode(proxyFault)
-		after(func() { s.minionProxies[i].setMode(passThrough) })
+		after(func() {
+			if !s.isRestarted(i) {
+				s.minionProxies[i].setMode(passThrough)
+			}
+		})
 		return fmt.Sprintf("minion %d %s", i, modeNames[proxyFault]), length
 	case 7:
 		s.minionProxies[i].resetConns() // a crash also breaks the connections
@@ -281,6 +296,8 @@
 		s.minions[i].SetCapacity(cpu)
 		time.AfterFunc(length+shrinkTime, func() { s.minions[i].SetCapacity(fullCapacity) })
 		return fmt.Sprintf("minion %d shrinks to %d", i, cpu), length
+	case restartKind:
+		return s.restartAndCut(i), length
 	case 10:
 		kind := s.writeOddRow(i)
 		return fmt.Sprintf("odd row %d of minion %d", kind, i), length
