--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -26,7 +26,8 @@
 	rng           *rand.Rand
 	store         *tabletest.Store
 	ledger        *standin.Ledger
-	minions       []*standin.Minion
+	judge         judge
+	minions       []minion
 	minionProxies []*proxy // to minions, by index
 	entries       []*entry
 	version       int
@@ -77,9 +78,13 @@
 	if err != nil {
 		return nil, err
 	}
+	s.judge = s.ledger
+	collector := newCollector()
+	if opt.Processes {
+		s.judge = collector
+	}
 	for i := range opt.Minions {
-		m := s.ledger.AddMinion(fmt.Sprintf("i-%08d", i), fullCapacity)
-		addr, err := serveOn(m)
+		m, addr, err := s.addMinion(fmt.Sprintf("i-%08d", i), collector)
 		if err != nil {
 			return nil, err
 		}
@@ -108,6 +113,17 @@
 	return s, nil
 }
 
+// addMinion starts a minion, in a process of its own if that is wanted.
+func (s *cluster) addMinion(id string, c *collector) (minion, string, error) {
+	if s.opt.Processes {
+		m := &process{id: id, addr: loopback.Addr(), seed: s.rng.Int63(), capacity: fullCapacity, collector: c}
+		return m, m.addr, m.start()
+	}
+	m := s.ledger.AddMinion(id, fullCapacity)
+	addr, err := serveOn(m)
+	return m, addr, err
+}
+
 // transactionFault selects the fault of a transaction. Transactions of the
 // operator and the minions, which this process issues itself, always succeed.
 func (s *cluster) transactionFault(tx table.Tx) tabletest.Fault {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,23 +25,35 @@
 )
 
 type options struct {
-	Program  string `long:"program" default:"dist/jasminestep" description:"entry executable"`
-	Seed     int64  `long:"seed" default:"1" description:"first seed"`
-	Seeds    int    `long:"seeds" default:"1" description:"number of seeds"`
-	Seconds  int    `long:"seconds" default:"15" description:"duration of load and faults, in seconds"`
-	Entries  int    `long:"entries" default:"4" description:"number of entries"`
-	Minions  int    `long:"minions" default:"8" description:"number of minions"`
-	Deadly   bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
-	Accounts bool   `long:"accounts" description:"clients have accounts with limits, and keys that come and go"`
-	Reborn   bool   `long:"reborn" description:"half of the faults are restarts of minions that get calls for their former life and are cut off soon after, and some tasks run for seconds"`
-	Dir      string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
+	Program   string `long:"program" default:"dist/jasminestep" description:"entry executable"`
+	Seed      int64  `long:"seed" default:"1" description:"first seed"`
+	Seeds     int    `long:"seeds" default:"1" description:"number of seeds"`
+	Seconds   int    `long:"seconds" default:"15" description:"duration of load and faults, in seconds"`
+	Entries   int    `long:"entries" default:"4" description:"number of entries"`
+	Minions   int    `long:"minions" default:"8" description:"number of minions"`
+	Deadly    bool   `long:"deadly" description:"submit jobs that crash the minions that start them, too"`
+	Accounts  bool   `long:"accounts" description:"clients have accounts with limits, and keys that come and go"`
+	Reborn    bool   `long:"reborn" description:"half of the faults are restarts of minions that get calls for their former life and are cut off soon after, and some tasks run for seconds"`
+	Processes bool   `long:"processes" description:"minions are processes of their own, which are killed and started again; without gangs, --deadly and --accounts"`
+	Dir       string `long:"dir" default:"dist/soaks" description:"directory for settings and logs"`
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == minionCommand {
+		if err := serveMinion(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "soak: minion:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	var opt options
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2) // the flags package has printed the error
 	}
+	if opt.Processes && (opt.Deadly || opt.Accounts) {
+		fmt.Fprintln(os.Stderr, "soak: --processes goes without --deadly and --accounts")
+		os.Exit(2)
+	}
 	failed := 0
 	for i := range opt.Seeds {
 		seed := opt.Seed + int64(i)
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -105,12 +105,16 @@
 
 // deliver sends a request to the target and discards the response.
 func (p *proxy) deliver(b []byte) {
+	end := time.Now().Add(deliverTimeout)
 	d, err := net.Dial("tcp", p.target)
-	if err != nil {
-		return
+	for ; err != nil; d, err = net.Dial("tcp", p.target) {
+		if time.Now().After(end) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond) // the target has not come back yet
 	}
 	defer func() { _ = d.Close() }()
-	_ = d.SetDeadline(time.Now().Add(deliverTimeout)) // an error shows in what follows
+	_ = d.SetDeadline(end) // an error shows in what follows
 	if _, err = d.Write(b); err == nil {
 		_, _ = io.Copy(io.Discard, d) // ends with the deadline, as the connection stays open
 	}
--- a/cmd/soak/reborn.go
+++ b/cmd/soak/reborn.go
@@ -52,7 +52,7 @@
 	r := s.drawRestart(i)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.restarted) >= len(s.minions)/maxRestarts {
+	if !s.isRoomToRestart() {
 		return "enough minions restart"
 	}
 	for s.restarted[r.minion] {
@@ -67,6 +67,16 @@
 	return name
 }
 
+// isRoomToRestart is mayRestart for callers that hold mu.
+func (s *cluster) isRoomToRestart() bool { return len(s.restarted) < len(s.minions)/maxRestarts }
+
+// mayRestart reports whether one more minion may restart.
+func (s *cluster) mayRestart() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isRoomToRestart()
+}
+
 func (s *cluster) follow(r restart) {
 	p, m := s.minionProxies[r.minion], s.minions[r.minion]
 	p.setMode(holding)
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -159,6 +159,11 @@
 		for _, e := range s.entries {
 			e.shutDown()
 		}
+		for _, m := range s.minions {
+			if p, ok := m.(*process); ok {
+				p.shutDown()
+			}
+		}
 	}()
 	c := &client{cluster: s, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, jobs: map[string]*job{}}
 	time.Sleep(time.Second)
@@ -192,7 +197,7 @@
 		if time.Now().After(next) {
 			if left == 0 {
 				kind, left = s.rng.Intn(faultKinds), 1
-				if s.opt.Reborn && s.rng.Intn(2) == 0 {
+				if s.opt.Reborn && s.rng.Intn(2) == 0 && s.mayRestart() {
 					kind = restartKind
 				}
 				if s.rng.Intn(4) == 0 {
@@ -218,7 +223,7 @@
 func (s *cluster) nextJob(n int) *job {
 	j := &job{service: standin.Services[(n+n/deadlyInterval)%len(standin.Services)]}
 	j.Job = standin.Job{Steps: 1 + s.rng.Intn(2), Tasks: 1 + s.rng.Intn(4), Millis: 20 + s.rng.Intn(400), CPU: 500 + 500*s.rng.Intn(3)}
-	j.Gang = s.rng.Intn(8) == 0
+	j.Gang = s.rng.Intn(8) == 0 && !s.opt.Processes // which do not know of each other
 	if s.opt.Accounts {
 		j.Account = accountNames[min(n%(len(accountNames)+1), len(accountNames)-1)]
 	}
@@ -317,8 +322,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	broken, started := s.ledger.Report()
-	crashes, running := s.ledger.Crashes(), s.ledger.Running()
+	broken, started := s.judge.Report()
+	crashes, running := s.judge.Crashes(), s.judge.Running()
 	res.violations = append(broken, c.violations...)
 	for id, j := range c.jobs {
 		res.starts += started[id]
@@ -379,7 +384,7 @@
 func (c *client) allSettled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	crashes, running := c.cluster.ledger.Crashes(), c.cluster.ledger.Running()
+	crashes, running := c.cluster.judge.Crashes(), c.cluster.judge.Running()
 	for id, j := range c.jobs {
 		if j.outcome == accepted && !j.isSettled(c.jobState(id, j), crashes[id], running[id]) {
 			return false
