shard: the next owner waits for late starts on an incarnation that has not answered

An owner that hears of a restart places unanswered starts on the next incarnation and waits long enough for them (lateEnd). Its job rows then name that incarnation, so the next owner took the runs for ones under the leases of its former owner, and started them elsewhere 3 s too early. The test fails on and passes with this.

--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -239,9 +239,23 @@
 			s.inheritCalled(c)
 		}
 	}
+	for _, m := range s.minions {
+		s.expectLateStarts(m)
+	}
 	return failed
 }
 
+// expectLateStarts keeps the runs on an incarnation that has answered no owner for as
+// long as a start for a former one may have begun them there. The former
+// owner has placed them there when it heard of the restart.
+func (s *State) expectLateStarts(m *minion) {
+	e := s.record.entries[m.ID]
+	if len(m.runs) == 0 || e == nil && s.record.complete || e != nil && e.Born == m.Born {
+		return
+	}
+	m.lateEnd = maxTime(m.lateEnd, s.lateEnd(s.termStart))
+}
+
 func (s *State) inheritCalled(c savedCalled) {
 	e := &called{Born: c.Born, durable: true}
 	if c.Until > 0 {
