shard: tests of late starts begin with clocks that the next incarnation can be behind

Cause: they were written when each clock of the test cluster began at 0; with clocks that begin anywhere the late start was refused. What they assert is unchanged. Measured: TestNextOwnerWaitsForALateStart passes, and fails without its fix; TestLateRenewalForgetsNoEndOfALateStart fails as listed.

--- a/internal/shard/carriedover_test.go
+++ b/internal/shard/carriedover_test.go
@@ -11,7 +11,7 @@
 // flight may have reached its next life, which had not answered. The next owner took
 // that run for one whose leases had all been sent by its former owner.
 func TestNextOwnerWaitsForALateStart(t *testing.T) {
-	w, o := newOwnedCluster(t, 2)
+	w, o := newOldCluster(t, 2)
 	w.pass(10 * time.Second)
 	w.cycle()
 	w.submit(newJob("a", tasks(1, 1000)))
@@ -20,7 +20,9 @@
 	assert.Equal(t, len(w.inFlight), 1)
 	b := w.inFlight[0].to
 	w.now = w.now.Add(time.Millisecond)
+	clock := b.clock()
 	b.restart()
+	b.clockStart = clock - 60_000
 	w.deliver(1)
 	assert.Equal(t, len(b.runs), 1)
 	w.writeRow(b)
--- a/internal/shard/lateend_test.go
+++ b/internal/shard/lateend_test.go
@@ -11,7 +11,7 @@
 // next one, and a renewal that acknowledges ends of the former one makes the next
 // one forget that the run is done. The task must not start again.
 func TestLateRenewalForgetsNoEndOfALateStart(t *testing.T) {
-	w, o := newOwnedCluster(t, 2)
+	w, o := newOldCluster(t, 2)
 	w.submit(newJob("a", tasks(8, 1000)))
 	w.cycle()
 	w.finishAll()
@@ -26,7 +26,9 @@
 	assert.Assert(t, ok)
 	seen := o.acked[b.Incarnation]
 	w.now = w.now.Add(time.Millisecond)
+	clock := b.clock()
 	b.restart()
+	b.clockStart = clock - 60_000
 	w.deliver(1)
 	assert.Equal(t, w.running(), 1)
 	w.finishAll()
