--- a/internal/carry/carry.go
+++ b/internal/carry/carry.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jasminestep/internal/table"
 	"jasminestep/internal/work"
 )
 
@@ -36,8 +37,12 @@
 var ErrCarrierLost = errors.New("carrier lost; outcome of the call unknown")
 
 // ErrNotMade means that a call has not been made, because it would have come too late.
+// Errors marked with it are also marked table.ErrNotApplied.
 var ErrNotMade = errors.New("the call was held up and not made")
 
+// notMade marks the error of a call that has not been made.
+func notMade(err error) error { return errors.Mark(errors.Mark(err, ErrNotMade), table.ErrNotApplied) }
+
 // callKind is the operation that a Call performs.
 type callKind int8
 
@@ -84,7 +89,7 @@
 	case r.Gone:
 		return errors.Mark(errors.New(r.Error), work.ErrWrongMinion)
 	case r.NotMade:
-		return errors.Mark(errors.New(r.Error), ErrNotMade)
+		return notMade(errors.New(r.Error))
 	}
 	return errors.New(r.Error)
 }
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"jasminestep/internal/table"
 	"jasminestep/internal/work"
 )
 
@@ -514,3 +515,16 @@
 	started, _, _ := s.viaCarrier.counts()
 	assert.Equal(t, started, 1)
 }
+
+// A start that was not made counted as one that may have begun, and its task was
+// suspected when the minion crashed.
+func TestCallsThatWereNotMadeHaveNoEffect(t *testing.T) {
+	s := newTestSetup(t, "a")
+	k := &fakeClock{now: time.Unix(1000, 0)}
+	s.dispatcher.Now, s.dispatcher.Direct.Now = k.Now, k.Now
+	late := MakeBy(contextWithTimeout(t, 2*time.Second), k.Now().Add(-1))
+	_, err := s.dispatcher.Start(late, testMinion, work.Start{})
+	assert.Assert(t, errors.Is(err, table.ErrNotApplied), "%v", err)
+	_, err = s.dispatcher.Direct.Start(late, testMinion, work.Start{})
+	assert.Assert(t, errors.Is(err, table.ErrNotApplied) && errors.Is(err, ErrNotMade), "%v", err)
+}
--- a/internal/carry/direct.go
+++ b/internal/carry/direct.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"jasminestep/internal/work"
 )
 
@@ -27,7 +25,7 @@
 	if !ok || !now.After(t) {
 		return nil
 	}
-	return errors.Mark(fmt.Errorf("the call was held up until %v after its time", now.Sub(t)), ErrNotMade)
+	return notMade(fmt.Errorf("the call was held up until %v after its time", now.Sub(t)))
 }
 
 // maxReportAge is the maximum age of a report whose ends may be acknowledged.
