shard: doubts about runs end when their minions answer

Cause: an attempt left for a copy counted as a minion that may have crashed with each next owner, whatever had become of it; and a doubt about a start without an answer, whose minion was cut off until its leases ended, was never taken back. Change: the row lists the copied attempts whose minions may have crashed, and a report, an end or a survived trial takes them from it. A doubt is settled whether or not the run had begun, and after fateTimeout too; the next incarnation settles none about the one before.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -42,11 +42,13 @@
 	Proven  bool `json:"t,omitempty"` // one of the crashes followed a start on trial
 }
 
-// guilty reports whether the task is given up. Runs that a previous owner had
-// left for copies count as doubtful: what became of them is unknown here.
+// doubts is the number of minions that may have crashed under the task.
+func (t *task) doubts() int { return t.crash.Doubts + len(t.openCopies) }
+
+// guilty reports whether the task is given up.
 func (t *task) guilty() bool {
 	c := &t.crash
-	n := c.Crashes + c.Doubts + t.inheritedCopies
+	n := c.Crashes + t.doubts()
 	switch {
 	case c.Crashes == 0:
 		return n >= maxDoubts || n >= unprovenCrashes && c.Proven
@@ -80,6 +82,37 @@
 	return &c
 }
 
+// savedOpenCopies lists the attempts left for copies of which the next owner
+// should know that their minions may have crashed.
+func (t *task) savedOpenCopies(j *job) []int {
+	if len(t.openAttempts) == 0 {
+		return nil
+	}
+	out := slices.Clone(t.openCopies)
+	for _, c := range j.copied {
+		if c.run.task == t && c.run.fateOpen && c.exists() && !c.run.isCurrent(c.minion) {
+			out = append(out, c.run.key.attempt)
+		}
+	}
+	return out
+}
+
+// closeOpenCopy records that a minion has shown what became of a run that a
+// previous owner had left for a copy: it has not crashed under it.
+func (s *State) closeOpenCopy(p *step, k runKey) {
+	if k.task.Index < 0 || k.task.Index >= len(p.tasks) {
+		return
+	}
+	t := p.tasks[k.task.Index]
+	if i := slices.Index(t.openCopies, k.attempt); i >= 0 {
+		t.openCopies = slices.Delete(t.openCopies, i, i+1)
+		s.markChanged(p.job)
+	}
+}
+
+// clearDoubts forgets all doubts once the task has shown that it crashes no minion.
+func (t *task) clearDoubts() { t.crash.Doubts, t.openCopies = 0, nil }
+
 // openFates marks the fresh runs of a minion that has fallen silent: it may have
 // crashed under one of them.
 func (m *minion) openFates(now time.Time) {
@@ -96,17 +129,21 @@
 	r.task.openFates++
 }
 
-func (r *run) closeFate() {
-	if r.fateOpen {
-		r.fateOpen = false
-		r.task.openFates--
+func (s *State) closeFate(r *run) {
+	if !r.fateOpen {
+		return
+	}
+	r.fateOpen = false
+	r.task.openFates--
+	if r.copied && !r.step.job.state.Terminal() {
+		s.markChanged(r.step.job)
 	}
 }
 
 // closeFates clears the marks of a minion that has not crashed.
-func (m *minion) closeFates() {
+func (s *State) closeFates(m *minion) {
 	for _, r := range m.runs {
-		r.closeFate()
+		s.closeFate(r)
 	}
 }
 
@@ -120,6 +157,7 @@
 	fresh    bool // it had begun shortly before
 	onTrial  bool
 	age      time.Duration
+	waits    bool // while it is unsettled its task waits for the fate of the minion
 }
 
 // accuseRuns returns the accusations that follow from the crash of a minion. A
@@ -140,7 +178,7 @@
 			out = append(out, *r.carried)
 		default:
 			age, begun := r.age(at), !r.confirmedAt.IsZero()
-			out = append(out, accusation{r, m.ID, r.state == sent, begun, true, age < freshWindow, r.onTrial, age})
+			out = append(out, accusation{run: r, minion: m.ID, inFlight: r.state == sent, begun: begun, crashed: true, fresh: age < freshWindow, onTrial: r.onTrial, age: age})
 		}
 	}
 	return onePerTask(out)
@@ -173,16 +211,35 @@
 }
 
 // keepUnsettled keeps the accusations that follow from the end of a lease until
-// the minion shows whether it has crashed.
+// the minion shows whether it has crashed. The tasks of runs that had begun wait
+// for that.
 func (m *minion) keepUnsettled(as []accusation) {
 	for _, a := range as {
-		if a.begun {
+		if a.inFlight && !a.begun || a.run.carried != nil {
+			continue // not counted, or about the incarnation before
+		}
+		if a.waits = a.begun; a.waits {
 			a.run.task.unsettled++
-			m.unsettled = append(m.unsettled, a)
+		}
+		m.unsettled = append(m.unsettled, a)
+	}
+}
+
+// endWaits lets the tasks of unsettled accusations wait no longer.
+func (m *minion) endWaits() {
+	for i := range m.unsettled {
+		if a := &m.unsettled[i]; a.waits {
+			a.waits = false
+			a.run.task.unsettled--
 		}
 	}
 }
 
+// fateAwaited reports whether a task waits for the fate of the minion.
+func (m *minion) fateAwaited() bool {
+	return slices.ContainsFunc(m.unsettled, func(a accusation) bool { return a.waits })
+}
+
 // settle records what became of a minion whose lease had ended: it has crashed,
 // or it answers again.
 func (s *State) settle(now time.Time, m *minion, crashed bool) {
@@ -202,13 +259,11 @@
 	}
 }
 
-// dropUnsettled returns the unsettled accusations and gives up waiting for more.
+// dropUnsettled returns the unsettled accusations, which are kept no longer.
 func (m *minion) dropUnsettled() []accusation {
+	m.endWaits()
 	as := m.unsettled
 	m.unsettled = nil
-	for _, a := range as {
-		a.run.task.unsettled--
-	}
 	return as
 }
 
@@ -228,6 +283,7 @@
 	c := &t.crash
 	if p.Lasting && a.age >= lastingProof {
 		*c = crashRecord{}
+		t.clearDoubts()
 		return
 	}
 	n := Note{What: CrashSuspected}
@@ -243,7 +299,7 @@
 	c.Suspect = c.Suspect || a.fresh || !a.begun || !a.crashed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.crashed && !a.inFlight && a.fresh && a.onTrial
 	if t.guilty() {
-		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, c.Doubts)})
+		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, t.doubts())})
 		s.finishJob(now, p.job, JobFailed)
 	}
 }
--- /dev/null
+++ b/internal/shard/doubt_test.go
@@ -0,0 +1,162 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// passCycles lets time pass without ending any run.
+func (w *simCluster) passCycles(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.pass(simTick)
+		w.cycle()
+	}
+}
+
+// holder is the minion with the newest run of a task.
+func (w *simCluster) holder(t *task) *simMinion { return w.minion(t.incarnation.ID) }
+
+func firstTask(o *simOwner, job string) *task { return o.st.jobs[job].rounds[0].steps[0].tasks[0] }
+
+// Guards against counting runs that were left for copies, and whose minions have
+// answered again, as crashes with the next owner.
+func TestOneCrashAfterCopiesAndAChangeOfOwnerFailsNoJob(t *testing.T) {
+	w, o := newOwnedCluster(t, 6)
+	w.submit(newJob("a", speculativeTasks(1, 1000)))
+	w.cycle()
+	for range 3 {
+		w.passCycles(2 * time.Second)
+		out := w.holder(firstTask(o, "a"))
+		out.up = false
+		w.passCycles(3 * time.Second)
+		out.up = true
+		w.passCycles(time.Second)
+	}
+	assert.Equal(t, firstTask(o, "a").attempt, 4)
+	o = w.takeOver()
+	w.passCycles(2 * time.Second)
+	out := w.holder(firstTask(o, "a"))
+	out.restart()
+	w.writeRow(out)
+	w.passCycles(2 * time.Second)
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, firstTask(o, "a").crash.Crashes, 1)
+}
+
+// Guards against the same for runs that were fresh when their minions fell silent.
+func TestNextOwnerDoesNotDoubtFreshRunsWhoseMinionsAnswerAgain(t *testing.T) {
+	w, o := newOwnedCluster(t, 6)
+	w.submit(newJob("a", speculativeTasks(1, 1000)))
+	w.cycle()
+	out := w.holder(firstTask(o, "a"))
+	out.up = false
+	w.cycle()
+	w.cycle()
+	x := firstTask(o, "a")
+	assert.Equal(t, x.attempt, 2)
+
+	o = w.takeOver()
+	w.cycle()
+	assert.Equal(t, firstTask(o, "a").doubts(), 1, "its minion may have crashed")
+	out.up = true
+	w.cycle()
+	assert.Equal(t, firstTask(o, "a").doubts(), 0, "its minion answers the next owner and lists the run")
+
+	o = w.takeOver()
+	w.cycle()
+	assert.Equal(t, firstTask(o, "a").doubts(), 0)
+}
+
+// Guards against the same if the former owner has seen the answer.
+func TestNextOwnerKnowsThatAFreshRunHasSurvivedTheSilence(t *testing.T) {
+	w, o := newOwnedCluster(t, 6)
+	w.submit(newJob("a", speculativeTasks(1, 1000)))
+	w.cycle()
+	out := w.holder(firstTask(o, "a"))
+	out.up = false
+	w.cycle()
+	w.cycle()
+	assert.Equal(t, firstTask(o, "a").attempt, 2)
+	out.up = true
+	w.cycle()
+	out.up = false
+	o = w.takeOver()
+	w.cycle()
+	assert.Equal(t, firstTask(o, "a").doubts(), 0)
+}
+
+// loseStart sends the waiting starts of an owner, which neither arrive nor get a reply.
+func (w *simCluster) loseStart(o *simOwner) {
+	o.step()
+	b := *o.batch
+	o.commit(true)
+	w.inFlight = nil
+	for _, x := range b.Starts {
+		x.Start.Token = o.st.minions[x.Minion.ID].token
+		o.loseReply(x)
+	}
+}
+
+// Guards against doubts for ever about a start without a reply, whose minion was cut
+// off until its leases had ended and answers again: it has not crashed.
+func TestDoubtAboutAnUnansweredStartEndsWhenItsMinionAnswersAgain(t *testing.T) {
+	for _, cut := range []time.Duration{8 * time.Second, 20 * time.Second} {
+		w, o := newOwnedCluster(t, 1)
+		w.submit(newJob("a", lastingTasks(1)))
+		o.st.beginRounds(w.now)
+		x := firstTask(o, "a")
+		x.crash = crashRecord{Crashes: 1, Suspect: true}
+		w.loseStart(o)
+		assert.Equal(t, x.phase, Placed)
+		w.minions[0].up = false
+		w.passCycles(cut)
+		assert.Equal(t, x.crash.Doubts, 1, "%v: its lease has ended", cut)
+		w.minions[0].up = true
+		w.cycle()
+		assert.Equal(t, x.crash.Doubts, 0, "%v: its minion has not crashed", cut)
+		assert.Equal(t, x.crash.Crashes, 1)
+	}
+}
+
+// A deadly task must not gain starts from it: the crash behind a doubt still counts.
+func TestDoubtAboutAnUnansweredStartStaysIfItsMinionHasCrashed(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	w.submit(newJob("a", lastingTasks(1)))
+	o.st.beginRounds(w.now)
+	x := firstTask(o, "a")
+	x.crash = crashRecord{Crashes: 1, Suspect: true}
+	w.loseStart(o)
+	w.minions[0].up = false
+	w.passCycles(8 * time.Second)
+	assert.Equal(t, x.crash.Doubts, 1)
+	w.minions[0].restart()
+	w.writeRow(w.minions[0])
+	w.cycle()
+	assert.Equal(t, x.crash.Doubts, 1)
+}
+
+// The next incarnation of a minion that has crashed cannot take a doubt back: what
+// it answers says nothing about the one before.
+func TestDoubtAboutACrashStaysIfTheNextIncarnationAnswersAfterASilence(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	w.passCycles(time.Second)
+	w.submit(newJob("a", lastingTasks(1)))
+	o.st.beginRounds(w.now)
+	x := firstTask(o, "a")
+	x.crash = crashRecord{Crashes: 1, Suspect: true}
+	w.loseStart(o)
+	b := w.minions[0]
+	b.restart()
+	w.writeRow(b)
+	o.renew(b)
+	assert.Equal(t, x.incarnation, b.Incarnation, "the run may have come to the next incarnation")
+	b.up = false
+	w.passCycles(time.Minute)
+	assert.Equal(t, x.phase, Waiting)
+	assert.Equal(t, x.crash.Doubts, 1)
+	b.up = true
+	w.cycle()
+	assert.Equal(t, x.crash.Doubts, 1)
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -33,19 +33,19 @@
 func (s JobState) Terminal() bool { return s == Completed || s == JobFailed || s == Cancelled }
 
 type task struct {
-	id              work.TaskID
-	phase           Phase
-	attempt         int              // number of the last start; 0 before the first
-	failures        int              // failed runs
-	failedOn        []string         // minions where its runs have failed since one has succeeded, at most minionsForOwnFault
-	incarnation     work.Incarnation // where the task is placed; only while Placed
-	checkpoint      string           // newest checkpoint
-	openAttempts    []int            // attempts left running for a copy whose end has not been reported
-	inheritedCopies int              // attempts of openAttempts that a previous owner had left running
-	crash           crashRecord      // what is known of minions that crashed under it
-	openFates       int              // its runs with fateOpen
-	unsettled       int              // accusations of it in minion.unsettled, on any minion
-	absence         *absence         // nil unless a lasting task is absent
+	id           work.TaskID
+	phase        Phase
+	attempt      int              // number of the last start; 0 before the first
+	failures     int              // failed runs
+	failedOn     []string         // minions where its runs have failed since one has succeeded, at most minionsForOwnFault
+	incarnation  work.Incarnation // where the task is placed; only while Placed
+	checkpoint   string           // newest checkpoint
+	openAttempts []int            // attempts left running for a copy whose end has not been reported
+	openCopies   []int            // attempts of openAttempts that a previous owner had left running, and whose minions may have crashed
+	crash        crashRecord      // what is known of minions that crashed under it
+	openFates    int              // its runs with fateOpen
+	unsettled    int              // accusations of it in minion.unsettled, on any minion
+	absence      *absence         // nil unless a lasting task is absent
 }
 
 // step is one step of one round.
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -190,14 +190,14 @@
 		}
 		m.synced = false
 		if now.Sub(m.silentSince) >= fateTimeout {
-			m.dropUnsettled()
+			m.endWaits()
 		}
 		if m.restart != nil {
 			m.dropUnsettled() // a row proves no crash
 			s.adoptIncarnation(now, m, m.restart.Born)
 			continue
 		}
-		if !m.listed && len(m.unsettled) == 0 && len(m.runs) == 0 {
+		if !m.listed && !m.fateAwaited() && len(m.runs) == 0 {
 			s.recordGone(now, m)
 			delete(s.minions, id)
 			m.leaveZone()
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -85,7 +85,7 @@
 		return
 	}
 	delete(m.runs, r.key)
-	r.closeFate()
+	s.closeFate(r)
 	if r.copied {
 		s.copyBudget.needed()
 	}
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -30,6 +30,7 @@
 	Born         int64         `json:"b,omitempty"`
 	Saved        string        `json:"c,omitempty"`
 	OpenAttempts []int         `json:"o,omitempty"`
+	OpenCopies   []int         `json:"y,omitempty"` // of these, those whose minions may have crashed
 	Crash        *crashRecord  `json:"x,omitempty"`
 	Absence      *savedAbsence `json:"w,omitempty"`
 }
@@ -79,7 +80,7 @@
 		var ts []savedTask
 		if p.unfinished > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedCrash(), t.savedAbsence()})
+				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedOpenCopies(p.job), t.savedCrash(), t.savedAbsence()})
 			}
 		}
 		out.Steps = append(out.Steps, ts)
@@ -203,7 +204,7 @@
 
 func (s *State) loadTask(p *step, t *task, in savedTask) {
 	t.attempt, t.failures, t.checkpoint, t.openAttempts = in.Attempt, in.Failures, in.Saved, in.OpenAttempts
-	t.inheritedCopies = len(in.OpenAttempts)
+	t.openCopies = in.OpenCopies
 	s.leaveOver(p, t)
 	p.failures += in.Failures
 	if in.Crash != nil {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -41,7 +41,7 @@
 		s.wakeSteps(m)
 	}
 	s.reopenLeases(m)
-	m.closeFates()
+	s.closeFates(m)
 	s.settle(now, m, false)
 	for _, e := range rep.Ended {
 		if e.N > m.lastEnd {
@@ -100,6 +100,7 @@
 	r := &run{key: k, size: m.Capacity, state: live, stopping: true}
 	if p := s.stepOf(k.task); p != nil {
 		r.size, r.step = p.Reserved(), p
+		s.closeOpenCopy(p, k)
 	}
 	s.note(Note{What: UnexpectedRun, Job: k.task.Job, Task: k.task.String(), Attempt: k.attempt, Minion: m.ID})
 	s.dropLeftover(k)
@@ -169,6 +170,7 @@
 	}
 	t := p.tasks[e.Task.Index]
 	s.dropLeftover(runKey{t.id, e.Attempt})
+	s.closeOpenCopy(p, runKey{t.id, e.Attempt})
 	s.markBegun(p.job)
 	if t.phase != Placed || t.attempt != e.Attempt || t.incarnation != m.Incarnation {
 		s.handleStaleEnd(now, m, p, t, e)
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -39,7 +39,8 @@
 		case r.state == live && m.silentSince.IsZero() && r.age(now) >= freshWindow:
 			r.onTrial = false
 			c := &r.task.crash
-			c.Suspect, c.Proven, c.Doubts = false, false, 0
+			c.Suspect, c.Proven = false, false
+			r.task.clearDoubts()
 			s.markChanged(r.step.job)
 			s.note(Note{What: TrialSurvived, Job: r.key.task.Job, Task: r.key.task.String(), Attempt: r.key.attempt, Minion: m.ID})
 		default:
