shard: a verdict waits for the fate of silent minions

Change: a guilty task is not started again, and is given up once no silent minion can clear it, fateTimeout after its silence at the latest; a next owner waits for fateTimeout from its start.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -65,6 +65,9 @@
 // silent minions with fresh runs of it. It is not if there is one such minion
 // and no other reason to suspect the task.
 func (t *task) held() bool {
+	if t.guilty() {
+		return true
+	}
 	open := t.openFates + t.unsettled
 	if open == 1 && t.unsettled == 1 && t.crash.Crashes+t.crash.Doubts == 1 {
 		return false
@@ -157,7 +160,7 @@
 	fresh    bool // it had begun shortly before
 	onTrial  bool
 	age      time.Duration
-	waits    bool // while it is unsettled its task waits for the fate of the minion
+	waits    bool // it is unsettled, and the fate of its minion is awaited
 }
 
 // accuseRuns returns the accusations that follow from the crash of a minion. A
@@ -212,30 +215,37 @@
 
 // keepUnsettled keeps the accusations that follow from the end of a lease until
 // the minion shows whether it has crashed. The tasks of runs that had begun wait
-// for that.
+// for that, and so does the verdict on any task.
 func (m *minion) keepUnsettled(as []accusation) {
 	for _, a := range as {
 		if a.inFlight && !a.begun || a.run.carried != nil {
 			continue // not counted, or about the incarnation before
 		}
-		if a.waits = a.begun; a.waits {
-			a.run.task.unsettled++
-		}
+		a.waits = true
+		a.run.task.await(&a, 1)
 		m.unsettled = append(m.unsettled, a)
 	}
 }
 
+// await counts an accusation for which the fate of its minion is awaited.
+func (t *task) await(a *accusation, n int) {
+	t.openDoubts += n
+	if a.begun {
+		t.unsettled += n
+	}
+}
+
 // endWaits lets the tasks of unsettled accusations wait no longer.
 func (m *minion) endWaits() {
 	for i := range m.unsettled {
 		if a := &m.unsettled[i]; a.waits {
 			a.waits = false
-			a.run.task.unsettled--
+			a.run.task.await(a, -1)
 		}
 	}
 }
 
-// fateAwaited reports whether a task waits for the fate of the minion.
+// fateAwaited reports whether the fate of the minion is awaited.
 func (m *minion) fateAwaited() bool {
 	return slices.ContainsFunc(m.unsettled, func(a accusation) bool { return a.waits })
 }
@@ -298,12 +308,42 @@
 	s.note(n)
 	c.Suspect = c.Suspect || a.fresh || !a.begun || !a.crashed || c.Crashes >= suspectCrashes
 	c.Proven = c.Proven || a.crashed && !a.inFlight && a.fresh && a.onTrial
-	if t.guilty() {
-		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", c.Crashes, t.doubts())})
-		s.finishJob(now, p.job, JobFailed)
+	s.charge(p, t, now)
+}
+
+// verdict is a task that is given up unless it is known in time that minions have
+// not crashed under it.
+type verdict struct {
+	step      *step
+	task      *task
+	notBefore time.Time
+}
+
+// charge adds a verdict on the task if it is guilty.
+func (s *State) charge(p *step, t *task, notBefore time.Time) {
+	known := func(v verdict) bool { return v.task == t }
+	if t.guilty() && !slices.ContainsFunc(s.verdicts, known) {
+		s.verdicts = append(s.verdicts, verdict{p, t, notBefore})
 	}
 }
 
+// judge gives up the tasks that are guilty, once no silent minion can clear them any
+// more.
+func (s *State) judge(now time.Time) {
+	s.verdicts = slices.DeleteFunc(s.verdicts, func(v verdict) bool {
+		t, j := v.task, v.step.job
+		switch {
+		case j.state.Terminal() || t.phase == Finished || !t.guilty():
+			return true
+		case t.openDoubts > 0 || now.Before(v.notBefore):
+			return false
+		}
+		s.note(Note{What: TaskGivenUp, Job: t.id.Job, Task: t.id.String(), Attempt: t.attempt, Why: fmt.Sprintf("%d minions crashed, %d may have", t.crash.Crashes, t.doubts())})
+		s.finishJob(now, j, JobFailed)
+		return true
+	})
+}
+
 // why describes the accusation in the log.
 func (a *accusation) why() string {
 	at := a.age.Round(time.Millisecond).String() + " after it had begun"
--- a/internal/shard/doubt_test.go
+++ b/internal/shard/doubt_test.go
@@ -160,3 +160,56 @@
 	w.cycle()
 	assert.Equal(t, x.crash.Doubts, 1)
 }
+
+// cutUntilLapse submits a job whose task is one doubt from being given up, and cuts its
+// minion off until the leases there have ended.
+func cutUntilLapse(t *testing.T) (*simCluster, *simOwner, *task) {
+	w, o := newOwnedCluster(t, 2)
+	w.submit(newJob("a", lastingTasks(1)))
+	o.st.beginRounds(w.now)
+	x := firstTask(o, "a")
+	x.crash = crashRecord{Crashes: 1, Doubts: provenDoubtful - 2, Suspect: true, Proven: true}
+	w.crashes[x.id] = 2 // of which the record tells
+	w.cycle()
+	cut := w.holder(x)
+	cut.up = false
+	for x.phase == Placed {
+		w.passCycles(simTick)
+	}
+	assert.Assert(t, x.guilty())
+	assert.Equal(t, w.state("a"), Active, "its minion may still answer")
+	return w, o, x
+}
+
+// Guards a job against being failed just before the minion that may have crashed under
+// it answers again.
+func TestVerdictWaitsForTheFateOfASilentMinion(t *testing.T) {
+	w, _, x := cutUntilLapse(t)
+	w.passCycles(time.Second)
+	assert.Equal(t, w.running(), 0, "it is not started again meanwhile")
+	for _, b := range w.minions {
+		b.up = true
+	}
+	w.passCycles(2 * time.Second)
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, w.running(), 1)
+	assert.Equal(t, x.crash.Crashes, 1)
+}
+
+func TestVerdictWaitsNoLongerThanForTheFateOfASilentMinion(t *testing.T) {
+	w, _, _ := cutUntilLapse(t)
+	w.passCycles(fateTimeout)
+	assert.Equal(t, w.state("a"), JobFailed)
+}
+
+// The next owner does not know for which minions a verdict waits.
+func TestNextOwnerPassesTheVerdict(t *testing.T) {
+	w, _, _ := cutUntilLapse(t)
+	w.cycle()
+	w.takeOver()
+	w.passCycles(fateTimeout - time.Second)
+	assert.Equal(t, w.state("a"), Active)
+	assert.Equal(t, w.running(), 0)
+	w.passCycles(2 * time.Second)
+	assert.Equal(t, w.state("a"), JobFailed)
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -44,7 +44,8 @@
 	openCopies   []int            // attempts of openAttempts that a previous owner had left running, and whose minions may have crashed
 	crash        crashRecord      // what is known of minions that crashed under it
 	openFates    int              // its runs with fateOpen
-	unsettled    int              // accusations of it in minion.unsettled, on any minion
+	unsettled    int              // accusations of it in minion.unsettled with waits, of runs that had begun
+	openDoubts   int              // the same, whether or not the runs had begun
 	absence      *absence         // nil unless a lasting task is absent
 }
 
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -178,7 +178,7 @@
 		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.givenUpAt(m)) {
 			continue
 		}
-		if m.clockAt.IsZero() && m.listed && len(m.runs) == 0 {
+		if m.clockAt.IsZero() && m.listed && len(m.runs) == 0 && !m.fateAwaited() {
 			continue
 		}
 		if ended := s.runsWithoutLease(now, m); len(ended) > 0 {
--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -210,6 +210,9 @@
 	if in.Crash != nil {
 		t.crash = *in.Crash
 	}
+	if in.Phase != Finished {
+		s.charge(p, t, s.termStart.Add(fateTimeout))
+	}
 	if in.Absence != nil && in.Phase != Finished {
 		s.inheritAbsence(p, t, in.Absence)
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -23,6 +23,7 @@
 		s.sampleAbsences(now)
 	}
 	s.endTrials(now)
+	s.judge(now)
 	s.dropForgotten(now)
 	s.beginRounds(wall)
 	v := &view{s: s, now: now, send: now.Add(s.writeTime), ms: s.minionsByID()}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -72,6 +72,7 @@
 	minions          map[string]*minion
 	zones            map[string]*zone
 	trials           []*minion // minions with a trial
+	verdicts         []verdict // on tasks that are guilty
 	copyBudget       copyBudget
 	sortedMinions    []*minion // by ID; nil when minions has changed
 	termStart        time.Time // when the term began
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -59,6 +59,9 @@
 // waitingTasks lists the tasks of a step that can be placed, those that need a
 // trial apart.
 func (p *step) waitingTasks() (clean, suspects []*task) {
+	if p.Gang && slices.ContainsFunc(p.tasks, (*task).guilty) {
+		return nil, nil
+	}
 	for _, t := range p.tasks {
 		switch {
 		case t.phase != Waiting:
