shard: no end is discarded while a start has no reply

Cause: a start and a renewal that lets ends be discarded are both in flight when a minion restarts. The next incarnation carries out the start, its run ends, and the renewal, which means ends of the former one, has it forget that end.

Change: a renewal lets no end be discarded while a start has no reply; after ends were reported, it waits up to 50 ms for the replies.

Measured: TestLateRenewalForgetsNoEndOfALateStart failed before, and passes.

--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -21,6 +21,7 @@
 	lateCallDelay    = 150 * time.Millisecond  // without a response, before a call counts as late
 	silentRetryDelay = 200 * time.Millisecond  // between renewals without a response
 	maxAckWait       = 400 * time.Millisecond  // for ends to become durable before the next renewal
+	maxStartWait     = 50 * time.Millisecond   // for replies to starts before a renewal that lets ends be discarded
 	maxCallAge       = 500 * time.Millisecond  // since its decision, at which a call is not made any more
 )
 
@@ -30,6 +31,8 @@
 	incarnation work.Incarnation
 	acked       atomic.Int64 // ends up to this one may be acknowledged
 	acksChanged chan struct{}
+	starts      atomic.Int64 // without a reply yet
+	startsDone  chan struct{}
 	excuses     int // renewals in a row that failed because this process was late
 }
 
@@ -40,7 +43,7 @@
 		if o.handlers[inc] != nil {
 			continue
 		}
-		h := &minionHandler{o: o, incarnation: inc, acksChanged: make(chan struct{}, 1)}
+		h := &minionHandler{o: o, incarnation: inc, acksChanged: make(chan struct{}, 1), startsDone: make(chan struct{}, 1)}
 		o.handlers[inc] = h
 		o.s.spawn(h.run)
 	}
@@ -95,9 +98,13 @@
 	case n.Wait:
 		wait = renewWait
 	}
+	discard := h.acked.Load()
+	if n.KeepEnds {
+		discard = 0
+	}
 	ctx, cancel := h.callContext(decided, wait+renewTimeout)
 	watch := h.reportIfLate(wait)
-	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, h.acked.Load(), wait)
+	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, discard, wait)
 	watch.stop()
 	cancel()
 	if err != nil {
@@ -119,6 +126,7 @@
 	h.o.post(func(now time.Time) { h.o.state.HandleReport(now, n, rep) })
 	if len(rep.Ended) > 0 {
 		h.awaitAck(rep.Ended[len(rep.Ended)-1].N)
+		h.awaitStarts()
 	}
 }
 
@@ -149,6 +157,32 @@
 	}
 }
 
+// awaitStarts waits until the starts that were sent have a reply, but at most
+// maxStartWait. Ends are not discarded before that.
+func (h *minionHandler) awaitStarts() {
+	t := time.NewTimer(maxStartWait)
+	defer t.Stop()
+	for h.starts.Load() > 0 {
+		select {
+		case <-h.startsDone:
+		case <-t.C:
+			return
+		case <-h.o.ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *minionHandler) endStart() {
+	if h.starts.Add(-1) > 0 {
+		return
+	}
+	select {
+	case h.startsDone <- struct{}{}:
+	default:
+	}
+}
+
 func (h *minionHandler) acknowledge(n int64) {
 	h.acked.Store(max(h.acked.Load(), n))
 	select {
@@ -159,7 +193,9 @@
 
 // sendStart sends a start and reports the outcome to the control goroutine.
 func (h *minionHandler) sendStart(now time.Time, order shard.StartOrder) {
+	h.starts.Add(1)
 	go func() {
+		defer h.endStart()
 		ctx, cancel := h.callContext(now, orderTimeout)
 		defer cancel()
 		defer h.reportIfLate(0).stop()
--- a/internal/shard/lateend_test.go
+++ b/internal/shard/lateend_test.go
@@ -25,6 +25,9 @@
 	late, ok := o.st.NextRenewal(w.now, b.Incarnation)
 	assert.Assert(t, ok)
 	seen := o.acked[b.Incarnation]
+	if late.KeepEnds {
+		seen = 0
+	}
 	w.now = w.now.Add(time.Millisecond)
 	clock := b.clock()
 	b.restart()
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -18,6 +18,10 @@
 	Closed bool  // the lease may not be extended at present
 	Seq    int64
 	Wait   bool // the minion answers when a run ends instead of at once
+
+	// KeepEnds forbids that the minion discards ends: a start has no reply yet. If both
+	// were carried out by the next incarnation, it would discard the end of that run.
+	KeepEnds bool
 }
 
 // NextRenewal returns the next renewal for an incarnation of a minion. ok is
@@ -32,7 +36,7 @@
 		return n, false
 	}
 	s.renewalSeq++
-	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq}
+	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq, KeepEnds: m.awaitsStart()}
 	if m.clockAt.IsZero() || !m.silentSince.IsZero() {
 		// A minion that does not answer only gets a query: a lease extension
 		// that may or may not reach it would delay the time from which its tasks
@@ -47,6 +51,17 @@
 	return n, true
 }
 
+// awaitsStart reports whether a start that was sent to the minion has no reply, and no
+// report has shown yet what became of it.
+func (m *minion) awaitsStart() bool {
+	for _, r := range m.runs {
+		if r.state == sent || r.state == uncertain {
+			return true
+		}
+	}
+	return false
+}
+
 // mayExtend reports whether a lease of the minion may be extended: a former or
 // next owner does not take it for ended sooner.
 func (s *State) mayExtend(m *minion) bool {
