shard: count leases that the latest calls for a former life give until they have ended

What broke: a task ran on two minions. A call that is carried out MaxOrderDelay after it was sent gives a lease of MaxLease then; the record was trusted as soon as no such call could be carried out any more (entries dropped, ids without an entry taken for never called, former owners' leases not counted). Now as soon as the leases have ended too (lateEnd). Both TestLeaseOfTheLatestCall... failed before. TestMissingRecordMeansThatLeasesOfFormerLivesCount fails with this: it wants a complete record 30 s after a promise of 5.7 s, and the bound is now 31 s.

--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -63,7 +63,7 @@
 type callRecord struct {
 	entries  map[string]*called // by minion ID
 	changed  [calledRows]bool   // rows to be written
-	complete bool               // an ID without an entry has never been called, or so long ago that no call to it is in flight
+	complete bool               // an ID without an entry has never been called, or so long ago that the leases have ended that calls to it gave
 	promised bool               // what the write says that is being prepared
 }
 
@@ -114,7 +114,7 @@
 // this incarnation's clock, or it gives none.
 func (s *State) strayEndFrom(now time.Time, m *minion, former *called) time.Time {
 	longest := s.Limits.MaxLease.Milliseconds()
-	if former != nil && s.formerCallsOver(now) {
+	if former != nil && s.formerCallsEnded(now) {
 		longest = min(longest, former.sentUntil-m.clock)
 	}
 	if longest <= 0 {
@@ -123,9 +123,10 @@
 	return now.Add(s.slowClock(time.Duration(longest)*time.Millisecond) + leaseMargin)
 }
 
-// formerCallsOver reports whether no call of former owners can be in flight any more.
-func (s *State) formerCallsOver(now time.Time) bool {
-	return s.Term <= 1 || now.After(s.formerEnd.Add(s.Limits.MaxOrderDelay))
+// formerCallsEnded reports whether no call of former owners can be in flight any more,
+// and the leases have ended that they gave.
+func (s *State) formerCallsEnded(now time.Time) bool {
+	return s.Term <= 1 || now.After(s.lateEnd(s.formerEnd))
 }
 
 // recordSent notes which leases were sent to an incarnation that ends.
@@ -136,7 +137,7 @@
 }
 
 // recordGone keeps the entry of a minion that is forgotten for as long as calls to it
-// may be in flight.
+// may give leases.
 func (s *State) recordGone(now time.Time, m *minion) {
 	s.recordSent(m)
 	if e := s.record.entries[m.ID]; e != nil {
@@ -155,16 +156,16 @@
 }
 
 // expireRecord drops entries of minions that are gone, which former owners may have
-// called until the end of their leases, and learns when no call of a former owner
-// that kept no record can be in flight any more. The rows are written with the next
+// called until the end of their leases, and learns when calls of a former owner
+// that kept no record give no lease any more. The rows are written with the next
 // change.
 func (s *State) expireRecord(now time.Time) {
 	for id, e := range s.record.entries {
-		if !e.goneAt.IsZero() && now.Sub(maxTime(e.goneAt, s.formerEnd)) > s.Limits.MaxOrderDelay {
+		if !e.goneAt.IsZero() && now.After(s.lateEnd(maxTime(e.goneAt, s.formerEnd))) {
 			delete(s.record.entries, id)
 		}
 	}
-	s.record.complete = s.record.complete || s.formerCallsOver(now)
+	s.record.complete = s.record.complete || s.formerCallsEnded(now)
 }
 
 // saveCalled adds the changed rows of the record to the batch.
--- a/internal/shard/review56_test.go
+++ b/internal/shard/review56_test.go
@@ -63,12 +63,10 @@
 	}
 	w.restartWith(b, b.clock()-60_000)
 	w.deliver(1)
-	leaseFrom := w.now
-	for !next.st.formerCallsOver(w.now) {
+	for !w.now.After(next.st.formerEnd.Add(w.limits.MaxOrderDelay)) {
 		w.pass(simTick)
 		w.cycleExcept(b)
 	}
-	t.Logf("lease for %v; former calls over after %v", w.limits.MaxLease, w.now.Sub(leaseFrom))
 	w.cycle()
 	w.submit(newJob("a", tasks(8, 1000)))
 	w.cycle()
@@ -106,6 +104,7 @@
 	sent, late := w.now, w.inFlight
 	w.inFlight = nil
 	w.forget(t, b, 0)
+	gone := w.now
 	for w.now.Sub(sent) < w.limits.MaxOrderDelay-2*simTick {
 		w.pass(simTick)
 		w.cycle()
@@ -114,7 +113,7 @@
 	w.restartUnlisted(b, b.clock()-60_000)
 	late[0].deliver()
 	b.crashedAt = w.now
-	for o.st.record.entries[b.ID] != nil {
+	for w.now.Sub(gone) <= w.limits.MaxOrderDelay {
 		w.pass(simTick)
 		w.cycleExcept(b)
 	}
@@ -123,7 +122,6 @@
 	w.cycle()
 	w.submit(newJob("a", tasks(8, 1000)))
 	w.cycle()
-	t.Logf("lease for %d ms, %v after the call was sent", b.leaseUntil-b.clock(), w.now.Sub(sent))
 	assert.Equal(t, len(b.runs), 4)
 	w.startsElsewhereInTime(t, b, w.strayLease())
 }
