shard: keep the token of a forgotten minion for as long as it may be back

A minion that was cut off from owner and store for longer than calls are late, after its token had been raised, was called with a lower token when it was back: it refused every renewal, and got no work until the owner changed.

--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -53,7 +53,6 @@
 	Born      int64
 	strayEnd  time.Time // when leases have ended that calls for former incarnations gave it; zero if there are none
 	sentUntil int64     // the latest lease that this owner has sent to former incarnations, on their clocks
-	token     int64     // the highest that was used when it was forgotten
 	goneAt    time.Time // when it was forgotten; zero while its minion is known
 	durable   bool      // the entry is in the store
 	writing   bool      // it is in the batch that is being written
@@ -63,6 +62,7 @@
 type callRecord struct {
 	entries  map[string]*called // by minion ID
 	changed  [calledRows]bool   // rows to be written
+	tokens   map[string]int64   // the highest used for minions that were forgotten, by ID
 	complete bool               // an ID without an entry has never been called, or so long ago that the leases have ended that calls to it gave
 	promised bool               // what the write says that is being prepared
 }
@@ -141,18 +141,24 @@
 func (s *State) recordGone(now time.Time, m *minion) {
 	s.recordSent(m)
 	if e := s.record.entries[m.ID]; e != nil {
-		e.goneAt, e.token = now, m.token
+		e.goneAt = now
 	}
+	s.record.keepToken(m.ID, m.token)
+}
+
+// keepToken keeps the highest token of a minion that is forgotten. It may be back at any
+// time, and refuses lower ones.
+func (r *callRecord) keepToken(id string, token int64) {
+	if r.tokens == nil {
+		r.tokens = map[string]int64{}
+	}
+	r.tokens[id] = token
 }
 
 // firstToken is the token for the first order to a minion that this owner has not
 // known, or has forgotten.
 func (s *State) firstToken(id string) int64 {
-	token := s.Term * tokensPerTerm
-	if e := s.record.entries[id]; e != nil {
-		token = max(token, e.token+1)
-	}
-	return token
+	return max(s.Term*tokensPerTerm, s.record.tokens[id]+1)
 }
 
 // expireRecord drops entries of minions that are gone, which former owners may have
