shard: after a refuted restart, call the minion with a token as high as the polls had

A row of another writer, with a minion's own address and a later birth, has the minion polled with the next token. Its answer, or its next row, refutes the restart, but the renewals went on with the token of before: the minion refused them, its leases ended, and it got no work until the owner changed.

--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -69,7 +69,7 @@
 func (s *State) HandleReplaced(now time.Time, l work.Incarnation) {
 	m := s.minions[l.ID]
 	if m != nil && m.restartsAs(l) {
-		m.restart = nil
+		m.dropRestart()
 	}
 	if m == nil || m.Incarnation != l {
 		return
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -146,7 +146,7 @@
 	case w.Born != m.Born:
 		s.replaceIncarnation(now, m, w)
 	}
-	m.restart = nil
+	m.dropRestart()
 	if w.Service != s.Service {
 		s.UnlistMinion(now, m.ID)
 		return
@@ -177,7 +177,8 @@
 	if m == nil || !m.listed {
 		return
 	}
-	m.listed, m.unlistedAt, m.restart = false, now, nil
+	m.listed, m.unlistedAt = false, now
+	m.dropRestart()
 	s.note(Note{What: MinionUnlisted, Minion: id})
 }
 
--- a/internal/shard/restart.go
+++ b/internal/shard/restart.go
@@ -33,11 +33,20 @@
 	return m.restart != nil && m.restart.Incarnation == l
 }
 
+// dropRestart ends an unconfirmed restart that was refuted. The minion may have seen the
+// token of its polls, which is one higher.
+func (m *minion) dropRestart() {
+	if m.restart != nil {
+		m.restart = nil
+		m.token++
+	}
+}
+
 // handleRestartReport processes what is said at the address of an unconfirmed
 // restart.
 func (s *State) handleRestartReport(now time.Time, m *minion, born int64) {
 	if born <= m.Born {
-		m.restart = nil
+		m.dropRestart()
 		return
 	}
 	s.adoptIncarnation(now, m, born)
--- a/internal/shard/review56_test.go
+++ b/internal/shard/review56_test.go
@@ -133,3 +133,31 @@
 	b.clockStart, b.leaseUntil = clock, clock
 	b.Draining = false
 }
+
+// Guards against a minion that is never used again: the poll of a restart that a row told
+// of, and that its address disproved, showed it a higher token than later calls have.
+func TestMinionThatWasPolledForARestartIsUsedAgain(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		w, o := newOwnedCluster(t, 1)
+		b := w.minions[0]
+		odd := w.oddRow(b, "s")
+		odd.Address = b.Address
+		o.st.UpdateMinion(w.now, odd, w.now)
+		n, ok := o.st.NextRenewal(w.now, odd.Incarnation)
+		assert.Assert(t, ok)
+		rep, ok := b.handleRenewal("restart", n, 0)
+		assert.Assert(t, ok)
+		if answered {
+			o.st.HandleReport(w.now, n, rep)
+		} else {
+			o.st.HandleNoReply(w.now, odd.Incarnation) // the reply is lost; the next row refutes the restart
+		}
+		w.work(2 * rowInterval)
+		m := o.st.minions[b.ID]
+		assert.Assert(t, m.restart == nil)
+		assert.Assert(t, m.silentSince.IsZero(), "token %d, minion has seen %d, answered %v", m.token, b.token, answered)
+		w.submit(newJob("a", tasks(1, 1000)))
+		w.work(time.Second)
+		assert.Equal(t, w.running(), 1)
+	}
+}
