shard: keep tokens of forgotten minions only where they were raised

Cause: a map of the tokens of all minions ever forgotten grows for as long as an owner lives. Change: only raised ones are kept; a minion whose entry is still in the record gets a token above that of calls in flight.

--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -62,7 +62,7 @@
 type callRecord struct {
 	entries  map[string]*called // by minion ID
 	changed  [calledRows]bool   // rows to be written
-	tokens   map[string]int64   // the highest used for minions that were forgotten, by ID
+	tokens   map[string]int64   // those used for minions that were forgotten, by ID, if they had been raised
 	complete bool               // an ID without an entry has never been called, or so long ago that the leases have ended that calls to it gave
 	promised bool               // what the write says that is being prepared
 }
@@ -143,22 +143,23 @@
 	if e := s.record.entries[m.ID]; e != nil {
 		e.goneAt = now
 	}
-	s.record.keepToken(m.ID, m.token)
-}
-
-// keepToken keeps the highest token of a minion that is forgotten. It may be back at any
-// time, and refuses lower ones.
-func (r *callRecord) keepToken(id string, token int64) {
-	if r.tokens == nil {
-		r.tokens = map[string]int64{}
+	if m.token > s.Term*tokensPerTerm {
+		if s.record.tokens == nil {
+			s.record.tokens = map[string]int64{}
+		}
+		s.record.tokens[m.ID] = m.token
 	}
-	r.tokens[id] = token
 }
 
 // firstToken is the token for the first order to a minion that this owner has not
-// known, or has forgotten.
+// known, or has forgotten: no lower one than it has seen, and a higher one than calls to it
+// have that may be in flight.
 func (s *State) firstToken(id string) int64 {
-	return max(s.Term*tokensPerTerm, s.record.tokens[id]+1)
+	token := max(s.Term*tokensPerTerm, s.record.tokens[id]+1)
+	if e := s.record.entries[id]; e != nil && !e.goneAt.IsZero() {
+		token = max(token, s.Term*tokensPerTerm+1)
+	}
+	return token
 }
 
 // expireRecord drops entries of minions that are gone, which former owners may have
--- a/internal/shard/called_test.go
+++ b/internal/shard/called_test.go
@@ -132,7 +132,7 @@
 	assert.Assert(t, !next.st.record.strayEnd(w.minions[0].Incarnation).IsZero())
 	w.cycle()
 	assert.Assert(t, !w.recorded)
-	w.pass(30 * time.Second)
+	w.pass(40 * time.Second)
 	w.cycle()
 	w.cycle()
 	assert.Assert(t, w.recorded)
