--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -84,7 +84,7 @@
 	{shard.CrashSuspected, "job task attempt minion why", "the same, but whether the run had begun, or its minion has crashed, is unknown", "the minion's lines before it"},
 	{shard.TrialBegun, "job task attempt minion", "a suspect is placed where nothing else begins meanwhile", ""},
 	{shard.TrialSurvived, "job task attempt minion", "the minion has not crashed; the task is no suspect any more", ""},
-	{shard.TaskGivenUp, "job task attempt why", "a task has crashed the minions that started it; its job fails; why is how many", "what the task runs; the crashes before it"},
+	{shard.TaskGivenUp, "job task attempt why", "a task has crashed the minions that started it, and no silent minion can clear it any more; its job fails; why is how many", "what the task runs; the crashes before it"},
 	{shard.MinionAdded, "minion why", "a minion's row appeared; why is its availability zone", ""},
 	{shard.MinionUnlisted, "minion", "a minion's row was deleted; it may still run and answer", ""},
 	{shard.MinionDraining, "minion", "a minion drains and gets no new tasks", ""},
