server: reserve entries for short advice requests only while there are some

Cause: with four entries and two services a shard asks through two, and one of these is kept free for requests of under 100 ms, also where all its queues take longer.

Change: none is kept free unless the shard has made a short request in the last 10 s.

--- a/internal/server/advice.go
+++ b/internal/server/advice.go
@@ -13,8 +13,8 @@
 
 // The placement service handles one request at a time per VM. Owners therefore
 // spread their requests over the entries, with at most one per entry in
-// progress. Each shard prefers entries of its own, and some of them are
-// reserved for short requests, so that urgent jobs do not wait for long ones.
+// progress. Each shard prefers entries of its own, and while it makes short requests,
+// some of them are reserved for these, so that urgent jobs do not wait for long ones.
 
 // longRequestTime is the expected time from which a request counts as long.
 const longRequestTime = 100 * time.Millisecond
@@ -74,6 +74,7 @@
 	addrs    []string
 	inFlight map[string]bool // addresses of entries with a request in progress
 	listedAt time.Time       // when addrs was computed
+	shortAt  time.Time       // when the last short request was sent
 }
 
 // remove removes an entry that did not respond, unless it is the only one.
@@ -98,9 +99,21 @@
 			free++
 		}
 	}
-	return shard.QueryCapacity{Total: free, Slow: max(0, free-reservedForShort(len(o.advice.addrs))), SlowFrom: longRequestTime}
+	return shard.QueryCapacity{Total: free, Slow: max(0, free-o.advice.reserved(now)), SlowFrom: longRequestTime}
 }
 
+// reserved returns how many entries are reserved for short requests: none if the shard
+// has made none for shortRequestMemory.
+func (a *adviceRequests) reserved(now time.Time) int {
+	if a.shortAt.IsZero() || now.Sub(a.shortAt) > shortRequestMemory {
+		return 0
+	}
+	return reservedForShort(len(a.addrs))
+}
+
+// shortRequestMemory is how long entries stay reserved after a short request.
+const shortRequestMemory = 10 * time.Second
+
 // reservedForShort returns how many of n entries are reserved for short
 // requests.
 func reservedForShort(n int) int {
@@ -129,6 +142,9 @@
 		return
 	}
 	o.advice.inFlight[addr] = true
+	if query.Cost < longRequestTime {
+		o.advice.shortAt = monotonicNow()
+	}
 	go func() {
 		reply, err := o.callAdvise(addr, query)
 		given := monotonicNow()
