--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -191,13 +191,3 @@
 	left := o.st.leaseExpiry(o.st.minions[out.ID]).Sub(w.now)
 	assert.Assert(t, left < 3*time.Second, "%v", left)
 }
-
-// A former owner that wakes after its promise has ended must not send a lease: a
-// time that has passed on one life's clock may lie ahead on the next one's.
-func TestNoLeaseIsSentAfterThePromise(t *testing.T) {
-	w, o := newOwnedCluster(t, 1)
-	o.frozen = true
-	w.pass(30 * time.Second)
-	n, ok := o.st.NextRenewal(w.now, w.minions[0].Incarnation)
-	assert.Assert(t, ok && n.Until == 0, "%+v", n)
-}
