shard: test that the next owner does not give up a start without a reply (red)

Fails with a change of owner, passes without. Not mended: to hold all inherited runs would cost lost work up to 25 s.

--- a/internal/shard/review56_test.go
+++ b/internal/shard/review56_test.go
@@ -161,3 +161,29 @@
 		assert.Equal(t, w.running(), 1)
 	}
 }
+
+// A start without a reply is not given up while the next incarnation may still carry it
+// out, whoever owns the shard then.
+func TestNextOwnerDoesNotGiveUpAStartWithoutReply(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		w, o := newOldCluster(t, 2)
+		w.submit(newJob("a", tasks(1, 1000)))
+		o.step()
+		o.commit(true)
+		assert.Equal(t, len(w.inFlight), 1)
+		start := w.inFlight[0]
+		w.inFlight = nil
+		b := start.to
+		b.up = false // cut off; its row is still written
+		if change {
+			w.takeOver()
+		} else {
+			start.lose()
+		}
+		w.work(9 * time.Second)
+		b.up = true
+		w.restartWith(b, b.clock()-60_000)
+		start.deliver() // checkStart fails if the run has been started elsewhere
+		assert.Equal(t, len(b.runs), 1, "change of owner %v", change)
+	}
+}
