--- a/internal/shard/called.go
+++ b/internal/shard/called.go
@@ -64,7 +64,7 @@
 	changed  [calledRows]bool   // rows to be written
 	tokens   map[string]int64   // those used for minions that were forgotten, by ID, if they had been raised
 	complete bool               // an ID without an entry has never been called, or so long ago that the leases have ended that calls to it gave
-	promised bool               // what the write says that is being prepared
+	told     bool               // complete, as the write says that is being prepared
 }
 
 // strayEnd is when leases have ended that an incarnation got from calls for former
@@ -162,11 +162,11 @@
 	return token
 }
 
-// expireRecord drops entries of minions that are gone, which former owners may have
+// ageRecord drops entries of minions that are gone, which former owners may have
 // called until the end of their leases, and learns when calls of a former owner
 // that kept no record give no lease any more. The rows are written with the next
 // change.
-func (s *State) expireRecord(now time.Time) {
+func (s *State) ageRecord(now time.Time) {
 	for id, e := range s.record.entries {
 		if !e.goneAt.IsZero() && now.After(s.lateEnd(maxTime(e.goneAt, s.formerEnd))) {
 			delete(s.record.entries, id)
@@ -177,7 +177,7 @@
 
 // saveCalled adds the changed rows of the record to the batch.
 func (s *State) saveCalled() error {
-	s.record.promised = s.record.complete
+	s.record.told = s.record.complete
 	if s.record.changed == [calledRows]bool{} {
 		return nil
 	}
@@ -210,9 +210,11 @@
 		e := s.record.entries[id]
 		c := savedCalled{ID: id, Born: e.Born}
 		if !e.strayEnd.IsZero() {
-			if c.Until, ok = s.StoreClock.Latest(e.strayEnd); !ok {
+			until, known := s.StoreClock.Latest(e.strayEnd)
+			if !known {
 				return lists, false
 			}
+			c.Until = until
 		}
 		n := calledRow(id)
 		lists[n] = append(lists[n], c)
@@ -231,7 +233,7 @@
 // RecordComplete reports whether the record that is being written is complete: the
 // write has to say so, and the next owner passes it to LoadCalled. It may be called
 // from any goroutine from TakeBatch until HandleWritten.
-func (s *State) RecordComplete() bool { return s.record.promised }
+func (s *State) RecordComplete() bool { return s.record.told }
 
 // LoadCalled takes over the record of former owners. The minions must be known.
 func (s *State) LoadCalled(rows []table.Row, complete bool) error {
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -188,7 +188,7 @@
 // their next incarnations may still begin, and removes minions that are gone.
 func (s *State) expire(now time.Time) {
 	s.expireLeftovers(now)
-	s.expireRecord(now)
+	s.ageRecord(now)
 	for id, m := range s.minions {
 		if m.silentSince.IsZero() && !m.clockAt.IsZero() || now.Before(s.givenUpAt(m)) {
 			continue
