--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -107,8 +107,10 @@
 	return min(s.lease(), max(m.leavesAt.Add(overrunTolerance).Sub(now), minDrainLease))
 }
 
-// leaseExpiry is the time at which all leases ever sent to the minion have
-// certainly ended.
+// leaseExpiry is when all leases of the minion have certainly ended: those that this
+// owner sent, that former owners sent (formerEnd), that calls for former incarnations
+// gave it (strayEnd) and, before its first answer, that starts for the former
+// one give if it carries them out late (lateEnd).
 func (s *State) leaseExpiry(m *minion) time.Time {
 	former := maxTime(m.formerEnd, s.record.strayEnd(m.Incarnation))
 	if !m.answered() {
