--- a/internal/server/life_test.go
+++ b/internal/server/life_test.go
@@ -69,6 +69,8 @@
 	got, err := s.rows.Read(ctx, entryTable, "", "", "")
 	assert.NilError(t, err)
 	next.applyEntryRows(got.Rows)
+	next.mu.Lock()
+	defer next.mu.Unlock()
 	assert.Assert(t, !next.entries["e0"].Leaving)
 }
 
