--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -71,7 +71,7 @@
 		listed[k] = true
 		r := m.runs[k]
 		if r == nil {
-			r = s.addStray(m, k)
+			r = s.addUnexpected(m, k)
 		}
 		if r.state == uncertain || r.state == sent {
 			r.state = live
@@ -94,9 +94,9 @@
 	return listed
 }
 
-// addStray adds a run that this owner has not started: of a job that has ended
+// addUnexpected adds a run that this owner has not started: of a job that has ended
 // or is unknown.
-func (s *State) addStray(m *minion, k runKey) *run {
+func (s *State) addUnexpected(m *minion, k runKey) *run {
 	r := &run{key: k, size: m.Capacity, state: live, stopping: true}
 	if p := s.stepOf(k.task); p != nil {
 		r.size, r.step = p.Reserved(), p
