Review: case 11 leaves slow machines more time to place its tasks

Cause: tasks of 6 s could end before all of them run where placing takes long. Change: tasks of 10 s.

--- a/review/rig-3/ends.go
+++ b/review/rig-3/ends.go
@@ -114,7 +114,7 @@
 	}
 	time.Sleep(contact)
 	const jobs = 7
-	many := standin.Job{Steps: 1, Tasks: 225, Millis: 6000, CPU: 60}
+	many := standin.Job{Steps: 1, Tasks: 225, Millis: 10_000, CPU: 60}
 	total := jobs * many.Tasks
 	for n := range jobs {
 		if err = r.submit(n, jobID(n), many); err != nil {
@@ -127,7 +127,7 @@
 		}
 		return n
 	}
-	for until := time.Now().Add(15 * time.Second); running() < total; time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(9 * time.Second); running() < total; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(until) {
 			return nil, fmt.Errorf("%d of %d tasks run", running(), total)
 		}
