Review: case 12, a late renewal forgets the end of a late start

Change: the case in place of the former one, its stand-ins and those of the cases that follow; the scenarios of the former cases are gone.

--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -23,16 +24,15 @@
 
 // rig is a small deployment on loopback addresses.
 type rig struct {
-	program string
-	dir     string
-	rows    *tabletest.Store
-	store   string // address
-	ledger  *standin.Ledger
-	minions []*minion
-	entries []*entry
-	client  *http.Client
-	tenants string // of a configuration, as JSON; empty if there are none
-	key     string // of the client's tenant; empty if there is none
+	program   string
+	dir       string
+	rows      *tabletest.Store
+	store     string // address
+	ledger    *standin.Ledger
+	minions   []*minion
+	entries   []*entry
+	client    *http.Client
+	extraPath string // of a further route of a configuration; empty if there is none
 
 	mu     sync.Mutex
 	record *os.File
@@ -43,8 +43,16 @@
 // minion is a minion of a service. Its row is refreshed until the rig is closed.
 type minion struct {
 	*standin.Minion
+	name          string
 	service, addr string
 	paged         *pagedMinion
+	late          *lateMinion
+}
+
+// isUp reports whether the minion is not down.
+func (m *minion) isUp() bool {
+	_, _, up := m.Row(m.service, m.addr, 0)
+	return up
 }
 
 // entry is an entry process.
@@ -72,11 +80,20 @@
 	if r.dir, err = os.MkdirTemp("", "rig-3-"); err != nil {
 		return nil, err
 	}
-	r.ledger = standin.NewLedger(1)
+	r.ledger = standin.NewLedger(ledgerSeed())
 	r.store, err = serve(&store{inner: standin.Store{Rows: r.rows}, say: r.say})
 	return r, err
 }
 
+// ledgerSeed draws what the stand-ins of minions draw, such as their clocks.
+func ledgerSeed() int64 {
+	seed, err := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return seed
+}
+
 // say writes a line to the record.
 func (r *rig) say(format string, args ...any) {
 	r.mu.Lock()
@@ -125,11 +142,13 @@
 
 // addMinions adds minions of a service and keeps their rows fresh.
 func (r *rig) addMinions(service string, n int, capacity int64) error {
-	for i := range n {
-		m := &minion{Minion: r.ledger.AddMinion(fmt.Sprintf("%s-%02d", service, i), capacity), service: service}
+	for range n {
+		name := fmt.Sprintf("%s-%02d", service, len(r.minions))
+		m := &minion{Minion: r.ledger.AddMinion(name, capacity), name: name, service: service}
 		m.paged = &pagedMinion{inner: m, listed: map[int64]time.Time{}}
+		m.late = &lateMinion{inner: m.paged, id: m.name, isUp: m.isUp, say: r.say}
 		var err error
-		if m.addr, err = serve(m.paged); err != nil {
+		if m.addr, err = serve(m.late); err != nil {
 			return err
 		}
 		r.minions = append(r.minions, m)
@@ -148,20 +167,29 @@
 
 // writeConfig writes a configuration with one route, queue, to a service.
 func (r *rig) writeConfig(version int, service string) error {
-	value := fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"queue","host":%q,"pathPrefix":"/queue/","service":%q,"maxAttempts":3,"priority":1,"slackFactor":2.0,"targetDurationMs":1000}],`+
-		`"services":[{"name":"soak","rejectsOverload":false},{"name":"lather","rejectsOverload":false}],"limits":{"maxBodyBytes":262144}%s}`, version, standin.Host, service, r.tenants)
+	routes := route("queue", "/queue/", service)
+	if r.extraPath != "" {
+		routes += "," + route("added", r.extraPath, service)
+	}
+	value := fmt.Appendf(nil, `{"version":%d,"routes":[%s],`+
+		`"services":[{"name":"soak","rejectsOverload":false},{"name":"lather","rejectsOverload":false}],"limits":{"maxBodyBytes":262144}}`, version, routes)
 	err := r.put(standin.ConfigTable, standin.ConfigRow, value)
 	r.say("configuration %d is acknowledged: queue goes to service %s", version, service)
 	return err
 }
 
+// route is a route of a configuration.
+func route(name, prefix, service string) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"service":%q,"maxAttempts":3,"priority":1,"slackFactor":2.0,"targetDurationMs":1000}`, name, standin.Host, prefix, service)
+}
+
 // addEntries starts entries and waits until they say that they are ready.
 func (r *rig) addEntries(n int, store func(i int) string) error {
 	for i := range n {
 		e := &entry{name: fmt.Sprintf("entry-%d", i), caller: loopback.Addr(), ready: loopback.Addr()}
 		e.config, e.log = filepath.Join(r.dir, e.name+".json"), filepath.Join(r.dir, e.name+".log")
 		text := fmt.Sprintf(`{"id":%q,"zone":"z%d","caller":%q,"ready":%q,"peer":%q,"admin":%q,"store":%q,"advice":"","cores":0.4,"link":1000,"memory":284,"files":4100,`+
-			`"first":true,"window":5000,"revoke":5000,"beat":1500,"contact":3000,"lease":5500,"batch":8500,"most":10000,"grace":6000}`, e.name, i%3, e.caller, e.ready, loopback.Addr(), loopback.Addr(), store(i))
+			`"first":true,"beat":1500,"contact":3000,"lease":5500,"batch":8500,"most":10000,"grace":6000}`, e.name, i%3, e.caller, e.ready, loopback.Addr(), loopback.Addr(), store(i))
 		if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -199,6 +227,26 @@
 	return r.start(e)
 }
 
+// owner returns the entry that owns a service, as the store has it.
+func (r *rig) owner(service string) *entry {
+	rows, err := r.rows.Read(context.Background(), "entry", service, "owner", "owner\x00")
+	if err != nil || len(rows.Rows) == 0 {
+		return nil
+	}
+	var row struct {
+		Name string `json:"name"`
+	}
+	if json.Unmarshal(rows.Rows[0].Value, &row) != nil {
+		return nil
+	}
+	for _, e := range r.entries {
+		if e.name == row.Name {
+			return e
+		}
+	}
+	return nil
+}
+
 // signal sends a signal to the process of an entry.
 func (r *rig) signal(e *entry, sig syscall.Signal) {
 	r.say("%s gets %v", e.name, sig)
@@ -235,9 +283,6 @@
 	req.Host = standin.Host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", "3000")
-	if r.key != "" {
-		req.Header.Set("X-Api-Key", r.key)
-	}
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
