--- a/review/rig-3/ends.go
+++ b/review/rig-3/ends.go
@@ -54,7 +54,7 @@
 // page cuts the list of ends, and records what was asked and answered.
 func (p *pagedMinion) page(in, body []byte) []byte {
 	var ask struct {
-		LastSeen int64 `json:"lastSeen"`
+		LastSeen int64
 	}
 	var out map[string]json.RawMessage
 	var ends [][]json.RawMessage
--- a/review/rig-3/late.go
+++ b/review/rig-3/late.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond) // nobody waits for an end
 	defer cancel()
 	req := httptest.NewRequest(http.MethodPost, c.path, bytes.NewReader(c.body)).WithContext(ctx)
-	req.Header.Set("Expected-Instance", l.id)
+	req.Header.Set("expected-instance", l.id)
 	rec := httptest.NewRecorder()
 	l.inner.ServeHTTP(rec, req)
 	l.say("%s carries out %s %s, %.1f s after it came: %d %.200s", l.id, c.path, c.body, time.Since(c.at).Seconds(), rec.Code, bytes.TrimSpace(rec.Body.Bytes()))
@@ -143,7 +143,7 @@
 	time.Sleep(contact)
 	noted := func(path string, body []byte) bool {
 		var in struct {
-			LastSeen int64 `json:"lastSeen"`
+			LastSeen int64
 		}
 		return path == "/hold" && json.Unmarshal(body, &in) == nil && in.LastSeen > 0
 	}
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -67,17 +67,17 @@
 		return fmt.Sprintf("call of %d bytes, at most %d", len(body), maxTxBytes)
 	}
 	var tx struct {
-		If     []json.RawMessage `json:"expectedRevision"`
-		Put    []wireRow         `json:"writes"`
-		Delete []json.RawMessage `json:"deletes"`
+		ExpectedRevision []json.RawMessage
+		Writes           []wireRow
+		Deletes          []json.RawMessage
 	}
 	if err := json.Unmarshal(body, &tx); err != nil {
 		return err.Error()
 	}
-	if n := len(tx.If) + len(tx.Put) + len(tx.Delete); n > maxEntries {
+	if n := len(tx.ExpectedRevision) + len(tx.Writes) + len(tx.Deletes); n > maxEntries {
 		return fmt.Sprintf("%d entries, at most %d", n, maxEntries)
 	}
-	for _, row := range tx.Put {
+	for _, row := range tx.Writes {
 		if len(row.Value) > maxRowBytes {
 			return fmt.Sprintf("row %s/%s/%s of %d bytes, at most %d", row.Table, row.Part, row.Key, len(row.Value), maxRowBytes)
 		}
