Shard: an answer to a higher token closes a start, so that ends in pages are read

Cause: an owner lets a minion discard ends only while no start is open, and a run of a former owner counted as open until a list that is not full showed what became of it. With 500 unread ends the list stays full. What matters is whether the start can still be carried out, and an answer to a higher token rules that out.

Minions of the test cluster, stand-ins and soak list ends in pages; the setting ends tells the size.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -46,6 +46,7 @@
 	rowExpiry    = 4500 * time.Millisecond // three heartbeats
 	lease        = 2 * time.Second         // that owners ask for
 	maxLease     = 6 * time.Second         // that minions grant
+	maxEnds      = 3                       // that minions list at a time
 )
 
 // entry is one entry process.
@@ -72,7 +73,7 @@
 
 func newCluster(opt options, seed int64) (*cluster, error) {
 	s := &cluster{opt: opt, writtenAt: map[int]time.Time{}, restarted: map[int]bool{}, dark: map[int]bool{}, rng: rand.New(rand.NewSource(seed)), faultRNG: rand.New(rand.NewSource(seed + 1)), store: &tabletest.Store{}, ledger: standin.NewLedger(seed + 2)}
-	s.ledger.MaxLease = maxLease
+	s.ledger.MaxLease, s.ledger.MaxEnds = maxLease, maxEnds
 	s.store.InjectFaults(s.transactionFault)
 	store, err := serveOn(standin.Store{Rows: s.store})
 	if err != nil {
@@ -216,8 +217,8 @@
 		addrs[i] = loopback.Addr()
 	}
 	e := &entry{name: name, callerAddr: addrs[0], configFile: filepath.Join(dir, name+".json"), storeProxy: p, dir: dir}
-	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": %d, "most": %d, "direct": %d, "closed": true, "revoke": %d}`,
-		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), lease.Milliseconds(), maxLease.Milliseconds(), direct, revokeTime.Milliseconds())
+	text := fmt.Sprintf(`{"id": %q, "zone": "z", "caller": %q, "ready": %q, "peer": %q, "admin": %q, "store": %q, "lease": %d, "most": %d, "ends": %d, "direct": %d, "closed": true, "revoke": %d}`,
+		name, addrs[0], addrs[1], addrs[2], addrs[3], p.addr(), lease.Milliseconds(), maxLease.Milliseconds(), maxEnds, direct, revokeTime.Milliseconds())
 	return e, os.WriteFile(e.configFile, []byte(text), 0o644)
 }
 
--- a/cmd/soak/minions.go
+++ b/cmd/soak/minions.go
@@ -42,12 +42,13 @@
 		Seed     int64         `long:"seed"`
 		Capacity int64         `long:"capacity"`
 		MaxLease time.Duration `long:"max-lease"`
+		MaxEnds  int           `long:"max-ends"`
 	}
 	if _, err := flags.ParseArgs(&opt, args); err != nil {
 		return err
 	}
 	l := standin.NewLedger(opt.Seed)
-	l.MaxLease = opt.MaxLease
+	l.MaxLease, l.MaxEnds = opt.MaxLease, opt.MaxEnds
 	out := json.NewEncoder(os.Stdout)
 	l.Note = func(e standin.Event) { _ = out.Encode(e) } // fails if the soak is gone; then this process ends
 	m := l.AddMinion(opt.ID, opt.Capacity)
@@ -97,7 +98,7 @@
 	}
 	p.life++
 	cmd := exec.Command(os.Args[0], minionCommand, "--id", p.id, "--addr", p.addr, "--seed", fmt.Sprint(p.seed+p.life),
-		"--capacity", fmt.Sprint(p.capacity), "--max-lease", maxLease.String())
+		"--capacity", fmt.Sprint(p.capacity), "--max-lease", maxLease.String(), "--max-ends", fmt.Sprint(maxEnds))
 	cmd.Stderr = os.Stderr
 	in, err := cmd.StdinPipe()
 	if err != nil {
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -75,6 +75,7 @@
 	limits.Lease = time.Duration(min(s.Settings.Lease, s.Settings.MaxLease)) * time.Millisecond
 	limits.BatchLease = time.Duration(min(s.Settings.BatchLease, s.Settings.MaxLease)) * time.Millisecond
 	limits.MaxLease = time.Duration(s.Settings.MaxLease) * time.Millisecond
+	limits.MaxEnds = int(s.Settings.MaxEnds)
 	limits.MaxRowAge = s.Settings.maxRowAge()
 	limits.RateWindow = time.Duration(s.Settings.RateWindow) * time.Millisecond
 	limits.Retention = time.Duration(s.Settings.JobRetention) * time.Millisecond
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminestep/internal/settings"
+	"jasminestep/internal/shard"
 	"jasminestep/internal/web"
 	"jasminestep/pkg/operator"
 )
@@ -26,6 +27,7 @@
 	Lease            int64   `json:"lease"`
 	BatchLease       int64   `json:"batch"`
 	MaxLease         int64   `json:"most"`
+	MaxEnds          int64   `json:"ends"`
 	JobRetention     int64   `json:"keep"`
 	Heartbeat        int64   `json:"beat"`
 	ContactTime      int64   `json:"contact"`
@@ -64,6 +66,7 @@
 	newSetting("lease", "ms", "5000", "1000 to 9000", "duration of the lease of a run, counted from each renewal"),
 	newSetting("batch", "ms", "as lease", "lease to 9000", "duration of the lease of a run, counted from each renewal, in a service without lasting tasks"),
 	newSetting("most", "ms", "10000", "1000 to 600000", "maximum lease that minions grant; a longer lease is shortened to it"),
+	newSetting("ends", "ends", "500", "1 to 100000", "ends of runs that minions list at a time; a list of so many may not be complete"),
 	newSetting("keep", "ms", "150000", "1000 to 86400000", "retention time of the outcome of an ended job"),
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
 	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
@@ -130,6 +133,7 @@
 		{"lease", s.Lease, 1000, 9000},
 		{"batch", s.BatchLease, s.Lease, 9000},
 		{"most", s.MaxLease, 1000, 600_000},
+		{"ends", s.MaxEnds, 1, 100_000},
 		{"keep", s.JobRetention, 1000, 86_400_000},
 		{"beat", s.Heartbeat, 10, 60_000},
 		{"contact", s.ContactTime, 1000, 60_000},
@@ -169,6 +173,9 @@
 	if s.BatchLease == 0 {
 		s.BatchLease = s.Lease
 	}
+	if s.MaxEnds == 0 {
+		s.MaxEnds = int64(shard.DefaultLimits.MaxEnds)
+	}
 	if s.MaxDirectMinions == 0 {
 		s.MaxDirectMinions = 64
 	}
--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -346,7 +346,8 @@
 		}
 	}
 	b.ends = kept
-	r := work.Report{Born: b.Born, Clock: b.clock(), Ended: append([]work.End(nil), kept...)}
+	page := kept[:min(len(kept), b.cluster.limits.MaxEnds)]
+	r := work.Report{Born: b.Born, Clock: b.clock(), Ended: append([]work.End(nil), page...)}
 	for k := range b.runs {
 		r.Running = append(r.Running, work.Run{Task: k.task, Attempt: k.attempt, Percent: b.percent(), Figure: b.responseTime().Milliseconds()})
 	}
@@ -424,6 +425,9 @@
 	w.history = append(w.history, fmt.Sprintf("%v ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
 }
 
+// endsListed is how many ends a minion lists at a time, the oldest first.
+const endsListed = 3
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 func newSimCluster(t fataler, n int) *simCluster {
@@ -432,6 +436,7 @@
 		done: map[work.TaskID]bool{}, everDone: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
 		called: map[string]table.Row{}, deadly: map[work.TaskID]bool{}, crashes: map[work.TaskID]int{}, lateStarts: map[work.TaskID]int{}, begunAt: map[runKey]time.Time{}, minionRows: map[string]minionRow{},
 	}
+	w.limits.MaxEnds = endsListed
 	for i := range n {
 		b := &simMinion{cluster: w, Minion: work.Minion{
 			Incarnation: work.Incarnation{ID: fmt.Sprintf("m%d", i)}, Service: "s", Address: "a", Capacity: work.Size{CPU: 4000, Mem: 4000}, Labels: []string{"r0"},
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -54,7 +54,7 @@
 // carryOver adds a run that the minion's new incarnation may have, with a start
 // that was sent until sent; its next report settles it.
 func (s *State) carryOver(sent time.Time, m *minion, r *run) {
-	r.state, r.renewalMark, r.token = uncertain, max(s.renewalSeq, 1), m.token-1
+	r.state, r.renewalMark, r.token, r.fenced = uncertain, max(s.renewalSeq, 1), m.token-1, false
 	r.confirmedAt, r.speedKnown = time.Time{}, false
 	m.lateEnd = maxTime(m.lateEnd, s.lateEnd(sent))
 	m.add(r)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -19,8 +19,8 @@
 	Seq    int64
 	Wait   bool // the minion answers when a run ends instead of at once
 
-	// KeepEnds forbids that the minion discards ends: a start has no reply yet. If both
-	// were carried out by the next incarnation, it would discard the end of that run.
+	// KeepEnds forbids that the minion discards ends: a start is open. If both were
+	// carried out by the next incarnation, it would discard the end of that run.
 	KeepEnds bool
 }
 
@@ -51,17 +51,6 @@
 	return n, true
 }
 
-// awaitsStart reports whether a start that was sent to the minion has no reply, and no
-// report has shown yet what became of it.
-func (m *minion) awaitsStart() bool {
-	for _, r := range m.runs {
-		if r.state == sent || r.state == uncertain {
-			return true
-		}
-	}
-	return false
-}
-
 // mayExtend reports whether a lease of the minion may be extended: a former or
 // next owner does not take it for ended sooner.
 func (s *State) mayExtend(m *minion) bool {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -53,9 +53,7 @@
 		s.batch.AckedEnds[m.Incarnation] = m.lastEnd
 	}
 	listed := s.handleRunning(now, m, rep.Running)
-	if len(rep.Ended) < s.Limits.MaxEnds {
-		s.dropAbsent(now, m, n, listed)
-	}
+	s.settleAbsent(now, m, n, listed, len(rep.Ended) < s.Limits.MaxEnds)
 	s.adaptSpeed(now, m, rep.Running)
 	if !m.synced {
 		m.synced = true
@@ -128,32 +126,6 @@
 	s.actions.Stops = append(s.actions.Stops, StopOrder{m.Minion, r.key.task, r.key.attempt, m.token})
 }
 
-// dropAbsent gives up the runs that a report proves to be gone: they existed, or
-// may have existed, before the report was requested, and it does not list them.
-func (s *State) dropAbsent(now time.Time, m *minion, n Renewal, listed map[runKey]bool) {
-	for k, r := range m.runs {
-		if listed[k] || n.Seq <= r.renewalMark {
-			continue
-		}
-		if r.state == live || r.state == uncertain && n.Token > r.fenceToken(s) {
-			s.remove(m, r)
-			s.requeueLost(now, r, "its minion does not list it")
-			if r.carried != nil {
-				s.accuseTask(now, r.carried)
-			}
-		}
-	}
-}
-
-// fenceToken is the highest token with which a start of the run may still
-// arrive.
-func (r *run) fenceToken(s *State) int64 {
-	if r.renewalMark == 0 {
-		return s.Term*tokensPerTerm - 1 // sent by a previous owner
-	}
-	return r.token
-}
-
 // handleEnd processes the end of a run.
 func (s *State) handleEnd(now time.Time, m *minion, e work.End) {
 	r := m.runs[runKey{e.Task, e.Attempt}]
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -46,6 +46,7 @@
 	sentAt      time.Time   // when its start was sent, if by this owner
 	confirmedAt time.Time   // when a reply or a report first showed that it has begun
 	unreached   bool        // its start certainly did not reach the minion
+	fenced      bool        // this incarnation of its minion has answered a higher token than its start had
 	survived    bool        // a lasting run that has lasted for lastingProof
 	onTrial     bool        // it has to survive before its task is no suspect any more
 	copied      bool        // it was left running for a copy, and has not ended by itself
@@ -77,16 +78,6 @@
 	return at.Sub(r.confirmedAt)
 }
 
-// mayBeginUntil is until when the start of the run may still be carried out, by the next
-// incarnation of its minion; zero if it cannot be, or if the run may not wait for that
-// long. Without a row there is no sign of a next incarnation.
-func (s *State) mayBeginUntil(m *minion, r *run) time.Time {
-	if !m.listed || r.state != sent && r.state != uncertain || r.unreached || r.sentAt.IsZero() || r.step == nil || r.step.Lasting {
-		return time.Time{}
-	}
-	return s.lateEnd(r.sentAt)
-}
-
 // runsWithoutLease returns the runs of a minion that have certainly ended once all its
 // leases have.
 func (s *State) runsWithoutLease(now time.Time, m *minion) (out []*run) {
