Shard: a start beside an open acknowledgement has a higher token

Cause: a start was sent while a renewal that lets ends be discarded had no answer, with the same token. The minion's next incarnation carried out the start, whose run ended, and then the renewal, which had it discard that end unread.

The shard decides which number a renewal carries (Renewal.Ack in place of KeepEnds). A start that is sent before its answer raises the token, so the incarnation that gets the start first refuses the renewal. A number goes only with the renewal after an answered one, so none is repeated to an incarnation that nobody has heard of. A refusal that this brings about is no silence.

--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -126,6 +126,7 @@
 		h.sendStart(now, start)
 	}
 	for inc, end := range b.AckedEnds {
+		o.state.HandleEndsDurable(inc, end)
 		if h := o.handlers[inc]; h != nil {
 			h.acknowledge(end)
 		}
--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -34,6 +34,7 @@
 	starts      atomic.Int64 // without a reply yet
 	startsDone  chan struct{}
 	excuses     int // renewals in a row that failed because this process was late
+	refusals    int // renewals in a row that were refused for a higher token
 }
 
 // startHandlers starts a handler for each new incarnation of a minion.
@@ -98,13 +99,9 @@
 	case n.Wait:
 		wait = renewWait
 	}
-	discard := h.acked.Load()
-	if n.KeepEnds {
-		discard = 0
-	}
 	ctx, cancel := h.callContext(decided, wait+renewTimeout)
 	watch := h.reportIfLate(wait)
-	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, discard, wait)
+	rep, fenced, err := h.o.minionCalls.Renew(ctx, &n.Minion, n.Token, n.Until, n.Ack, wait)
 	watch.stop()
 	cancel()
 	if err != nil {
@@ -113,16 +110,21 @@
 			return
 		}
 		h.o.post(func(now time.Time) {
-			if errors.Is(err, work.ErrWrongMinion) {
+			switch {
+			case errors.Is(err, work.ErrWrongMinion):
 				h.o.state.HandleReplaced(now, h.incarnation)
-				return
+			case fenced:
+				h.o.state.HandleFenced(now, n)
+			default:
+				h.o.state.HandleNoReply(now, h.incarnation)
 			}
-			h.o.state.HandleNoReply(now, h.incarnation)
 		})
-		sleep(h.o.ctx, silentRetryDelay)
+		if h.refusals++; !fenced || h.refusals > 1 {
+			sleep(h.o.ctx, silentRetryDelay)
+		}
 		return
 	}
-	h.excuses = 0
+	h.excuses, h.refusals = 0, 0
 	h.o.post(func(now time.Time) { h.o.state.HandleReport(now, n, rep) })
 	if len(rep.Ended) > 0 {
 		h.awaitAck(rep.Ended[len(rep.Ended)-1].N)
--- a/internal/shard/lateend_test.go
+++ b/internal/shard/lateend_test.go
@@ -15,7 +15,11 @@
 	w.submit(newJob("a", tasks(8, 1000)))
 	w.cycle()
 	w.finishAll()
-	w.cycle()
+	for _, b := range w.minions {
+		o.renew(b)
+	}
+	o.step()
+	o.commit(true)
 	w.submit(newJob("b", tasks(1, 1000)))
 	o.step()
 	o.commit(true)
@@ -24,10 +28,6 @@
 	assert.Assert(t, o.acked[b.Incarnation] > 0)
 	late, ok := o.st.NextRenewal(w.now, b.Incarnation)
 	assert.Assert(t, ok)
-	seen := o.acked[b.Incarnation]
-	if late.KeepEnds {
-		seen = 0
-	}
 	w.now = w.now.Add(time.Millisecond)
 	clock := b.clock()
 	b.restart()
@@ -35,7 +35,7 @@
 	w.deliver(1)
 	assert.Equal(t, w.running(), 1)
 	w.finishAll()
-	b.handleRenewal("late", late, seen)
+	b.handleRenewal("late", late, late.Ack)
 	w.writeRow(b)
 	for range 10 {
 		w.pass(simTick)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -17,11 +17,8 @@
 	Until  int64 // 0: does not extend the lease
 	Closed bool  // the lease may not be extended at present
 	Seq    int64
-	Wait   bool // the minion answers when a run ends instead of at once
-
-	// KeepEnds forbids that the minion discards ends: a start is open. If both were
-	// carried out by the next incarnation, it would discard the end of that run.
-	KeepEnds bool
+	Wait   bool  // the minion answers when a run ends instead of at once
+	Ack    int64 // the minion may discard its ends up to this number; 0: none
 }
 
 // NextRenewal returns the next renewal for an incarnation of a minion. ok is
@@ -36,7 +33,8 @@
 		return n, false
 	}
 	s.renewalSeq++
-	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq, KeepEnds: m.awaitsStart()}
+	ack := m.nextAck(s.renewalSeq)
+	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq, Ack: ack}
 	if m.clockAt.IsZero() || !m.silentSince.IsZero() {
 		// A minion that does not answer only gets a query: a lease extension
 		// that may or may not reach it would delay the time from which its tasks
@@ -139,6 +137,16 @@
 	}
 }
 
+// HandleFenced records that a renewal was refused because its minion has seen a higher
+// token. That is no silence if this owner may have sent one since.
+func (s *State) HandleFenced(now time.Time, n Renewal) {
+	m := s.current(n.Minion.Incarnation)
+	if m == nil || m.silentSince.IsZero() && n.Token < m.token {
+		return
+	}
+	s.HandleNoReply(now, m.Incarnation)
+}
+
 // HandleNoReply records that a renewal got no reply.
 func (s *State) HandleNoReply(now time.Time, l work.Incarnation) {
 	m := s.current(l)
--- /dev/null
+++ b/internal/shard/orders_test.go
@@ -0,0 +1,150 @@
+package shard
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jasminestep/internal/work"
+)
+
+// callOrder plays events in which a start and a renewal that lets ends be discarded
+// cross a restart of their minion, or a change of owner, or both.
+type callOrder struct {
+	w              *simCluster
+	b              *simMinion
+	start, renewal *pendingOrder // in flight; nil if there is none
+}
+
+// newCallOrder returns the state before the first event: an end of the minion is read and
+// durable, and the next renewal may acknowledge it.
+func newCallOrder(t *testing.T) *callOrder {
+	t.Helper()
+	w, o := newOldCluster(t, 1)
+	w.submit(newJob("a", tasks(1, 1000)))
+	w.cycle()
+	w.finishAll()
+	o.renew(w.minions[0])
+	o.step()
+	o.commit(true)
+	w.submit(newJob("b", tasks(1, 1000)))
+	return &callOrder{w: w, b: w.minions[0]}
+}
+
+// sent returns what was put in flight last, and takes it out of the cluster's hands.
+func (c *callOrder) sent() *pendingOrder {
+	w := c.w
+	if len(w.inFlight) == 0 {
+		return nil
+	}
+	f := w.inFlight[len(w.inFlight)-1]
+	w.inFlight = nil
+	return &f
+}
+
+// dropOutrun drops a call that the incarnation refuses, see simCluster.restart.
+func (c *callOrder) dropOutrun(f *pendingOrder) *pendingOrder {
+	if f != nil && f.token < c.b.token {
+		return nil
+	}
+	return f
+}
+
+// The events.
+var callEvents = map[string]func(c *callOrder){
+	"start": func(c *callOrder) {
+		o := c.w.owners[len(c.w.owners)-1]
+		o.step()
+		o.commit(true)
+		c.start = c.sent()
+	},
+	"renewal": func(c *callOrder) {
+		c.w.owners[len(c.w.owners)-1].renewLate(c.b)
+		c.renewal = c.sent()
+	},
+	"restart": func(c *callOrder) {
+		c.start, c.renewal = c.dropOutrun(c.start), c.dropOutrun(c.renewal)
+		c.w.restartWith(c.b, c.b.clock()-60_000)
+	},
+	"start arrives": func(c *callOrder) {
+		if c.start != nil {
+			c.start.deliver()
+		}
+		c.start = nil
+	},
+	"run ends": func(c *callOrder) { c.w.finishAll() },
+	"renewal arrives": func(c *callOrder) {
+		if c.renewal != nil {
+			c.renewal.deliver()
+		}
+		c.renewal = nil
+	},
+	"next owner": func(c *callOrder) { c.w.takeOver().renew(c.b) },
+}
+
+// callOrders returns all orders of the events in which each call arrives after it was
+// sent, and the run ends after its start has arrived.
+func callOrders(events []string) (out [][]string) {
+	if len(events) == 0 {
+		return [][]string{nil}
+	}
+	before := map[string]string{"start arrives": "start", "run ends": "start arrives", "renewal arrives": "renewal"}
+	for i, e := range events {
+		if slices.Contains(events, before[e]) {
+			continue
+		}
+		for _, rest := range callOrders(slices.Delete(slices.Clone(events), i, i+1)) {
+			out = append(out, append([]string{e}, rest...))
+		}
+	}
+	return out
+}
+
+// Guards against TWICE: a start was sent while a renewal that acknowledged an end was in
+// flight, and the next incarnation of their minion got both, the renewal after the end of
+// the started run. In no order of these events may the task start again.
+func TestNoOrderOfLateCallsForgetsAnEnd(t *testing.T) {
+	events := []string{"start", "renewal", "restart", "start arrives", "run ends", "renewal arrives"}
+	orders := append(callOrders(events), callOrders(append(events, "next owner"))...)
+	assert.Equal(t, len(orders), 60+420)
+	for _, order := range orders {
+		t.Run(strings.Join(order, ", "), func(t *testing.T) {
+			c := newCallOrder(t)
+			for _, e := range order {
+				c.w.now = c.w.now.Add(20 * time.Millisecond)
+				callEvents[e](c)
+			}
+			for range 8 {
+				c.w.work(simTick)
+				c.w.finishAll()
+			}
+			c.w.completes(t) // the cluster fails if the task starts after its end was acknowledged
+		})
+	}
+}
+
+// Guards against the same where nothing is late: the minion restarts unnoticed, while a
+// renewal that acknowledges an end is in flight, and carries out a start at once. The next
+// renewal may not repeat the number: the end that it would discard is that of the start.
+func TestNumberIsNotRepeatedToTheNextIncarnation(t *testing.T) {
+	c := newCallOrder(t)
+	w, o, former := c.w, c.w.owners[0], c.b.Minion
+	callEvents["renewal"](c)
+	callEvents["start"](c)
+	w.restart(c.b, false)
+	c.b.clockStart -= clockSpread
+	m := o.st.minions[c.b.ID]
+	for k, r := range m.runs {
+		reply := StartOrder{Minion: former, Start: work.Start{Task: k.task, Attempt: k.attempt, Token: r.token}}
+		o.st.HandleStartReply(w.now, reply, work.Accepted, nil)
+	}
+	callEvents["start arrives"](c)
+	callEvents["run ends"](c)
+	assert.Equal(t, len(c.b.ends), 1)
+	c.renewal.lose()
+	w.writeRow(c.b)
+	w.completes(t)
+}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -16,7 +16,6 @@
 	cluster *simCluster
 	st      *State
 	acked   map[work.Incarnation]int64
-	read    map[work.Incarnation]int64 // the number that it was told with a renewal that it has answered
 	awaited map[work.Incarnation]int64 // the renewal in flight whose answer it awaits
 	batch   *Batch
 	ended   []JobStatus // jobs to archive
@@ -31,7 +30,7 @@
 	for _, o := range w.owners {
 		o.deposed = true // its writes fail from now on; its messages still arrive
 	}
-	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}, read: map[work.Incarnation]int64{}, awaited: map[work.Incarnation]int64{}}
+	o := &simOwner{cluster: w, st: New("s", w.term, w.now, w.limits), acked: map[work.Incarnation]int64{}, awaited: map[work.Incarnation]int64{}}
 	o.readStoreClock()
 	o.st.Inherit(w.promise)
 	for _, b := range w.minions {
@@ -176,6 +175,7 @@
 	}
 	for l, n := range b.AckedEnds {
 		o.acked[l] = max(o.acked[l], n)
+		o.st.HandleEndsDurable(l, n)
 	}
 }
 
@@ -335,10 +335,7 @@
 	if !ok {
 		return nil, nil
 	}
-	seen := o.acked[l]
-	if seen == o.read[l] || n.KeepEnds {
-		seen = 0 // sent once, since the next incarnation takes it for a number of its own
-	}
+	seen := n.Ack
 	o.awaited[l] = n.Seq
 	answer := func(f func()) {
 		if o.awaited[l] == n.Seq {
@@ -355,7 +352,12 @@
 		if w.leasesOnly && b.Born != l.Born {
 			seen = 0
 		}
+		fenced := b.up && n.Token < b.token
 		rep, ok := b.handleRenewal(fmt.Sprint("owner ", o.st.Term), n, seen)
+		if fenced {
+			answer(func() { o.st.HandleFenced(w.now, n) })
+			return
+		}
 		if !ok {
 			lose()
 			return
@@ -364,7 +366,6 @@
 			if rep.Born != l.Born {
 				o.acked[work.Incarnation{ID: b.ID, Born: rep.Born}] = 0
 			}
-			o.read[l] = max(o.read[l], seen)
 			o.st.HandleReport(w.now, n, rep)
 		})
 	}, lose
--- a/internal/shard/reborn_test.go
+++ b/internal/shard/reborn_test.go
@@ -259,7 +259,7 @@
 }
 
 // The same with a renewal that tells of a read end for the first time and is carried out
-// late, after a start and its end. Nothing prevents it yet.
+// late, after a start and its end.
 func TestLateNumberOfAFormerEndForgetsNoEnd(t *testing.T) {
 	w := endInTheNextIncarnation(t, func(o *simOwner, b *simMinion) { o.renewLate(b) })
 	w.deliver(1)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -27,6 +27,9 @@
 		return // sent while the restart was unconfirmed: calls for the former incarnation may have the same token
 	}
 	first := !m.answered()
+	if n.Seq == m.ackSeq {
+		m.ackSeq = 0
+	}
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
 	if first {
 		s.recordAnswer(now, m)
@@ -49,7 +52,9 @@
 			m.lastEnd = e.N
 		}
 	}
+	m.listedEnd = 0
 	if len(rep.Ended) > 0 {
+		m.listedEnd = rep.Ended[len(rep.Ended)-1].N
 		s.batch.AckedEnds[m.Incarnation] = m.lastEnd
 	}
 	listed := s.handleRunning(now, m, rep.Running)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -126,6 +126,7 @@
 		m.trialAt = now
 	}
 	o.Minion = m.Minion
+	m.outrunAck()
 	o.Start.Token = m.token
 	o.Start.Until = s.extendLease(now, m)
 	return true
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -102,8 +102,9 @@
 	actions          Actions
 }
 
-// tokensPerTerm leaves an owner room to raise its token at a minion.
-const tokensPerTerm = 1 << 16
+// tokensPerTerm leaves an owner room to raise its token at a minion, several times a
+// second for years.
+const tokensPerTerm = 1 << 32
 
 // New returns an empty shard in a term that began at now.
 func New(service string, term int64, now time.Time, l Limits) *State {
--- a/internal/shard/unanswered.go
+++ b/internal/shard/unanswered.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"jasminestep/internal/work"
+)
 
 // A call to a minion that has had no reply may have been carried out, or may be carried
 // out until MaxOrderDelay after it was sent, by the incarnation that is there then. What
@@ -13,8 +17,8 @@
 //	                                                there                             it has to be sent again
 //	renewal with a  within the lease that it names  may give the longest lease, from  the end of that lease, see called.go
 //	lease                                           its first answer at the latest
-//	renewal with a  without harm: the owner has     would discard the ends of starts  its answer, as no start is sent
-//	number of ends  read these ends                 that were carried out there       beside it
+//	renewal with a  without harm: the owner has     would discard the ends of starts  its answer, or a higher token, which
+//	number of ends  read these ends                 that were carried out there       each start has that is sent after it
 //
 // An answer to a higher token closes a start for the incarnation that gave it. If that
 // one ends, and the next one gets the start before any call with that token, the start
@@ -25,6 +29,42 @@
 // start is closed, also while it is not known yet what became of the run.
 func (r *run) startOpen() bool { return r.state == sent || r.state == uncertain && !r.fenced }
 
+// nextAck returns the number up to which the minion may discard ends with renewal seq,
+// which is made now; 0 if it may discard none. A next incarnation that got the number would
+// discard ends of its own, which nobody has read, if it has any: they are of starts that are
+// open now, or that are sent before the renewal has an answer. The former hold the
+// number back, the latter get a higher token. An incarnation that is gone already is told
+// no number, as only one that has answered the renewal before gets one.
+func (m *minion) nextAck(seq int64) int64 {
+	listed := m.listedEnd
+	m.listedEnd = 0
+	m.outrunAck()
+	n := min(listed, m.durableEnd)
+	if n == 0 || m.awaitsStart() {
+		return 0
+	}
+	m.ackSeq, m.ackToken = seq, m.token
+	return n
+}
+
+// outrunAck raises the token over that of a renewal that lets ends be discarded and has no
+// answer. If the next incarnation has seen what is sent from now on, it refuses
+// that renewal.
+func (m *minion) outrunAck() {
+	if m.ackSeq != 0 && m.ackToken == m.token {
+		m.token++
+	}
+	m.ackSeq = 0
+}
+
+// HandleEndsDurable records that the ends of an incarnation up to number n are durable, so
+// that it may discard them.
+func (s *State) HandleEndsDurable(l work.Incarnation, n int64) {
+	if m := s.current(l); m != nil {
+		m.durableEnd = max(m.durableEnd, n)
+	}
+}
+
 // awaitsStart reports whether a start that was sent to the minion is open.
 func (m *minion) awaitsStart() bool {
 	for _, r := range m.runs {
