Shard: lasting work waits for a start without a reply, too

Cause: a run whose start has no reply was kept until no next incarnation can begin it, except one of a lasting step, which was given up with the leases of the former incarnation.

The exemption goes. A run that is carried over to a next incarnation is waited for from when its start was sent, not from when the restart was known.

Two tests of doubts took 8 s for the time after which a lasting run is given up; they now use the time of the new rule, and the first also checks that the run is kept until then.

--- a/internal/shard/doubt_test.go
+++ b/internal/shard/doubt_test.go
@@ -99,10 +99,13 @@
 	}
 }
 
+// lateStartTime is for how long a run may begin whose start has no reply, and last then.
+const lateStartTime = 26 * time.Second
+
 // Guards against doubts for ever about a start without a reply, whose minion was cut
-// off until its leases had ended and answers again: it has not crashed.
+// off until its run had been given up and answers again: it has not crashed.
 func TestDoubtAboutAnUnansweredStartEndsWhenItsMinionAnswersAgain(t *testing.T) {
-	for _, cut := range []time.Duration{8 * time.Second, 20 * time.Second} {
+	for _, cut := range []time.Duration{lateStartTime, lateStartTime + 12*time.Second} {
 		w, o := newOwnedCluster(t, 1)
 		w.submit(newJob("a", lastingTasks(1)))
 		o.st.beginRounds(w.now)
@@ -111,8 +114,11 @@
 		w.loseStart(o)
 		assert.Equal(t, x.phase, Placed)
 		w.minions[0].up = false
-		w.passCycles(cut)
-		assert.Equal(t, x.crash.Doubts, 1, "%v: its lease has ended", cut)
+		w.passCycles(lateStartTime - 2*time.Second)
+		assert.Equal(t, x.crash.Doubts, 0, "it may still begin")
+		assert.Equal(t, x.phase, Placed)
+		w.passCycles(cut - lateStartTime + 2*time.Second)
+		assert.Equal(t, x.crash.Doubts, 1, "%v: it has ended if it has begun", cut)
 		w.minions[0].up = true
 		w.cycle()
 		assert.Equal(t, x.crash.Doubts, 0, "%v: its minion has not crashed", cut)
@@ -129,7 +135,7 @@
 	x.crash = crashRecord{Crashes: 1, Suspect: true}
 	w.loseStart(o)
 	w.minions[0].up = false
-	w.passCycles(8 * time.Second)
+	w.passCycles(lateStartTime)
 	assert.Equal(t, x.crash.Doubts, 1)
 	w.minions[0].restart()
 	w.writeRow(w.minions[0])
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -39,7 +39,11 @@
 	m.formerEnd, m.lateEnd, m.closed, m.formerSilence = s.formerEnd, time.Time{}, false, time.Time{}
 	s.cancelReservations(m)
 	for _, r := range carriedOver {
-		s.carryOver(now, m, r)
+		sent := now
+		if !r.sentAt.IsZero() {
+			sent = r.sentAt
+		}
+		s.carryOver(sent, m, r)
 	}
 	s.accuse(now, s.postponeCarried(accused))
 }
--- a/internal/shard/latestart_test.go
+++ b/internal/shard/latestart_test.go
@@ -39,7 +39,7 @@
 // the run up, at the end of the former one's leases: the task ran twice at a time.
 func TestStartWithoutReplyIsNotGivenUpWithTheLeases(t *testing.T) {
 	for kind, p := range stepKinds() {
-		if p.Lasting || p.Speculative {
+		if p.Speculative {
 			continue
 		}
 		for _, after := range []time.Duration{time.Second, 7 * time.Second, 14 * time.Second} {
@@ -53,15 +53,47 @@
 	}
 }
 
-// The same for lasting work, which may not wait for that long. Nothing prevents it yet.
+// The same for lasting work, also where a row tells of the next incarnation before the
+// leases of the former one end: it does not answer behind a cut.
 func TestStartOfLastingWorkWithoutReplyIsNotGivenUpWithTheLeases(t *testing.T) {
 	w, late := unansweredStart(t, lastingTasks(1))
 	w.work(7 * time.Second)
 	w.arrivesLate(late)
+
+	w, late = unansweredStart(t, lastingTasks(1))
+	b := late.to
+	w.work(4 * time.Second)
+	b.up = true
+	w.restartWith(b, b.clock()-60_000)
+	b.up = false
+	w.work(6 * time.Second)
+	b.up = true
+	late.deliver() // the cluster fails if its task runs elsewhere
+	b.up = false
+	w.work(4 * time.Second)
+	b.up = true
+	w.work(time.Second)
+	assert.Equal(t, w.running(), 1)
+}
+
+// A start that the next incarnation may carry out is waited for from when it was sent, not
+// from when the restart was known.
+func TestStartForTheNextIncarnationIsGivenUpInTime(t *testing.T) {
+	w, late := unansweredStart(t, lastingTasks(1))
+	sent, b := w.now, late.to
+	w.work(4 * time.Second)
+	b.up = true
+	w.restartWith(b, b.clock()-60_000)
+	b.up = false // its row goes on
+	for w.running() == 0 {
+		w.work(simTick)
+		assert.Assert(t, w.now.Sub(sent) < lateStartTime)
+	}
 }
 
 // What may have been started late is started elsewhere once that cannot be any more, or
-// is known not to be so, and lasting work as soon as the leases have ended.
+// is known not to be so, and lasting work as soon as the leases have ended if the row
+// of its minion is gone.
 func TestStartWithoutReplyIsGivenUpInTheEnd(t *testing.T) {
 	longest := DefaultLimits.MaxOrderDelay + 11*time.Second
 	for kind, within := range map[string]time.Duration{"plain": longest, "gang": longest, "lasting": restartTarget} {
--- a/internal/shard/unanswered.go
+++ b/internal/shard/unanswered.go
@@ -76,10 +76,10 @@
 }
 
 // mayBeginUntil is until when the start of the run may still be carried out, by the next
-// incarnation of its minion; zero if it cannot be, or if the run may not wait for that
-// long. Without a row there is no sign of a next incarnation.
+// incarnation of its minion; zero if it cannot be. Without a row there is no sign of a
+// next incarnation.
 func (s *State) mayBeginUntil(m *minion, r *run) time.Time {
-	if !m.listed || r.state != sent && r.state != uncertain || r.unreached || r.sentAt.IsZero() || r.step == nil || r.step.Lasting {
+	if !m.listed || r.state != sent && r.state != uncertain || r.unreached || r.sentAt.IsZero() || r.step == nil {
 		return time.Time{}
 	}
 	return s.lateEnd(r.sentAt)
