Shard: starts that are always in flight hold no acknowledgement back for long

A minion to which some start was always in flight got no leave to discard ends.

After 500 ms nothing more is placed on the minion until it has got leave, and until its list is no longer full; 'step waits' tells of it.

Evidence: TestMinionThatAlwaysHasAStartInFlightDiscardsEnds failed before (over 64 ends, one more with each tick).

--- a/internal/shard/endpages_test.go
+++ b/internal/shard/endpages_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,31 @@
 	assert.Equal(t, w.state("a"), Completed)
 	assert.Equal(t, w.running(), 1)
 }
+
+// Guards against LOST: a minion to which some start was always in flight never got leave to
+// discard ends, until its list was full and its owner heard of no other end.
+func TestMinionThatAlwaysHasAStartInFlightDiscardsEnds(t *testing.T) {
+	w, o := newOwnedCluster(t, 1)
+	b := w.minions[0]
+	const (
+		replyTime = 6 // ticks until a start arrives
+		// jobs that come while starts are held back, start together after that, and end
+		maxEnds = 4 * (int(maxAckHold/simTick) + replyTime)
+	)
+	due := map[int][]pendingOrder{}
+	for tick := range 200 {
+		small := tasks(1, 10)
+		small.Size.Mem = 10
+		w.submit(newJob(fmt.Sprint("j", tick), small))
+		w.pass(simTick)
+		o.renew(b)
+		o.step()
+		o.commit(true)
+		due[tick+replyTime], w.inFlight = w.inFlight, nil
+		for _, f := range due[tick] {
+			f.deliver()
+		}
+		w.finishAll()
+		assert.Assert(t, len(b.ends) <= maxEnds, "%d ends after %d ticks", len(b.ends), tick)
+	}
+}
--- a/internal/shard/incarnation.go
+++ b/internal/shard/incarnation.go
@@ -33,7 +33,7 @@
 	m.synced, m.listed, m.rowValidUntil, m.restart = false, false, time.Time{}, nil
 	m.token = max(m.token, s.Term*tokensPerTerm) + 1
 	m.clock, m.leaseUntil, m.lastEnd = 0, 0, 0
-	m.durableEnd, m.listedEnd, m.ackSeq = 0, 0, 0
+	m.durableEnd, m.listedEnd, m.ackSeq, m.acksHeldSince = 0, 0, 0, time.Time{}
 	m.clockAt, m.silentSince, m.pausedUntil = time.Time{}, time.Time{}, now
 	m.failed, m.slowness = nil, 0
 	m.formerEnd, m.lateEnd, m.closed, m.formerSilence = s.formerEnd, time.Time{}, false, time.Time{}
--- a/internal/shard/minion.go
+++ b/internal/shard/minion.go
@@ -17,12 +17,14 @@
 	token             int64     // token for the next order
 	clock             int64     // its clock in ms at clockAt
 	clockAt           time.Time
-	leaseUntil        int64 // end of the longest lease it was sent, on its clock
-	lastEnd           int64 // number of the last end that was processed
-	durableEnd        int64 // number of the last end of which this is durable; 0 if there is none
-	listedEnd         int64 // number of the last end in the answer to the latest renewal; 0 if that listed none or has no answer
-	ackSeq            int64 // number of the latest renewal if it lets ends be discarded and has no answer, else 0
-	ackToken          int64 // the token of that renewal
+	leaseUntil        int64     // end of the longest lease it was sent, on its clock
+	lastEnd           int64     // number of the last end that was processed
+	durableEnd        int64     // number of the last end of which this is durable; 0 if there is none
+	listedEnd         int64     // number of the last end in the answer to the latest renewal; 0 if that listed none or has no answer
+	listFull          bool      // the latest report listed as many ends as fit; there may be more
+	ackSeq            int64     // number of the latest renewal if it lets ends be discarded and has no answer, else 0
+	ackToken          int64     // the token of that renewal
+	acksHeldSince     time.Time // since when open starts have kept it from discarding ends; zero if they do not
 	runs              map[runKey]*run
 	used              work.Size
 	formerEnd         time.Time     // when all leases that former owners sent it have ended
--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -18,6 +18,7 @@
 	isDraining
 	isSilent
 	isPaused
+	acksOwed
 	zoneSilent
 	wrongKind
 	awaitsProbe
@@ -34,6 +35,7 @@
 	isDraining:         "drain",
 	isSilent:           "are silent",
 	isPaused:           "are paused",
+	acksOwed:           "have ends to discard, once no start is in flight",
 	zoneSilent:         "are in a silent zone",
 	wrongKind:          "are too small or lack the label",
 	awaitsProbe:        "have failed and wait for the end of a probe",
@@ -55,6 +57,8 @@
 		return isSilent
 	case now.Before(m.pausedUntil) || m.pausedForFailures(now):
 		return isPaused
+	case m.owesAck(now):
+		return acksOwed
 	case m.zone.unreachable(now):
 		return zoneSilent
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -52,13 +52,15 @@
 			m.lastEnd = e.N
 		}
 	}
-	m.listedEnd = 0
-	if len(rep.Ended) > 0 {
+	m.listedEnd, m.listFull = 0, len(rep.Ended) >= s.Limits.MaxEnds
+	if len(rep.Ended) == 0 {
+		m.acksHeldSince = time.Time{}
+	} else {
 		m.listedEnd = rep.Ended[len(rep.Ended)-1].N
 		s.batch.AckedEnds[m.Incarnation] = m.lastEnd
 	}
 	listed := s.handleRunning(now, m, rep.Running)
-	s.settleAbsent(now, m, n, listed, len(rep.Ended) < s.Limits.MaxEnds)
+	s.settleAbsent(now, m, n, listed, !m.listFull)
 	s.adaptSpeed(now, m, rep.Running)
 	if !m.synced {
 		m.synced = true
--- a/internal/shard/unanswered.go
+++ b/internal/shard/unanswered.go
@@ -35,18 +35,37 @@
 // open now, or that are sent before the renewal has an answer. The former hold the
 // number back, the latter get a higher token. An incarnation that is gone already is told
 // no number, as only one that has answered the renewal before gets one.
-func (m *minion) nextAck(seq int64) int64 {
+func (m *minion) nextAck(now time.Time, seq int64) int64 {
 	listed := m.listedEnd
 	m.listedEnd = 0
 	m.outrunAck()
 	n := min(listed, m.durableEnd)
-	if n == 0 || m.awaitsStart() {
+	if n == 0 {
+		return 0
+	}
+	if m.awaitsStart() {
+		if m.acksHeldSince.IsZero() {
+			m.acksHeldSince = now
+		}
 		return 0
 	}
 	m.ackSeq, m.ackToken = seq, m.token
+	if !m.listFull {
+		m.acksHeldSince = time.Time{}
+	}
 	return n
 }
 
+// maxAckHold is for how long starts that are open may keep a minion from discarding ends,
+// before no more are sent to it. It lists only so many ends, and the owner
+// does not hear of the others.
+const maxAckHold = 500 * time.Millisecond
+
+// owesAck reports whether the minion has waited too long for leave to discard ends.
+func (m *minion) owesAck(now time.Time) bool {
+	return !m.acksHeldSince.IsZero() && now.Sub(m.acksHeldSince) >= maxAckHold
+}
+
 // outrunAck raises the token over that of a renewal that lets ends be discarded and has no
 // answer. If the next incarnation has seen what is sent from now on, it refuses
 // that renewal.
