Server: waiting jobs of a queue that has moved count as pending

Cause: the owner of the queue's present service was asked alone.

The owners of other services are asked, too: all until no job can be accepted for a former service any more, then those that still have some.

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -50,7 +50,7 @@
 	id := strings.TrimPrefix(r.URL.Path, q.Prefix)
 	switch {
 	case id == "" && r.Method == http.MethodGet:
-		s.pendingJobs(ctx, w, q)
+		s.pendingJobs(ctx, w, cfg, q)
 	case !jobIDPattern.MatchString(id):
 		web.Fail(w, http.StatusBadRequest, "job id %q: want 16 hexadecimal digits", id)
 	case r.Method == http.MethodPost:
--- a/internal/server/lookup.go
+++ b/internal/server/lookup.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -110,42 +109,3 @@
 	}
 	return st, true, nil
 }
-
-// pendingJobs responds with the number of jobs of a queue that have not started.
-// It waits a short time for an owner that has just claimed the shard to read it.
-func (s *Server) pendingJobs(ctx context.Context, w http.ResponseWriter, q *work.Queue) {
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
-	defer cancel()
-	for {
-		if n, ok := s.countPending(ctx, q); ok {
-			web.Reply(w, http.StatusOK, s.Codec.EncodePending(n))
-			return
-		}
-		if ctx.Err() != nil {
-			failRetryable(w, http.StatusServiceUnavailable, "the owner of the queue does not answer")
-			return
-		}
-		sleep(ctx, pendingRetryDelay)
-	}
-}
-
-// pendingRetryDelay is the pause before the owner is asked again for the number
-// of pending jobs.
-const pendingRetryDelay = 30 * time.Millisecond
-
-// countPending asks the owner for the number of pending jobs. ok is false if it
-// does not know, or there is none.
-func (s *Server) countPending(ctx context.Context, q *work.Queue) (n int, ok bool) {
-	if o := s.localOwner(q.Service); o != nil {
-		return o.pendingJobs(q.Key())
-	}
-	row, ok := s.waitForOwner(ctx, q.Service)
-	if !ok {
-		return 0, false
-	}
-	var out PendingReply
-	if err := s.callEntry(ctx, row.Addr, "Pending", PendingArgs{q.Service, q.Key()}, &out); err != nil {
-		s.Log.Debug("pending jobs not counted", "why", err.Error())
-	}
-	return out.N, out.Owns
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -77,6 +77,7 @@
 	pendingRPCs     atomic.Int64
 
 	cfg      atomic.Pointer[work.Config]
+	cfgSince atomic.Int64 // since when cfg is in force here, in nanoseconds of monotonicNow
 	cfgSeen  atomic.Int64 // when cfg was last known to be the newest configuration, in nanoseconds of monotonicNow
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -85,6 +86,8 @@
 	claimMu  sync.Mutex
 	adviceMu sync.Mutex // held during a request to the placement service
 
+	formerServices formerServices
+
 	mu              sync.Mutex
 	entries         map[string]Entry        // by name
 	failures        map[string]callFailures // entries that did not respond, by address
@@ -214,6 +217,7 @@
 		if old != nil && old.Version >= c.Version {
 			continue
 		}
+		s.cfgSince.Store(monotonicNow().UnixNano())
 		s.cfg.Store(c)
 		s.Log.Info("configuration applied", "version", c.Version, "queues", len(c.Queues), "services", len(c.Services))
 	}
