--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -2,7 +2,10 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"regexp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -39,6 +42,8 @@
 	mode  proxyMode
 	conns map[net.Conn]net.Conn // client connection to target connection
 	held  map[net.Conn][]byte   // requests that are kept, by client connection
+
+	trigger *regexp.Regexp // a request that matches changes the mode to holding; nil: none does
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -81,6 +86,9 @@
 func (p *proxy) hold(c net.Conn, b []byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.trigger != nil && p.trigger.Match(b) {
+		p.mode, p.trigger = holding, nil
+	}
 	if _, ok := p.held[c]; !ok && p.mode != holding {
 		return false
 	}
@@ -88,12 +96,30 @@
 	return true
 }
 
-// release ends the holding mode and delivers the requests that were kept, each on a
-// connection of its own after a delay. Their clients get no response.
-func (p *proxy) release(delay func() time.Duration) {
+// holdFrom changes to the holding mode with the next request that matches; at once
+// if trigger is nil.
+func (p *proxy) holdFrom(trigger *regexp.Regexp) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trigger = trigger
+	if trigger == nil {
+		p.mode = holding
+	}
+}
+
+// holds reports whether a request that matches is kept; true if kind is nil.
+func (p *proxy) holds(kind *regexp.Regexp) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return kind == nil || slices.ContainsFunc(slices.Collect(maps.Values(p.held)), kind.Match)
+}
+
+// release changes from the holding mode to another one and delivers the requests that
+// were kept, each on a connection of its own after a delay. Their clients get no response.
+func (p *proxy) release(m proxyMode, delay func() time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = passThrough
+	p.mode, p.trigger = m, nil
 	for c, b := range p.held {
 		reset(c)
 		if len(b) > 0 {
--- a/cmd/soak/proxy_test.go
+++ b/cmd/soak/proxy_test.go
@@ -96,7 +96,7 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, rec.count(), 1)
 
-	p.release(noDelay)
+	p.release(passThrough, noDelay)
 	await(t, "delivered", func() bool { return rec.count() == 3 })
 	assert.Assert(t, strings.Contains(strings.Join(rec.bodies, ","), "held on an open connection"))
 	assert.Assert(t, strings.Contains(strings.Join(rec.bodies, ","), "held on a new one"))
@@ -145,7 +145,7 @@
 	await(t, "held", func() bool { return p.heldBytes() > 0 })
 	m.Crash()
 	assert.Equal(t, l.Running()["a"], 0)
-	p.release(noDelay)
+	p.release(passThrough, noDelay)
 	<-calls
 	assert.Equal(t, l.Running()["a"], 1)
 	assert.Equal(t, l.Crashes()["a"], 0)
--- a/cmd/soak/reborn.go
+++ b/cmd/soak/reborn.go
@@ -2,17 +2,23 @@
 
 import (
 	"fmt"
+	"regexp"
 	"syscall"
 	"time"
+
+	"jasminestep/platform/standin"
 )
 
 // restart is the course of a fault in which a minion starts again under its ID, gets
 // calls that were meant for its former life, and is cut off once it has new work.
 type restart struct {
 	minion   int
-	crash    time.Duration   // from the first call that is held
+	trigger  *regexp.Regexp  // the first call that is held, if it comes in time; nil: any
+	awaited  *regexp.Regexp  // a call that has to be held too before the crash; nil: none
+	crash    time.Duration   // from the first call that is held, or from that one
 	down     time.Duration   // 0: it is back at once
 	reset    bool            // the crash breaks the connections
+	behind   time.Duration   // from the return, for which the minion stays cut off while held calls reach it; 0: it is not
 	delays   []time.Duration // of held calls after the return, in turn
 	open     time.Duration   // from the return to the cut
 	cut      time.Duration   // longer than the longest lease
@@ -24,9 +30,18 @@
 
 const (
 	restartDown = 600 * time.Millisecond
-	maxRestarts = 2 // one minion in so many restarts at a time
+	maxRestarts = 2               // one minion in so many restarts at a time
+	triggerTime = 3 * time.Second // for which a trigger is waited for
+	awaitedTime = time.Second     // for which an awaited call is waited for
 )
 
+// awaitUntil waits until a condition holds, for a time at most.
+func awaitUntil(longest time.Duration, holds func() bool) {
+	for end := time.Now().Add(longest); !holds() && time.Now().Before(end); {
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 // drawRestart draws the course of the fault for a minion.
 func (s *cluster) drawRestart(i int) restart {
 	upTo := func(d time.Duration) time.Duration { return time.Duration(s.rng.Int63n(int64(d))) }
@@ -34,8 +49,17 @@
 	if s.rng.Intn(4) > 0 {
 		r.down = restartDown
 	}
+	longest := []time.Duration{10 * time.Millisecond, time.Second}
+	if s.rng.Intn(2) == 0 {
+		r.behind = lease + upTo(2*lease)
+		longest = []time.Duration{lease / 2, r.behind}
+		r.trigger, r.awaited, r.crash = standin.LastingStartCall, nil, upTo(100*time.Millisecond)
+		if s.rng.Intn(2) == 0 {
+			r.trigger, r.awaited = standin.AckCall, standin.StartCall
+		}
+	}
 	for range 16 {
-		r.delays = append(r.delays, upTo([]time.Duration{10 * time.Millisecond, time.Second}[s.rng.Intn(2)]))
+		r.delays = append(r.delays, upTo(longest[s.rng.Intn(len(longest))]))
 	}
 	r.open = 1200*time.Millisecond + upTo(1500*time.Millisecond)
 	r.cut = maxLease + 1500*time.Millisecond + upTo(2*time.Second)
@@ -79,7 +103,10 @@
 
 func (s *cluster) follow(r restart) {
 	p, m := s.minionProxies[r.minion], s.minions[r.minion]
+	p.holdFrom(r.trigger)
+	awaitUntil(triggerTime, func() bool { return p.currentMode() == holding })
 	p.setMode(holding)
+	awaitUntil(awaitedTime, func() bool { return p.holds(r.awaited) })
 	time.Sleep(r.crash)
 	if r.down > 0 {
 		m.CrashFor(r.down)
@@ -90,7 +117,13 @@
 		p.resetConns()
 	}
 	time.Sleep(r.down)
-	p.release(inTurn(r.delays))
+	if r.behind > 0 {
+		p.release(silent, inTurn(r.delays))
+		time.Sleep(r.behind)
+		p.setMode(passThrough)
+	} else {
+		p.release(passThrough, inTurn(r.delays))
+	}
 	if r.killed != nil {
 		time.AfterFunc(r.killTime, func() { r.killed.signal(syscall.SIGKILL) })
 	}
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -71,7 +71,7 @@
 	crashTime      = 200                    // ms that a deadly task runs at least, so that it crashes before it ends
 	lastingCPU     = 250                    // thousandths of a core of a task that lasts and isn't deadly
 	minCrashes     = 2                      // a task under which so many minions have crashed may be given up
-	longInterval   = 6                      // jobs from one with tasks of seconds to the next, with --reborn
+	longInterval   = 4                      // jobs from one with tasks of seconds to the next, with --reborn; every other one lasts
 	settleTimeout  = 40 * time.Second       // for accepted jobs to complete after the load has ended
 )
 
@@ -229,6 +229,9 @@
 	}
 	if s.opt.Reborn && n%longInterval == 0 {
 		j.Gang, j.Steps, j.Millis, j.CPU = false, 1, 3000+s.rng.Intn(4000), lastingCPU
+		if j.Lasting = n%(2*longInterval) == 0; j.Lasting {
+			j.CPU = lastingCPU / 2
+		}
 	}
 	if !s.opt.Deadly {
 		return j
