--- a/internal/server/minionhandler.go
+++ b/internal/server/minionhandler.go
@@ -34,7 +34,7 @@
 	starts      atomic.Int64 // without a reply yet
 	startsDone  chan struct{}
 	excuses     int // renewals in a row that failed because this process was late
-	refusals    int // renewals in a row that were refused for a higher token
+	failures    int // renewals in a row that failed
 }
 
 // startHandlers starts a handler for each new incarnation of a minion.
@@ -119,12 +119,13 @@
 				h.o.state.HandleNoReply(now, h.incarnation)
 			}
 		})
-		if h.refusals++; !fenced || h.refusals > 1 {
+		h.failures++
+		if !fenced || h.failures > 1 { // else it was outrun by a token of this owner
 			sleep(h.o.ctx, silentRetryDelay)
 		}
 		return
 	}
-	h.excuses, h.refusals = 0, 0
+	h.excuses, h.failures = 0, 0
 	h.o.post(func(now time.Time) { h.o.state.HandleReport(now, n, rep) })
 	if len(rep.Ended) > 0 {
 		h.awaitAck(rep.Ended[len(rep.Ended)-1].N)
--- a/internal/server/pending.go
+++ b/internal/server/pending.go
@@ -16,14 +16,8 @@
 // that were accepted then stay there. The zero value knows nothing.
 type formerServices struct {
 	mu      sync.Mutex
-	byQueue map[string]formerHolders
-}
-
-// formerHolders are the services that have pending jobs of a queue under one version of
-// the configuration, besides the one to which that sends the queue.
-type formerHolders struct {
-	version  int64 // of the configuration
-	services []string
+	version int64               // of the configuration for which byQueue holds
+	byQueue map[string][]string // services that had pending jobs when they were last asked, by queue
 }
 
 // acceptWindow is how long after a change of the configuration a job may still be accepted
@@ -35,8 +29,8 @@
 func (f *formerServices) of(queue string, version int64) (services []string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h, ok := f.byQueue[queue]
-	return h.services, ok && h.version == version
+	services, known = f.byQueue[queue]
+	return services, known && f.version == version
 }
 
 // learn records which services have jobs of a queue. The configuration must have been in
@@ -44,10 +38,13 @@
 func (f *formerServices) learn(queue string, version int64, services []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.byQueue == nil {
-		f.byQueue = map[string]formerHolders{}
+	if version < f.version {
+		return
+	}
+	if version > f.version || f.byQueue == nil {
+		f.version, f.byQueue = version, map[string][]string{}
 	}
-	f.byQueue[queue] = formerHolders{version, services}
+	f.byQueue[queue] = services
 }
 
 // pendingJobs responds with the number of jobs of a queue that have not started.
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -33,7 +33,7 @@
 		return n, false
 	}
 	s.renewalSeq++
-	ack := m.nextAck(now, s.renewalSeq)
+	ack := m.nextAck(now, s.renewalSeq) // may raise the token
 	n = Renewal{Minion: m.Minion, Token: m.token, Seq: s.renewalSeq, Ack: ack}
 	if m.clockAt.IsZero() || !m.silentSince.IsZero() {
 		// A minion that does not answer only gets a query: a lease extension
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -27,9 +27,6 @@
 		return // sent while the restart was unconfirmed: calls for the former incarnation may have the same token
 	}
 	first := !m.answered()
-	if n.Seq == m.ackSeq {
-		m.ackSeq = 0
-	}
 	m.clock, m.clockAt, m.formerSilence = rep.Clock, now, time.Time{}
 	if first {
 		s.recordAnswer(now, m)
@@ -52,11 +49,8 @@
 			m.lastEnd = e.N
 		}
 	}
-	m.listedEnd, m.listFull = 0, len(rep.Ended) >= s.Limits.MaxEnds
-	if len(rep.Ended) == 0 {
-		m.acksHeldSince = time.Time{}
-	} else {
-		m.listedEnd = rep.Ended[len(rep.Ended)-1].N
+	m.noteListed(n, rep.Ended, s.Limits.MaxEnds)
+	if len(rep.Ended) > 0 {
 		s.batch.AckedEnds[m.Incarnation] = m.lastEnd
 	}
 	listed := s.handleRunning(now, m, rep.Running)
--- a/internal/shard/unanswered.go
+++ b/internal/shard/unanswered.go
@@ -66,6 +66,19 @@
 	return !m.acksHeldSince.IsZero() && now.Sub(m.acksHeldSince) >= maxAckHold
 }
 
+// noteListed records which ends the answer to a renewal lists, of which most fit.
+func (m *minion) noteListed(n Renewal, ends []work.End, most int) {
+	if n.Seq == m.ackSeq {
+		m.ackSeq = 0
+	}
+	m.listFull = len(ends) >= most
+	if len(ends) == 0 {
+		m.listedEnd, m.acksHeldSince = 0, time.Time{}
+		return
+	}
+	m.listedEnd = ends[len(ends)-1].N
+}
+
 // outrunAck raises the token over that of a renewal that lets ends be discarded and has no
 // answer. If the next incarnation has seen what is sent from now on, it refuses
 // that renewal.
