Shard: tests of renewals that this owner's own token outruns

A renewal that is refused for a token of this owner is no silence: the test fails if it is treated as one. A refusal for another owner's token still is one, and a term has tokens for years of raises.

--- a/internal/shard/orders_test.go
+++ b/internal/shard/orders_test.go
@@ -148,3 +148,41 @@
 	w.writeRow(c.b)
 	w.completes(t)
 }
+
+// A renewal that a start has outrun is refused by a minion that is there: that is no
+// silence, and the next one, which has the token of the start, tells the number.
+func TestRenewalThatAStartHasOutrunIsNoSilence(t *testing.T) {
+	c := newCallOrder(t)
+	w, o := c.w, c.w.owners[0]
+	m := o.st.minions[c.b.ID]
+	callEvents["renewal"](c)
+	callEvents["start"](c)
+	assert.Assert(t, c.start.token <= m.token)
+	assert.Assert(t, m.token > c.renewal.token)
+	callEvents["start arrives"](c)
+	callEvents["renewal arrives"](c)
+	assert.Assert(t, m.silentSince.IsZero())
+	assert.Equal(t, len(c.b.ends), 1)
+	o.renew(c.b) // hears of the end again
+	o.renew(c.b)
+	assert.Equal(t, len(c.b.ends), 0)
+	callEvents["run ends"](c)
+	w.completes(t)
+}
+
+// A refusal for a token of another owner is a silence as before.
+func TestRenewalThatAnotherOwnerHasFencedIsASilence(t *testing.T) {
+	c := newCallOrder(t)
+	former := c.w.owners[0]
+	callEvents["next owner"](c)
+	former.renew(c.b)
+	assert.Assert(t, !former.st.minions[c.b.ID].silentSince.IsZero())
+}
+
+// Each start that is sent beside an open acknowledgement raises the token, of which a term
+// has enough for that to go on for years.
+func TestTokensOfATermLastForYears(t *testing.T) {
+	const raisesPerSecond, years = 20, 5
+	assert.Assert(t, tokensPerTerm > raisesPerSecond*int64(years*365*24*time.Hour/time.Second))
+	assert.Assert(t, tokensPerTerm*1_000_000 < 1<<53, "a million terms are exact in JSON")
+}
