--- a/internal/shard/obstacle.go
+++ b/internal/shard/obstacle.go
@@ -35,7 +35,7 @@
 	isDraining:         "drain",
 	isSilent:           "are silent",
 	isPaused:           "are paused",
-	acksOwed:           "have ends to discard, once no start is in flight",
+	acksOwed:           "have a full list of ends, and starts in flight",
 	zoneSilent:         "are in a silent zone",
 	wrongKind:          "are too small or lack the label",
 	awaitsProbe:        "have failed and wait for the end of a probe",
--- a/internal/shard/unanswered.go
+++ b/internal/shard/unanswered.go
@@ -61,9 +61,10 @@
 // does not hear of the others.
 const maxAckHold = 500 * time.Millisecond
 
-// owesAck reports whether the minion has waited too long for leave to discard ends.
+// owesAck reports whether the minion, whose list of ends is full, has waited too long for
+// leave to discard some.
 func (m *minion) owesAck(now time.Time) bool {
-	return !m.acksHeldSince.IsZero() && now.Sub(m.acksHeldSince) >= maxAckHold
+	return m.listFull && !m.acksHeldSince.IsZero() && now.Sub(m.acksHeldSince) >= maxAckHold
 }
 
 // noteListed records which ends the answer to a renewal lists, of which most fit.
