Shard: a task is given up after three crashes, since a run may have ended unheard before one

Cause: a crash counts against each task whose run was fresh when its minion fell silent. That run may have ended by itself during the silence, which nobody hears, and two such crashes, one on trial, failed the job.

The owner cannot tell such an end from a crash, so it needs one crash more than the two that are allowed.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -24,11 +24,12 @@
 	fateTimeout    = 10 * time.Second       // from its silence, in which a minion is expected to show whether it has crashed
 )
 
-// How many crashes are enough to give a task up. The fourth leaves it fewer
-// starts than it may have, for those that a previous owner could not record.
+// How many crashes are enough to give a task up. It must not be given up after fewer than
+// two, and a minion that crashes may have ended the run just before, which nobody has heard.
+// So one more is needed. The fourth leaves it fewer starts than it may have, for those that
+// a previous owner could not record.
 const (
-	provenCrashes   = 2 // certain ones, one of them on trial
-	provenDoubtful  = 3 // one of them certain and one on trial
+	provenCrashes   = 3 // one of them certain and one on trial
 	unprovenCrashes = 4 // one of them certain or on trial
 	maxDoubts       = 5 // none of them certain
 )
@@ -53,7 +54,7 @@
 	case c.Crashes == 0:
 		return n >= maxDoubts || n >= unprovenCrashes && c.Proven
 	case c.Proven:
-		return c.Crashes >= provenCrashes || n >= provenDoubtful
+		return n >= provenCrashes
 	}
 	return n >= unprovenCrashes
 }
