Server: a transaction holds no more bytes than the store takes

What it refuses is repeated for ever, so that the service makes nothing durable (LOST), as with one row that is too large.

Transactions are cut at 600 kB of values, too.

--- a/internal/server/commit.go
+++ b/internal/server/commit.go
@@ -31,7 +31,7 @@
 func (o *owner) writeAll(b shard.Batch) (startTime time.Time, err error) {
 	rows, deletes := b.Rows, b.Delete
 	for first := true; first || len(rows)+len(deletes) > 0; first = false {
-		n := min(len(rows), maxRowsPerTx)
+		n := fitting(rows)
 		k := min(len(deletes), maxRowsPerTx-n)
 		if startTime, err = o.write(rows[:n], deletes[:k]); err != nil {
 			return startTime, err
@@ -41,6 +41,19 @@
 	return startTime, nil
 }
 
+// fitting is how many of the first rows fit in one transaction, at least one if there are
+// any.
+func fitting(rows []table.Row) int {
+	size := 0
+	for n, r := range rows {
+		size += len(r.Value)
+		if n == maxRowsPerTx || n > 0 && size > maxTxBytes {
+			return n
+		}
+	}
+	return len(rows)
+}
+
 // write makes rows durable if this entry still owns the shard. Every write
 // changes the seq row and is conditional on its version. Thus a write that got
 // no response can be sent again, and it cannot take effect late and overwrite a
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -20,6 +20,7 @@
 	writeRetryDelay   = 40 * time.Millisecond
 	slowWriteTimeout  = 500 * time.Millisecond // no more tasks are placed while a write takes longer
 	maxRowsPerTx      = 90
+	maxTxBytes        = 600 << 10 // of values; the store takes a megabyte with their encoding
 )
 
 // owner makes the decisions for one shard. The goroutine of run, the control
