Shard: the progress of a wide job is packed, so that it fits in a row of the store

Cause: its progress is one row of some 50 bytes for each placed task; the store refuses it, and the owner repeats the write for ever. So do the ended occurrences of a job, 14 bytes each.

Progress above 40 kB has its minions numbered and is compressed.

--- a/internal/shard/persist.go
+++ b/internal/shard/persist.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -28,6 +27,7 @@
 	Failures     int           `json:"f,omitempty"`
 	Minion       string        `json:"m,omitempty"`
 	Born         int64         `json:"b,omitempty"`
+	Place        int           `json:"n,omitempty"` // in progress.Minions, from 1, instead of Minion and Born
 	Saved        string        `json:"c,omitempty"`
 	OpenAttempts []int         `json:"o,omitempty"`
 	OpenCopies   []int         `json:"y,omitempty"` // of these, those whose minions may have crashed
@@ -35,6 +35,12 @@
 	Absence      *savedAbsence `json:"w,omitempty"`
 }
 
+// savedMinion is the encoding of an incarnation that tasks refer to.
+type savedMinion struct {
+	ID   string `json:"i"`
+	Born int64  `json:"b"`
+}
+
 // savedAbsence is the encoding of an absence.
 type savedAbsence struct {
 	Since   int64        `json:"s"` // on the store's clock in ms
@@ -50,9 +56,10 @@
 }
 
 type progress struct {
-	State  JobState     `json:"st"`
-	Begun  bool         `json:"b,omitempty"`
-	Rounds []savedRound `json:"r,omitempty"`
+	State   JobState      `json:"st"`
+	Begun   bool          `json:"b,omitempty"`
+	Rounds  []savedRound  `json:"r,omitempty"`
+	Minions []savedMinion `json:"m,omitempty"` // only if packed: those that tasks refer to
 }
 
 // row encodes a job's progress.
@@ -64,7 +71,7 @@
 		}
 		sort.Slice(p.Rounds, func(a, b int) bool { return p.Rounds[a].K < p.Rounds[b].K })
 	}
-	b, err := json.Marshal(p)
+	b, err := p.encode()
 	if err != nil {
 		return table.Row{}, fmt.Errorf("encode progress of %s: %w", j.ID, err)
 	}
@@ -80,7 +87,7 @@
 		var ts []savedTask
 		if p.unfinished > 0 {
 			for _, t := range p.tasks {
-				ts = append(ts, savedTask{t.phase, t.attempt, t.failures, t.incarnation.ID, t.incarnation.Born, t.checkpoint, t.openAttempts, t.savedOpenCopies(p.job), t.savedCrash(), t.savedAbsence()})
+				ts = append(ts, t.save(p))
 			}
 		}
 		out.Steps = append(out.Steps, ts)
@@ -94,6 +101,13 @@
 	return out
 }
 
+func (t *task) save(p *step) savedTask {
+	return savedTask{
+		Phase: t.phase, Attempt: t.attempt, Failures: t.failures, Minion: t.incarnation.ID, Born: t.incarnation.Born, Saved: t.checkpoint,
+		OpenAttempts: t.openAttempts, OpenCopies: t.savedOpenCopies(p.job), Crash: t.savedCrash(), Absence: t.savedAbsence(),
+	}
+}
+
 // savedEligible lists the minions known to be eligible, so that a successor need
 // not query again. It covers steps that wait, or whose tasks last and so may have
 // to start again at any time, and whose queries are slow.
@@ -141,8 +155,8 @@
 		s.Submit(acceptedAt(now, wall, j), j)
 		return nil
 	}
-	var p progress
-	if err := json.Unmarshal(row, &p); err != nil {
+	p, err := decodeProgress(row)
+	if err != nil {
 		return fmt.Errorf("progress of %s: %w", j.ID, err)
 	}
 	if err := p.check(j); err != nil {
@@ -300,8 +314,8 @@
 
 // ParseJobState reads the state of a job from its progress row.
 func ParseJobState(row []byte) (JobState, error) {
-	var p progress
-	if err := json.Unmarshal(row, &p); err != nil {
+	p, err := decodeProgress(row)
+	if err != nil {
 		return "", fmt.Errorf("progress: %w", err)
 	}
 	return p.State, nil
