Shard: occurrences of a job that are due at once begin by and by

Cause: all rounds that are due were built at once.

Rounds begin while fewer than 10,000 tasks of the job are unfinished. Occurrences may overlap in any way, so none of them waits for longer than the tasks before it.

--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -187,6 +187,15 @@
 	return r
 }
 
+// openTasks is the number of tasks of the job's unfinished rounds.
+func (j *job) openTasks() int {
+	n := 0
+	for _, p := range j.Steps {
+		n += p.Tasks
+	}
+	return n * (j.nextRound - j.finished)
+}
+
 // minionsInObjective is how many minions the query names that the objective of a
 // job allows for each step.
 const minionsInObjective = 30
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -119,13 +119,17 @@
 	}
 }
 
+// maxOpenTasks is how many tasks of a job's unfinished rounds keep its next rounds from
+// beginning: many rounds may be due at once.
+const maxOpenTasks = 10_000
+
 // beginRounds creates the rounds that are due by the time of day.
 func (s *State) beginRounds(wall time.Time) {
 	s.upcoming = slices.DeleteFunc(s.upcoming, func(j *job) bool {
 		if j.state.Terminal() {
 			return true
 		}
-		for j.nextRound < j.Rounds() && j.Due(j.nextRound) <= wall.UnixMilli() {
+		for j.nextRound < j.Rounds() && j.Due(j.nextRound) <= wall.UnixMilli() && j.openTasks() < maxOpenTasks {
 			s.addRound(j, s.newRound(j, j.nextRound))
 			j.nextRound++
 		}
