Server: jobs for which the owner has no memory are refused

Cause: nothing bounds what is accepted; each owner that loads the jobs exceeds its memory and is killed.

An owner has a third of its memory for jobs. Entries ask it before they accept a large job, and now and then about small ones; without room they refuse with 503. An owner of an older version does not tell; its jobs are accepted as before.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -32,7 +32,7 @@
 
 	{"job accepted", "job queue account fresh version", "a job is durable; fresh is false if it already was", ""},
 	{"cancellation accepted", "job", "a cancellation is durable", ""},
-	{"request rejected", "job why", "a request was rejected without effect", "`feed lost` and `shard write failed` at that time, on this entry and on others"},
+	{"request rejected", "job why", "a request was rejected without effect", "`feed lost` and `shard write failed` at that time, on this entry and on others; for want of memory: jobs that never end"},
 	{"request outcome unknown", "job why", "the store did not respond in time; the request may have taken effect", "the store; a later line about the job"},
 
 	{"shard claimed", "service term why", "this entry became the owner of a shard", "why; the log of the former owner"},
--- a/internal/server/fake_test.go
+++ b/internal/server/fake_test.go
@@ -56,6 +56,7 @@
 	clients []*countingClient
 	direct  int64 // setting direct of the entries
 	batch   int64 // setting batch of the entries
+	memory  int64 // setting memory of the entries
 
 	services map[string]string // of minions that are not of svc, by ID
 }
@@ -225,7 +226,7 @@
 }
 
 func (s *cluster) startEntry(id string) *Server {
-	set := Settings{ID: id, Zone: "z", ClientAddr: loopback.Addr(), ReadinessAddr: loopback.Addr(), PeerAddr: loopback.Addr(), MetricsAddr: loopback.Addr(), Store: "127.0.0.1:1", MaxDirectMinions: s.direct, FailClosed: s.revoke > 0, RevokeTime: s.revoke.Milliseconds(), BatchLease: s.batch}
+	set := Settings{ID: id, Zone: "z", ClientAddr: loopback.Addr(), ReadinessAddr: loopback.Addr(), PeerAddr: loopback.Addr(), MetricsAddr: loopback.Addr(), Store: "127.0.0.1:1", MaxDirectMinions: s.direct, FailClosed: s.revoke > 0, RevokeTime: s.revoke.Milliseconds(), BatchLease: s.batch, Memory: s.memory}
 	_, err := set.Check()
 	assert.NilError(s.t, err)
 	v, c := &faultyStore{Store: s.rows}, &countingClient{fleet: s.fleet}
--- a/internal/server/owner.go
+++ b/internal/server/owner.go
@@ -45,6 +45,10 @@
 	ownerVersion int64  // of the owner row, on which every write is conditional
 	seq          seqRow // of the last write, on which the next one is conditional
 	writeCount   int
+	jobsWeight   atomic.Int64 // bytes that unfinished jobs take
+	postedWeight atomic.Int64 // the same, of jobs that the control goroutine has not seen yet
+	weighedAt    time.Time
+
 	writing      bool // a write is in progress
 	writingSince time.Time
 	handingOver  bool
@@ -170,6 +174,7 @@
 		o.state.Decide(now, time.Now(), o.adviceCapacity(now))
 		o.activity.observeDecision(monotonicNow().Sub(now))
 	}
+	o.weighJobs(now)
 	o.reportActivity(now)
 	orders := o.state.TakeActions()
 	o.updateJobs(orders.Statuses)
@@ -261,11 +266,15 @@
 
 // submit adds an accepted job unless it has been archived.
 func (o *owner) submit(a SubmitArgs) {
+	weight := shard.Weight(a.Job)
+	o.postedWeight.Add(weight)
 	o.post(func(now time.Time) {
+		o.postedWeight.Add(-weight)
 		if a.Version <= o.jobVersion && !o.state.HasJob(a.Job.ID) {
 			return // its row was gone when this owner read all jobs: a previous owner archived it
 		}
 		o.state.Submit(now, a.Job)
+		o.jobsWeight.Add(weight)
 	})
 }
 
--- a/internal/server/rpc.go
+++ b/internal/server/rpc.go
@@ -60,6 +60,13 @@
 	N    int
 }
 
+// RoomReply tells how much memory an owner has left for jobs.
+type RoomReply struct {
+	Owns  bool
+	Free  int64 // bytes; less than 0 if too many are held
+	Limit int64 // bytes; what would be free without any job
+}
+
 // SubmitArgs are the arguments of Submit.
 type SubmitArgs struct {
 	Job     *work.Job
@@ -140,6 +147,14 @@
 	return nil
 }
 
+// Room returns how much memory the owner of a service has left for jobs.
+func (p *peerService) Room(service string, out *RoomReply) error {
+	if o := p.s.localOwner(service); o != nil {
+		*out = o.room()
+	}
+	return nil
+}
+
 // adviseTimeout limits a request to the placement service.
 const adviseTimeout = 4 * time.Second
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,6 +87,7 @@
 	adviceMu sync.Mutex // held during a request to the placement service
 
 	formerServices formerServices
+	rooms          jobRooms
 
 	mu              sync.Mutex
 	entries         map[string]Entry        // by name
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -71,7 +71,7 @@
 	newSetting("beat", "ms", "1500", "10 to 60000", "interval at which minions write their rows"),
 	newSetting("contact", "ms", "3000", "1000 to 60000", "time after which all that are connected know of a change; a minion's row is relied on for this and one beat"),
 	newSetting("direct", "minions", "64", "1 to 100000", "maximum number of minions that an owner calls directly; with more, calls go through other entries"),
-	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent, garbage is collected as often as needed to stay below 0.65 of what is left after 24 MB for the program, and one processor is used for each 16 MB at most; 0: unknown, 64 MB for clients"),
+	newSetting("memory", "MB", "0", "0 to 1000000", "memory that the VM gives this process; an eighth holds at most what clients have sent and a third the jobs that have not ended, garbage is collected as often as needed to stay below 0.65 of what is left after 24 MB for the program, and one processor is used for each 16 MB at most; 0: unknown, 64 MB for clients"),
 	newSetting("closed", "true, false", "false", "", "refuse requests that need a key while the configuration may be older than revoke; otherwise the entry goes on with the keys that it knows"),
 	newSetting("revoke", "ms", "5000", "100 to 600000", "how old the configuration may be if closed is true"),
 	newSetting("window", "ms", "5000", "100 to 600000", "time over which the rate of jobs of an account is measured"),
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -65,6 +65,11 @@
 		web.Fail(w, http.StatusRequestEntityTooLarge, "the job is too large")
 		return
 	}
+	if !s.mayHold(monotonicNow(), j) {
+		s.Log.Info("request rejected", "job", id, "why", "its owner has no memory for it")
+		failUntil(w, http.StatusServiceUnavailable, retryAfter(j), "no memory for a job of this size at present; nothing was done")
+		return
+	}
 	version, err := s.accept(ctx, j, row)
 	if errors.Is(err, errOtherAccount) {
 		web.Fail(w, http.StatusConflict, "%v", err)
