Carry: a carrier that stood still does not make the first calls of a new session

A carrier compares each batch with the fastest one of its session, so it took the first one for punctual however late it was.

A carrier knows of its own standstill by a beat each 100 ms. For a second after one, it makes no calls of a session that has no earlier batch; their owner learns that they were not made. What is delayed on its way to a carrier that is awake is not found out for a first batch, as before.

--- a/internal/carry/carrier.go
+++ b/internal/carry/carrier.go
@@ -18,8 +18,12 @@
 	sessionTimeout = time.Second            // a session is closed when its owner has not fetched results for this long
 	maxCallDelay   = 300 * time.Millisecond // calls delayed for longer in transit or in this process are not made
 	offsetWindow   = 5 * time.Second        // the clock offset is estimated over two such windows
+	wakeTime       = time.Second            // from the end of a standstill, within which what has waited for it arrives
 )
 
+// BeatInterval is how often a carrier's process calls Beat.
+const BeatInterval = maxCallDelay / 3
+
 // Carrier makes calls to minions on behalf of owners. Use NewCarrier.
 type Carrier struct {
 	client     MinionClient
@@ -29,6 +33,8 @@
 	mu       sync.Mutex
 	draining bool
 	sessions map[string]*session
+	awakeAt  time.Time // when this process last did anything
+	wokeAt   time.Time // end of its last standstill; zero if it had none
 }
 
 // NewCarrier returns a carrier for the process instance instanceID.
@@ -36,6 +42,27 @@
 	return &Carrier{client: m, instanceID: instanceID, now: now, sessions: map[string]*session{}}
 }
 
+// Beat shows that this process does not stand still.
+func (c *Carrier) Beat() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observe(c.now())
+}
+
+// observe finds out whether this process has stood still.
+func (c *Carrier) observe(now time.Time) {
+	if !c.awakeAt.IsZero() && now.Sub(c.awakeAt) > maxCallDelay {
+		c.wokeAt = now
+	}
+	c.awakeAt = now
+}
+
+// mayHaveWaited reports whether a batch may have waited for the end of a standstill, and
+// its session has had no other one to compare it with.
+func (c *Carrier) mayHaveWaited(now time.Time, s *session) bool {
+	return s.delays.windowStart.IsZero() && !c.wokeAt.IsZero() && now.Sub(c.wokeAt) < wakeTime
+}
+
 // StartDraining tells owners, in the next replies, to route further calls
 // elsewhere. Calls in progress are completed.
 func (c *Carrier) StartDraining() {
@@ -100,9 +127,13 @@
 func (c *Carrier) RunBatch(b Batch) {
 	now := c.now()
 	c.mu.Lock()
+	c.observe(now)
 	s := c.lookupSession(b.Session, now)
-	delay := s.delays.excessDelay(now, b.Sent)
 	s.delay = min(max(b.Delay, minResultDelay), maxBatchDelay)
+	delay := 2 * maxCallDelay // if it is not known
+	if !c.mayHaveWaited(now, s) {
+		delay = s.delays.excessDelay(now, b.Sent)
+	}
 	c.mu.Unlock()
 	for i := range b.Calls {
 		go c.runCall(s, &b.Calls[i], now.Add(maxCallDelay-delay))
--- a/internal/carry/firstcalls_test.go
+++ b/internal/carry/firstcalls_test.go
@@ -25,3 +25,32 @@
 	started, _, _ := m.counts()
 	assert.Equal(t, started, 1)
 }
+
+// The calls of a new session are made while the carrier is awake, however long it has been
+// idle, and again after a standstill.
+func TestFirstCallsOfASessionAreMadeInTime(t *testing.T) {
+	m := &fakeMinions{}
+	k := &fakeClock{now: time.Unix(1000, 0)}
+	c := NewCarrier(m, "life", k.Now)
+	made := func(session string) bool {
+		before, _, _ := m.counts()
+		c.RunBatch(Batch{Session: session, Sent: k.Now().UnixNano(), Calls: []Call{{N: 1, Kind: startCall, Limit: time.Second}}})
+		c.FetchResults(session)
+		after, _, _ := m.counts()
+		return after > before
+	}
+	c.Beat()
+	for range 100 {
+		k.advance(BeatInterval)
+		c.Beat()
+	}
+	assert.Assert(t, made("owner.1"))
+	k.advance(20 * time.Second)
+	c.Beat()
+	assert.Assert(t, !made("owner.2"))
+	for range 11 {
+		k.advance(BeatInterval)
+		c.Beat()
+	}
+	assert.Assert(t, made("owner.2"))
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,6 +156,12 @@
 	s.spawn(func() {
 		follower{store: s.relayStore, table: entryTable, wait: feedLongPoll, gap: entryFeedInterval, report: s.feedLogger("entries"), observe: s.writeTimes.observe, apply: s.applyEntryTable}.run(ctx, -1)
 	})
+	s.spawn(func() {
+		for ctx.Err() == nil {
+			s.carrier.Beat()
+			sleep(ctx, carry.BeatInterval)
+		}
+	})
 	s.spawn(func() { s.watchServices(ctx) })
 	s.spawn(func() { s.watchClients(ctx) })
 	s.Log.Info("entry started", "id", s.Settings.ID, "zone", s.Settings.Zone, "life", s.instanceID)
