Shard: room is held for tickets only while a query about the step is in flight

Cause: a step with a place and an expired ticket held the room of that place, even if no query could be made for it. With 1,000 steps and 40 queries a second the room of 45 of 48 minions was held, and steps with fresh tickets found none. Ruled out: reservations, none of which was older than 1.3 s.

The test fails on the code before.

--- a/internal/shard/advice_test.go
+++ b/internal/shard/advice_test.go
@@ -64,6 +64,27 @@
 	assert.Equal(t, len(full.runs), 1)
 }
 
+// Guards against LOST: with more steps than can be queried about, those without tickets
+// held the room of nearly all minions, and those with tickets waited.
+func TestRoomIsHeldForTicketsOnlyDuringAQuery(t *testing.T) {
+	for _, free := range []QueryCapacity{{}, {Total: 1, Slow: 1, SlowFrom: time.Second}} {
+		w, o := newOwnedCluster(t, 1)
+		w.submit(advisedJob("first", tasks(1, 3000)), advisedJob("second", tasks(1, 3000)))
+		o.st.Decide(w.now, w.now, QueryCapacity{}) // begins the jobs
+		for _, id := range []string{"first", "second"} {
+			o.st.jobs[id].rounds[0].steps[0].advice.restore([]string{"m0"})
+		}
+		b := w.minions[0]
+		o.st.jobs["second"].rounds[0].steps[0].advice.eligible["m0"] = ticket{"t", w.now.Add(time.Second), b.Born}
+		w.pass(recheckInterval)
+		o.st.Decide(w.now, w.now, free)
+		o.step()
+		o.commit(true)
+		w.deliver(len(w.inFlight))
+		assert.Equal(t, w.runsOf("second") > 0, free.Total == 0, "%+v", free)
+	}
+}
+
 func TestAdviceIsAskedAheadOfAShortStepsTurn(t *testing.T) {
 	w, o := newOwnedCluster(t, 2)
 	second := tasks(1, 1000)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -227,6 +227,12 @@
 	return scored
 }
 
+// holdsForTickets reports whether the step keeps room while it waits for tickets: not
+// while it cannot even query, since that room would be idle, and not if it reserves room.
+func (v *view) holdsForTickets(p *step) bool {
+	return p.advice.inFlight > 0 && (!p.mustRun() || !v.mayReserve(p))
+}
+
 // holdForTickets holds room for planned tasks that wait for their tickets.
 func (v *view) holdForTickets(p *step, plan []*scoredMinion) {
 	for _, sm := range plan {
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -34,7 +34,7 @@
 	}
 	for _, sm := range plan {
 		if sm.eligibility != eligible {
-			if !p.mustRun() || !v.mayReserve(p) {
+			if v.holdsForTickets(p) {
 				v.holdForTickets(p, []*scoredMinion{sm})
 			}
 			continue
