Tests: two renewals, and a start with its stop, in flight over a restart of their minion

All 1,680 orders of a start, its end and two renewals that may let ends be discarded, and all 315 of a start, its stop and a renewal, beside a restart: no end is forgotten and no cancelled run goes on.

--- a/internal/shard/orders_test.go
+++ b/internal/shard/orders_test.go
@@ -14,9 +14,9 @@
 // callOrder plays events in which a start and a renewal that lets ends be discarded
 // cross a restart of their minion, or a change of owner, or both.
 type callOrder struct {
-	w              *simCluster
-	b              *simMinion
-	start, renewal *pendingOrder // in flight; nil if there is none
+	w       *simCluster
+	b       *simMinion
+	flights map[string]*pendingOrder // calls in flight
 }
 
 // newCallOrder returns the state before the first event: an end of the minion is read and
@@ -31,7 +31,7 @@
 	o.step()
 	o.commit(true)
 	w.submit(newJob("b", tasks(1, 1000)))
-	return &callOrder{w: w, b: w.minions[0]}
+	return &callOrder{w: w, b: w.minions[0], flights: map[string]*pendingOrder{}}
 }
 
 // sent returns what was put in flight last, and takes it out of the cluster's hands.
@@ -45,43 +45,59 @@
 	return &f
 }
 
-// dropOutrun drops a call that the incarnation refuses, see simCluster.restart.
-func (c *callOrder) dropOutrun(f *pendingOrder) *pendingOrder {
-	if f != nil && f.token < c.b.token {
-		return nil
+// dropOutrun drops the calls that the incarnation refuses, see simCluster.restart.
+func (c *callOrder) dropOutrun() {
+	for name, f := range c.flights {
+		if f != nil && f.token < c.b.token {
+			delete(c.flights, name)
+		}
 	}
-	return f
 }
 
-// The events.
-var callEvents = map[string]func(c *callOrder){
-	"start": func(c *callOrder) {
+// arrives is the event in which a call arrives, if it is in flight.
+func arrives(name string) func(c *callOrder) {
+	return func(c *callOrder) {
+		if f := c.flights[name]; f != nil {
+			f.deliver()
+		}
+		delete(c.flights, name)
+	}
+}
+
+// renewal is the event in which a renewal is sent.
+func renewal(name string) func(c *callOrder) {
+	return func(c *callOrder) {
+		c.w.owners[len(c.w.owners)-1].renewLate(c.b)
+		c.flights[name] = c.sent()
+	}
+}
+
+// send is the event in which the owner sends what it has decided.
+func send(name string) func(c *callOrder) {
+	return func(c *callOrder) {
 		o := c.w.owners[len(c.w.owners)-1]
 		o.step()
 		o.commit(true)
-		c.start = c.sent()
-	},
-	"renewal": func(c *callOrder) {
-		c.w.owners[len(c.w.owners)-1].renewLate(c.b)
-		c.renewal = c.sent()
+		c.flights[name] = c.sent()
+	}
+}
+
+// The events.
+var callEvents = map[string]func(c *callOrder){
+	"start":   send("start"),
+	"renewal": renewal("renewal"), "second renewal": renewal("second renewal"),
+	"cancel": func(c *callOrder) {
+		c.w.cancelled["b"] = true
+		c.w.owners[len(c.w.owners)-1].st.Cancel(c.w.now, "b")
+		send("stop")(c)
 	},
 	"restart": func(c *callOrder) {
-		c.start, c.renewal = c.dropOutrun(c.start), c.dropOutrun(c.renewal)
+		c.dropOutrun()
 		c.w.restartWith(c.b, c.b.clock()-60_000)
 	},
-	"start arrives": func(c *callOrder) {
-		if c.start != nil {
-			c.start.deliver()
-		}
-		c.start = nil
-	},
-	"run ends": func(c *callOrder) { c.w.finishAll() },
-	"renewal arrives": func(c *callOrder) {
-		if c.renewal != nil {
-			c.renewal.deliver()
-		}
-		c.renewal = nil
-	},
+	"start arrives": arrives("start"), "stop arrives": arrives("stop"),
+	"renewal arrives": arrives("renewal"), "second renewal arrives": arrives("second renewal"),
+	"run ends":   func(c *callOrder) { c.w.finishAll() },
 	"next owner": func(c *callOrder) { c.w.takeOver().renew(c.b) },
 }
 
@@ -91,7 +107,10 @@
 	if len(events) == 0 {
 		return [][]string{nil}
 	}
-	before := map[string]string{"start arrives": "start", "run ends": "start arrives", "renewal arrives": "renewal"}
+	before := map[string]string{
+		"start arrives": "start", "run ends": "start arrives", "cancel": "start", "stop arrives": "cancel",
+		"renewal arrives": "renewal", "second renewal arrives": "second renewal",
+	}
 	for i, e := range events {
 		if slices.Contains(events, before[e]) {
 			continue
@@ -113,10 +132,7 @@
 	for _, order := range orders {
 		t.Run(strings.Join(order, ", "), func(t *testing.T) {
 			c := newCallOrder(t)
-			for _, e := range order {
-				c.w.now = c.w.now.Add(20 * time.Millisecond)
-				callEvents[e](c)
-			}
+			c.play(order)
 			for range 8 {
 				c.w.work(simTick)
 				c.w.finishAll()
@@ -126,6 +142,42 @@
 	}
 }
 
+func (c *callOrder) play(order []string) {
+	for _, e := range order {
+		c.w.now = c.w.now.Add(20 * time.Millisecond)
+		callEvents[e](c)
+	}
+}
+
+// The same with two renewals in flight.
+func TestNoOrderOfLateCallsAndTwoRenewalsForgetsAnEnd(t *testing.T) {
+	orders := callOrders([]string{"start", "renewal", "second renewal", "restart", "start arrives", "run ends", "renewal arrives", "second renewal arrives"})
+	assert.Equal(t, len(orders), 1680)
+	for _, order := range orders {
+		c := newCallOrder(t)
+		c.play(order)
+		for range 8 {
+			c.w.work(simTick)
+			c.w.finishAll()
+		}
+		assert.Equal(t, c.w.state("b"), Completed, "%v", order)
+	}
+}
+
+// A run whose job was cancelled does not go on, in whichever order its start and its stop
+// reach the former and the next incarnation of their minion.
+func TestNoOrderOfLateCallsLetsACancelledRunGoOn(t *testing.T) {
+	orders := callOrders([]string{"start", "cancel", "restart", "start arrives", "stop arrives", "renewal", "renewal arrives"})
+	assert.Equal(t, len(orders), 315)
+	for _, order := range orders {
+		c := newCallOrder(t)
+		c.play(order)
+		c.w.work(2 * time.Second)
+		assert.Equal(t, c.w.running(), 0, "%v", order)
+		assert.Equal(t, c.w.state("b"), Cancelled, "%v", order)
+	}
+}
+
 // Guards against the same where nothing is late: the minion restarts unnoticed, while a
 // renewal that acknowledges an end is in flight, and carries out a start at once. The next
 // renewal may not repeat the number: the end that it would discard is that of the start.
@@ -134,6 +186,7 @@
 	w, o, former := c.w, c.w.owners[0], c.b.Minion
 	callEvents["renewal"](c)
 	callEvents["start"](c)
+	lost := *c.flights["renewal"]
 	w.restart(c.b, false)
 	c.b.clockStart -= clockSpread
 	m := o.st.minions[c.b.ID]
@@ -144,7 +197,7 @@
 	callEvents["start arrives"](c)
 	callEvents["run ends"](c)
 	assert.Equal(t, len(c.b.ends), 1)
-	c.renewal.lose()
+	lost.lose()
 	w.writeRow(c.b)
 	w.completes(t)
 }
@@ -157,8 +210,8 @@
 	m := o.st.minions[c.b.ID]
 	callEvents["renewal"](c)
 	callEvents["start"](c)
-	assert.Assert(t, c.start.token <= m.token)
-	assert.Assert(t, m.token > c.renewal.token)
+	assert.Assert(t, c.flights["start"].token <= m.token)
+	assert.Assert(t, m.token > c.flights["renewal"].token)
 	callEvents["start arrives"](c)
 	callEvents["renewal arrives"](c)
 	assert.Assert(t, m.silentSince.IsZero())
