--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -227,9 +227,9 @@
 	return scored
 }
 
-// holdsForTickets reports whether the step keeps room while it waits for tickets: not
+// mayHoldForTickets reports whether the step may keep room while it waits for tickets: not
 // while it cannot even query, since that room would be idle, and not if it reserves room.
-func (v *view) holdsForTickets(p *step) bool {
+func (v *view) mayHoldForTickets(p *step) bool {
 	return p.advice.inFlight > 0 && (!p.mustRun() || !v.mayReserve(p))
 }
 
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -34,7 +34,7 @@
 	}
 	for _, sm := range plan {
 		if sm.eligibility != eligible {
-			if v.holdsForTickets(p) {
+			if v.mayHoldForTickets(p) {
 				v.holdForTickets(p, []*scoredMinion{sm})
 			}
 			continue
